Route requests end to end through real processes

Nothing existed. The seams everything later stands on are the decision logic, the blackboard, the upstream interfaces and the wire, so they come first, with a thin path through all of them: callers over HTTP, admission and a fair queue, a reservation of decode engine and link before the prefill starts, prefill, transfer, decode, and plain services beside them. Stand-ins for engines and services run as processes of their own.

--- /dev/null
+++ b/org.orchidmount.bench/src/main/java/org/orchidmount/bench/package-info.java
@@ -0,0 +1,2 @@
+/** The demo, and the load and experiment tool. */
+package org.orchidmount.bench;
--- /dev/null
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The fronts for callers and operators, and the path of a request. */
+package org.orchidmount.daemon.internal;
--- /dev/null
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon that runs on every entry instance. */
+package org.orchidmount.daemon;
--- /dev/null
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The inner works of the stand-ins. */
+package org.orchidmount.junit.internal;
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/claims/package-info.java
@@ -0,0 +1,2 @@
+/** Claims that let a not-repeatable request run at most once. */
+package org.orchidmount.claims;
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/claims/package-info.java
@@ -0,0 +1,2 @@
+/** Implementations behind the claim interface. */
+package org.orchidmount.internal.claims;
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/file/package-info.java
@@ -0,0 +1,2 @@
+/** Files that last: checksummed, synced logs. */
+package org.orchidmount.internal.file;
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelPump.java
@@ -0,0 +1,69 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.internal.http;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Moves bytes from a channel to a {@link ByteQueue}.
+ *
+ * <p>Confined to the I/O thread of the channel: every method must be called there.
+ */
+final class ChannelPump {
+    private final StreamSourceChannel mChannel;
+    private final ByteBufferPool mPool;
+    private final ByteQueue mQueue;
+
+    ChannelPump(StreamSourceChannel channel, ByteBufferPool pool, ByteQueue queue) {
+        mChannel = channel;
+        mPool = pool;
+        mQueue = queue;
+    }
+
+    /** Begins to read; the queue is filled from now on. */
+    void start() {
+        mChannel.getReadSetter().set(channel -> onReadable());
+        onReadable();
+    }
+
+    /** Reads on after a pause. */
+    void resume() {
+        if (mChannel.isOpen()) {
+            onReadable();
+        }
+    }
+
+    private void onReadable() {
+        try (PooledByteBuffer pooled = mPool.allocate()) {
+            ByteBuffer buffer = pooled.getBuffer();
+            while (true) {
+                buffer.clear();
+                int count = mChannel.read(buffer);
+                if (count == 0) {
+                    mChannel.resumeReads();
+                    return;
+                }
+                if (count < 0) {
+                    mChannel.suspendReads();
+                    mQueue.end();
+                    return;
+                }
+                byte[] chunk = new byte[count];
+                buffer.flip().get(chunk);
+                if (!mQueue.offer(chunk)) {
+                    mChannel.suspendReads();
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            mQueue.fail(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelWriter.java
@@ -0,0 +1,112 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.internal.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * Writes to a channel from a virtual thread: each write waits until the bytes have left for the
+ * socket, so a slow peer slows the writer down.
+ *
+ * <p>Invariant: the channel is touched on its I/O thread only, and at most one write is under way.
+ * Used by one thread at a time.
+ */
+final class ChannelWriter {
+    private final XnioIoThread mIoThread;
+    private final StreamSinkChannel mChannel;
+    private volatile CompletableFuture<Void> mPending;
+
+    ChannelWriter(XnioIoThread ioThread, StreamSinkChannel channel) {
+        mIoThread = ioThread;
+        mChannel = channel;
+    }
+
+    /** Writes all bytes and waits for the socket to take them. */
+    void write(byte[] bytes, Duration timeout)
+            throws IOException, TimeoutException, InterruptedException {
+        ByteBuffer buffer = ByteBuffer.wrap(bytes);
+        await(done -> step(buffer, done), timeout);
+    }
+
+    /** Ends the stream and waits for the last bytes to leave. */
+    void end(Duration timeout) throws IOException, TimeoutException, InterruptedException {
+        await(
+                done -> {
+                    try {
+                        mChannel.shutdownWrites();
+                        flush(done);
+                    } catch (IOException e) {
+                        done.completeExceptionally(e);
+                    }
+                },
+                timeout);
+    }
+
+    /** Fails a write that is under way, because the connection has closed. */
+    void fail(IOException error) {
+        CompletableFuture<Void> pending = mPending;
+        if (pending != null) {
+            pending.completeExceptionally(error);
+        }
+    }
+
+    private void await(Operation operation, Duration timeout)
+            throws IOException, TimeoutException, InterruptedException {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        mPending = done;
+        mIoThread.execute(() -> operation.run(done));
+        try {
+            done.get(timeout.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage(), e.getCause());
+        }
+    }
+
+    private void step(ByteBuffer buffer, CompletableFuture<Void> done) {
+        if (done.isDone()) {
+            return;
+        }
+        try {
+            while (buffer.hasRemaining()) {
+                if (mChannel.write(buffer) == 0) {
+                    mChannel.getWriteSetter().set(channel -> step(buffer, done));
+                    mChannel.resumeWrites();
+                    return;
+                }
+            }
+            flush(done);
+        } catch (IOException e) {
+            done.completeExceptionally(e);
+        }
+    }
+
+    private void flush(CompletableFuture<Void> done) {
+        try {
+            if (mChannel.flush()) {
+                mChannel.suspendWrites();
+                done.complete(null);
+                return;
+            }
+            mChannel.getWriteSetter().set(channel -> flush(done));
+            mChannel.resumeWrites();
+        } catch (IOException e) {
+            done.completeExceptionally(e);
+        }
+    }
+
+    @FunctionalInterface
+    private interface Operation {
+        void run(CompletableFuture<Void> done);
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -0,0 +1,245 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.internal.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.util.Headers;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.orchidmount.errors.CallFailedException;
+import org.orchidmount.errors.Failure;
+import org.orchidmount.errors.Step;
+import org.xnio.IoUtils;
+
+/**
+ * One call to an upstream, seen from a virtual thread.
+ *
+ * <p>Invariants: the connection is touched on its I/O thread only; it goes back to the pool only
+ * after the whole answer has been read, and is closed in every other case, so that a late answer
+ * can never be taken for that of a later call. Used by one thread, except {@link #abort()}, which
+ * any thread may call.
+ */
+public final class HttpCall implements AutoCloseable {
+    private final HttpConnections mPool;
+    private final Peer mPeer;
+    private final Step mStep;
+    private final ClientConnection mConnection;
+    private final CompletableFuture<ClientExchange> mReady = new CompletableFuture<>();
+    private final CompletableFuture<ClientResponse> mResponse = new CompletableFuture<>();
+    private final ByteQueue mBody = new ByteQueue(this::resumeReading);
+    private volatile ChannelPump mPump;
+    private volatile ChannelWriter mWriter;
+    private boolean mRequestEnded;
+    private boolean mClosed;
+
+    HttpCall(HttpConnections pool, Peer peer, Step step, ClientConnection connection) {
+        mPool = pool;
+        mPeer = peer;
+        mStep = step;
+        mConnection = connection;
+    }
+
+    /** Sends the head. The body follows by {@link #write}, or the call ends with the head. */
+    void send(HttpHead head, boolean hasBody) {
+        mRequestEnded = !hasBody;
+        ClientRequest request = new ClientRequest().setMethod(head.method()).setPath(head.path());
+        request.getRequestHeaders().putAll(head.headers());
+        request.getRequestHeaders().put(Headers.HOST, mPeer.host() + ":" + mPeer.port());
+        mConnection.getIoThread().execute(() -> sendOnIoThread(request));
+    }
+
+    private void sendOnIoThread(ClientRequest request) {
+        mConnection.addCloseListener(closed -> failAll(new IOException("connection closed")));
+        if (!mConnection.isOpen()) {
+            failAll(new IOException("connection closed"));
+            return;
+        }
+        mConnection.sendRequest(
+                request,
+                new Callback() {
+                    @Override
+                    public void completed(ClientExchange exchange) {
+                        onExchange(exchange);
+                    }
+                });
+    }
+
+    private void onExchange(ClientExchange exchange) {
+        exchange.setResponseListener(
+                new Callback() {
+                    @Override
+                    public void completed(ClientExchange answered) {
+                        onResponse(answered);
+                    }
+                });
+        mWriter = new ChannelWriter(mConnection.getIoThread(), exchange.getRequestChannel());
+        mReady.complete(exchange);
+    }
+
+    private void onResponse(ClientExchange exchange) {
+        mPump = new ChannelPump(exchange.getResponseChannel(), mConnection.getBufferPool(), mBody);
+        mResponse.complete(exchange.getResponse());
+        mPump.start();
+    }
+
+    private void resumeReading() {
+        mConnection.getIoThread().execute(() -> mPump.resume());
+    }
+
+    private void failAll(IOException error) {
+        mReady.completeExceptionally(error);
+        mResponse.completeExceptionally(error);
+        mBody.fail(error);
+        ChannelWriter writer = mWriter;
+        if (writer != null) {
+            writer.fail(error);
+        }
+    }
+
+    /**
+     * Sends a part of the body and waits for the socket to take it.
+     *
+     * @param bytes the part
+     * @param timeout the longest wait
+     * @throws CallFailedException if the connection breaks or the wait is too long
+     */
+    public void write(byte[] bytes, Duration timeout) throws CallFailedException {
+        guarded(
+                () -> {
+                    await(mReady, timeout);
+                    mWriter.write(bytes, timeout);
+                    return null;
+                });
+    }
+
+    /**
+     * Ends the body.
+     *
+     * @param timeout the longest wait
+     * @throws CallFailedException if the connection breaks or the wait is too long
+     */
+    public void endRequest(Duration timeout) throws CallFailedException {
+        guarded(
+                () -> {
+                    await(mReady, timeout);
+                    mWriter.end(timeout);
+                    mRequestEnded = true;
+                    return null;
+                });
+    }
+
+    /**
+     * Waits for the head of the answer.
+     *
+     * @param timeout the longest wait
+     * @return status and header fields
+     * @throws CallFailedException if the connection breaks or the wait is too long
+     */
+    public ClientResponse awaitResponse(Duration timeout) throws CallFailedException {
+        return guarded(() -> await(mResponse, timeout));
+    }
+
+    /**
+     * Reads the next part of the answer's body.
+     *
+     * @param timeout the longest wait
+     * @return the part, or null at the end
+     * @throws CallFailedException if the connection breaks or the wait is too long
+     */
+    public byte[] read(Duration timeout) throws CallFailedException {
+        return guarded(() -> mBody.take(timeout));
+    }
+
+    /**
+     * Reads the rest of the answer's body.
+     *
+     * @param timeout the longest wait for each part
+     * @param mostBytes the largest body taken
+     * @return the body
+     * @throws CallFailedException if the connection breaks, the wait is too long or the body is too
+     *     large
+     */
+    public byte[] readAll(Duration timeout, int mostBytes) throws CallFailedException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        for (byte[] part = read(timeout); part != null; part = read(timeout)) {
+            if (body.size() + part.length > mostBytes) {
+                throw new CallFailedException(
+                        new Failure.Garbled(
+                                mStep, mPeer.name(), "answer is larger than " + mostBytes));
+            }
+            body.writeBytes(part);
+        }
+        return body.toByteArray();
+    }
+
+    /** Breaks the call off from any thread; a waiting reader or writer fails at once. */
+    public void abort() {
+        failAll(new IOException("call aborted"));
+        mConnection.getIoThread().execute(() -> IoUtils.safeClose(mConnection));
+    }
+
+    /** Ends the call: keeps the connection if the answer was read to its end, else closes it. */
+    @Override
+    public void close() {
+        if (mClosed) {
+            return;
+        }
+        mClosed = true;
+        if (mRequestEnded && mBody.isDrained() && mConnection.isOpen()) {
+            mPool.giveBack(mPeer, mConnection);
+        } else {
+            abort();
+        }
+    }
+
+    private <T> T guarded(Blocking<T> blocking) throws CallFailedException {
+        try {
+            return blocking.run();
+        } catch (TimeoutException e) {
+            abort();
+            throw new CallFailedException(
+                    new Failure.TimedOut(mStep, mPeer.name(), "no answer in time"));
+        } catch (InterruptedException e) {
+            abort();
+            Thread.currentThread().interrupt();
+            throw new CallFailedException(
+                    new Failure.CallerGone(mStep, mPeer.name(), "interrupted"));
+        } catch (IOException e) {
+            throw new CallFailedException(
+                    new Failure.Broken(mStep, mPeer.name(), String.valueOf(e.getMessage())));
+        }
+    }
+
+    private static <T> T await(CompletableFuture<T> future, Duration timeout)
+            throws IOException, TimeoutException, InterruptedException {
+        try {
+            return future.get(timeout.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage(), e.getCause());
+        }
+    }
+
+    @FunctionalInterface
+    private interface Blocking<T> {
+        T run() throws IOException, TimeoutException, InterruptedException;
+    }
+
+    private abstract class Callback implements ClientCallback<ClientExchange> {
+        @Override
+        public void failed(IOException e) {
+            failAll(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -0,0 +1,212 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.internal.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.errors.CallFailedException;
+import org.orchidmount.errors.Failure;
+import org.orchidmount.errors.Step;
+import org.orchidmount.internal.lock.LockRank;
+import org.orchidmount.internal.lock.OrderedLock;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioWorker;
+
+/**
+ * Connections to upstreams, kept for reuse for a short while.
+ *
+ * <p>Invariant: a connection is used by one call at a time. Thread-safe.
+ */
+public final class HttpConnections implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int SOCKET_BUFFER_BYTES = 64 * 1024;
+    private static final int MAX_IDLE_PER_PEER = 64;
+    private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    private final OrderedLock mLock = new OrderedLock(LockRank.CONNECTIONS);
+    private final Map<Peer, Deque<Idle>> mIdle = new HashMap<>();
+    private final XnioWorker mWorker;
+    private final MonotonicClock mClock;
+    private final Duration mConnectTimeout;
+    private final ByteBufferPool mBuffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
+    private final OptionMap mOptions =
+            OptionMap.builder()
+                    .set(Options.TCP_NODELAY, true)
+                    .set(Options.RECEIVE_BUFFER, SOCKET_BUFFER_BYTES)
+                    .getMap();
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param worker runs the I/O threads
+     * @param clock tells how long a connection has been idle
+     * @param connectTimeout the longest wait for a new connection
+     */
+    public HttpConnections(XnioWorker worker, MonotonicClock clock, Duration connectTimeout) {
+        mWorker = worker;
+        mClock = clock;
+        mConnectTimeout = connectTimeout;
+    }
+
+    /**
+     * Connects, or takes an idle connection, and sends the head of a request without a body.
+     *
+     * @param peer whom to call
+     * @param step the step, for errors
+     * @param head the request's head
+     * @return the call
+     * @throws CallFailedException with {@link Failure.Unreachable} if nothing could be sent
+     */
+    public HttpCall call(Peer peer, Step step, HttpHead head) throws CallFailedException {
+        HttpCall call = connect(peer, step, false);
+        call.send(head, false);
+        return call;
+    }
+
+    /**
+     * Sends a request with a whole body.
+     *
+     * @param peer whom to call
+     * @param step the step, for errors
+     * @param head the request's head; the length is set here
+     * @param body the body
+     * @param timeout the longest wait for the socket to take the body
+     * @return the call
+     * @throws CallFailedException with {@link Failure.Unreachable} if nothing could be sent
+     */
+    public HttpCall call(Peer peer, Step step, HttpHead head, byte[] body, Duration timeout)
+            throws CallFailedException {
+        head.headers().put(Headers.CONTENT_LENGTH, body.length);
+        HttpCall call = connect(peer, step, false);
+        call.send(head, true);
+        try {
+            call.write(body, timeout);
+            call.endRequest(timeout);
+            return call;
+        } catch (CallFailedException e) {
+            call.close();
+            throw e;
+        }
+    }
+
+    /**
+     * Sends the head of a request whose body follows in parts, on a connection of its own, because
+     * an idle connection that the peer has just closed would leave it open whether the call ran.
+     *
+     * @param peer whom to call
+     * @param step the step, for errors
+     * @param head the request's head
+     * @param hasBody false if no body follows
+     * @return the call
+     * @throws CallFailedException with {@link Failure.Unreachable} if nothing could be sent
+     */
+    public HttpCall callFresh(Peer peer, Step step, HttpHead head, boolean hasBody)
+            throws CallFailedException {
+        HttpCall call = connect(peer, step, true);
+        call.send(head, hasBody);
+        return call;
+    }
+
+    private HttpCall connect(Peer peer, Step step, boolean fresh) throws CallFailedException {
+        ClientConnection idle = fresh ? null : takeIdle(peer);
+        ClientConnection connection = idle != null ? idle : open(peer, step);
+        return new HttpCall(this, peer, step, connection);
+    }
+
+    private ClientConnection open(Peer peer, Step step) throws CallFailedException {
+        CompletableFuture<ClientConnection> opened = new CompletableFuture<>();
+        UndertowClient.getInstance()
+                .connect(new Connected(opened), peer.uri(), mWorker, mBuffers, mOptions);
+        try {
+            return opened.get(mConnectTimeout.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (ExecutionException e) {
+            throw unreachable(peer, step, String.valueOf(e.getCause().getMessage()));
+        } catch (TimeoutException e) {
+            opened.completeExceptionally(e);
+            opened.thenAccept(IoUtils::safeClose);
+            throw unreachable(peer, step, "no connection in " + mConnectTimeout.toMillis() + " ms");
+        } catch (InterruptedException e) {
+            opened.completeExceptionally(e);
+            Thread.currentThread().interrupt();
+            throw unreachable(peer, step, "interrupted");
+        }
+    }
+
+    private static CallFailedException unreachable(Peer peer, Step step, String detail) {
+        return new CallFailedException(new Failure.Unreachable(step, peer.name(), detail));
+    }
+
+    private ClientConnection takeIdle(Peer peer) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            Deque<Idle> idle = mIdle.get(peer);
+            while (idle != null && !idle.isEmpty()) {
+                Idle newest = idle.pollLast();
+                boolean young = mClock.nanoTime() - newest.sinceNanos() < MAX_IDLE_NANOS;
+                if (young && newest.connection().isOpen()) {
+                    return newest.connection();
+                }
+                closeLater(newest.connection());
+            }
+            return null;
+        }
+    }
+
+    void giveBack(Peer peer, ClientConnection connection) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            Deque<Idle> idle = mIdle.computeIfAbsent(peer, p -> new ArrayDeque<>());
+            if (idle.size() >= MAX_IDLE_PER_PEER) {
+                closeLater(idle.pollFirst().connection());
+            }
+            idle.addLast(new Idle(connection, mClock.nanoTime()));
+        }
+    }
+
+    private static void closeLater(ClientConnection connection) {
+        connection.getIoThread().execute(() -> IoUtils.safeClose(connection));
+    }
+
+    @Override
+    public void close() {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            mIdle.values().forEach(idle -> idle.forEach(i -> closeLater(i.connection())));
+            mIdle.clear();
+        }
+    }
+
+    private record Idle(ClientConnection connection, long sinceNanos) {}
+
+    private record Connected(CompletableFuture<ClientConnection> opened)
+            implements ClientCallback<ClientConnection> {
+        @Override
+        public void completed(ClientConnection connection) {
+            if (!opened.complete(connection)) {
+                IoUtils.safeClose(connection);
+            }
+        }
+
+        @Override
+        public void failed(IOException e) {
+            opened.completeExceptionally(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -0,0 +1,142 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.internal.http;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.HttpContinueReadHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.orchidmount.internal.log.PartLog;
+import org.xnio.Options;
+
+/**
+ * An HTTP listener that gives each request a virtual thread.
+ *
+ * <p>Thread-safe after construction.
+ */
+public final class HttpServer implements AutoCloseable {
+    private static final PartLog LOG = PartLog.of("http");
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int SOCKET_BUFFER_BYTES = 64 * 1024;
+
+    private final ExecutorService mThreads = Executors.newVirtualThreadPerTaskExecutor();
+    private final Undertow mUndertow;
+    private final RequestHandler mHandler;
+    private final AtomicInteger mActive = new AtomicInteger();
+    private volatile boolean mDraining;
+
+    /**
+     * Starts to listen.
+     *
+     * @param host the IP address
+     * @param port the TCP port, 0 for a free one
+     * @param limits what is taken from a sender
+     * @param ioThreads the number of I/O threads
+     * @param handler serves the requests
+     * @throws RuntimeException if the address cannot be bound
+     */
+    public HttpServer(
+            String host, int port, HttpLimits limits, int ioThreads, RequestHandler handler) {
+        mHandler = handler;
+        HttpHandler root = new HttpContinueReadHandler(this::dispatch);
+        mUndertow =
+                Undertow.builder()
+                        .addHttpListener(port, host)
+                        .setIoThreads(ioThreads)
+                        .setWorkerThreads(1)
+                        .setBufferSize(BUFFER_BYTES)
+                        .setDirectBuffers(false)
+                        .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
+                        .setServerOption(
+                                UndertowOptions.REQUEST_PARSE_TIMEOUT,
+                                (int) limits.headerTimeout().toMillis())
+                        .setServerOption(
+                                UndertowOptions.NO_REQUEST_TIMEOUT,
+                                (int) limits.idleTimeout().toMillis())
+                        .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                        .setSocketOption(Options.TCP_NODELAY, true)
+                        .setSocketOption(Options.SEND_BUFFER, SOCKET_BUFFER_BYTES)
+                        .setSocketOption(Options.CONNECTION_HIGH_WATER, limits.maxConnections())
+                        .setSocketOption(Options.CONNECTION_LOW_WATER, limits.maxConnections())
+                        .setHandler(root)
+                        .build();
+        mUndertow.start();
+    }
+
+    private void dispatch(HttpServerExchange exchange) {
+        if (mDraining) {
+            exchange.setPersistent(false);
+        }
+        mActive.incrementAndGet();
+        ServerExchange request = new ServerExchange(exchange);
+        exchange.dispatch(mThreads, () -> serve(request));
+    }
+
+    private void serve(ServerExchange request) {
+        request.startReading();
+        try {
+            mHandler.handle(request);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            request.abort();
+        } catch (Exception e) {
+            if (!request.isGone()) {
+                LOG.error("request " + request.method() + " " + request.path() + " failed", e);
+            }
+            request.abort();
+        } finally {
+            mActive.decrementAndGet();
+        }
+    }
+
+    /** From now on closes each connection after its answer, because the listener will close. */
+    public void drain() {
+        mDraining = true;
+    }
+
+    /**
+     * Returns the number of requests that are being served.
+     *
+     * @return requests whose head was read and whose answer has not ended
+     */
+    public int active() {
+        return mActive.get();
+    }
+
+    /**
+     * Returns the port bound.
+     *
+     * @return the TCP port
+     */
+    public int port() {
+        return ((InetSocketAddress) mUndertow.getListenerInfo().getFirst().getAddress()).getPort();
+    }
+
+    /** Stops listening and closes all connections. */
+    @Override
+    public void close() {
+        mUndertow.stop();
+        mThreads.shutdownNow();
+    }
+
+    /** Serves one request on a virtual thread. */
+    @FunctionalInterface
+    public interface RequestHandler {
+        /**
+         * Serves a request: reads it and answers it. If an exception leaves this method, the
+         * connection is closed.
+         *
+         * @param request the request
+         * @throws Exception if the answer cannot be completed
+         */
+        void handle(ServerExchange request) throws Exception;
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/Peer.java
@@ -0,0 +1,26 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.internal.http;
+
+import java.net.URI;
+
+/**
+ * Where an upstream listens. Immutable.
+ *
+ * @param name the upstream's name, for errors and logs
+ * @param host its IP address
+ * @param port its TCP port
+ */
+public record Peer(String name, String host, int port) {
+    /**
+     * Returns the address as a URI.
+     *
+     * @return the URI without path
+     */
+    public URI uri() {
+        return URI.create("http://" + host + ":" + port);
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/json/package-info.java
@@ -0,0 +1,2 @@
+/** JSON helpers over Jackson. */
+package org.orchidmount.internal.json;
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/lock/package-info.java
@@ -0,0 +1,2 @@
+/** Locks whose order is stated once and checked while running. */
+package org.orchidmount.internal.lock;
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/log/LogSetup.java
@@ -0,0 +1,75 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.internal.log;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** Sets the format and the level of the process's logs once at start. Not thread-safe. */
+public final class LogSetup {
+    /** Kept strongly, because the logging library drops loggers that nobody holds. */
+    private static final Logger PRODUCT = Logger.getLogger("org.orchidmount");
+
+    private LogSetup() {}
+
+    /**
+     * Sends all logs to standard error.
+     *
+     * @param json true for one JSON object a line, false for text
+     * @param level the least level written, a name of {@link Level}
+     */
+    public static void install(boolean json, String level) {
+        Logger root = Logger.getLogger("");
+        for (Handler handler : root.getHandlers()) {
+            root.removeHandler(handler);
+        }
+        ConsoleHandler console = new ConsoleHandler();
+        console.setLevel(Level.ALL);
+        console.setFormatter(json ? new JsonLines() : new TextLines());
+        root.addHandler(console);
+        root.setLevel(Level.WARNING);
+        PRODUCT.setLevel(Level.parse(level));
+    }
+
+    private static String stackTrace(Throwable thrown) {
+        StringWriter text = new StringWriter();
+        thrown.printStackTrace(new PrintWriter(text));
+        return text.toString();
+    }
+
+    private static final class TextLines extends Formatter {
+        @Override
+        public String format(LogRecord record) {
+            String line =
+                    record.getInstant() + " " + record.getLevel() + " " + formatMessage(record);
+            String trace =
+                    record.getThrown() == null ? "" : "\n" + stackTrace(record.getThrown()).strip();
+            return line + trace + "\n";
+        }
+    }
+
+    private static final class JsonLines extends Formatter {
+        @Override
+        public String format(LogRecord record) {
+            ObjectNode line = JsonNodeFactory.instance.objectNode();
+            line.put("time", record.getInstant().toString());
+            line.put("level", record.getLevel().getName());
+            line.put("message", formatMessage(record));
+            if (record.getThrown() != null) {
+                line.put("stackTrace", stackTrace(record.getThrown()));
+            }
+            return line + "\n";
+        }
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/log/package-info.java
@@ -0,0 +1,2 @@
+/** Logs with a fixed prefix for each part. */
+package org.orchidmount.internal.log;
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/table/package-info.java
@@ -0,0 +1,2 @@
+/** Implementations behind the table interfaces. */
+package org.orchidmount.internal.table;
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** The engine and plain service protocols over HTTP. */
+package org.orchidmount.internal.upstream;
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/limits/LimitBook.java
@@ -0,0 +1,135 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.limits;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.orchidmount.internal.lock.LockRank;
+import org.orchidmount.internal.lock.OrderedLock;
+import org.orchidmount.table.AccountRow;
+
+/**
+ * Counts what runs against the limits of accounts, classes, models and pools.
+ *
+ * <p>Invariant: a hold counts against all its limits or against none. Thread-safe.
+ */
+public final class LimitBook {
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final OrderedLock mLock = new OrderedLock(LockRank.LIMITS);
+    private final Shares mShares;
+    private final Map<String, Integer> mRunning = new HashMap<>();
+    private final Map<String, Bucket> mBuckets = new HashMap<>();
+
+    /**
+     * Creates an empty book.
+     *
+     * @param shares this instance's parts of the limits
+     */
+    public LimitBook(Shares shares) {
+        mShares = shares;
+    }
+
+    /**
+     * Takes one request from an account's rate. Up to one second's worth may come at once.
+     *
+     * @param account the account
+     * @param nowNanos the monotonic time
+     * @return 0 if the request may go on, else the milliseconds after which to come back
+     */
+    public long takeRate(AccountRow account, long nowNanos) {
+        if (account.requestsPerSecond() == 0) {
+            return 0;
+        }
+        int rate = mShares.share("account " + account.name(), account.requestsPerSecond());
+        try (OrderedLock.Held _ = mLock.hold()) {
+            Bucket old = mBuckets.get(account.name());
+            double tokens =
+                    old == null
+                            ? rate
+                            : Math.min(
+                                    rate,
+                                    old.tokens()
+                                            + (nowNanos - old.atNanos()) / NANOS_PER_SECOND * rate);
+            boolean allowed = tokens >= 1;
+            mBuckets.put(account.name(), new Bucket(allowed ? tokens - 1 : tokens, nowNanos));
+            return allowed ? 0 : (long) Math.ceil((1 - tokens) / rate * 1000);
+        }
+    }
+
+    /**
+     * Counts a request against several limits at once.
+     *
+     * @param limits the limits; those of 0 are not counted
+     * @return the first limit that is reached, or empty if the request now counts
+     */
+    public Optional<Limit> tryHold(List<Limit> limits) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            for (Limit limit : limits) {
+                boolean limited = limit.most() > 0;
+                int running = mRunning.getOrDefault(limit.key(), 0);
+                if (limited && running >= mShares.share(limit.key(), limit.most())) {
+                    return Optional.of(limit);
+                }
+            }
+            limits.forEach(limit -> mRunning.merge(limit.key(), 1, Integer::sum));
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Ends the counting of a request.
+     *
+     * @param limits the limits given to {@link #tryHold}
+     */
+    public void release(List<Limit> limits) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            for (Limit limit : limits) {
+                mRunning.computeIfPresent(
+                        limit.key(), (key, count) -> count == 1 ? null : count - 1);
+            }
+        }
+    }
+
+    /**
+     * Returns how many requests count against a key.
+     *
+     * @param key the key of a limit
+     * @return the number
+     */
+    public int running(String key) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            return mRunning.getOrDefault(key, 0);
+        }
+    }
+
+    /**
+     * Lists all keys that something counts against.
+     *
+     * @return keys and numbers
+     */
+    public List<Limit> all() {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            List<Limit> all = new ArrayList<>();
+            mRunning.forEach((key, count) -> all.add(new Limit(key, count)));
+            return all;
+        }
+    }
+
+    /**
+     * A limit on running requests. Immutable.
+     *
+     * @param key what is limited, for example "pool sm-decode"
+     * @param most the most requests in the fleet, 0 for no limit
+     */
+    public record Limit(String key, int most) {}
+
+    private record Bucket(double tokens, long atNanos) {}
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Limits of accounts, classes, models and pools, and the retry budget. */
+package org.orchidmount.limits;
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decision logic: which engines take a request, when it waits and when it is refused. */
+package org.orchidmount.routing;
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/table/ModelRow.java
@@ -0,0 +1,54 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.table;
+
+/**
+ * A language model and the pools that serve it. Immutable.
+ *
+ * @param name the name callers give in the field "model"
+ * @param prefillPool the pool whose engines process prompts
+ * @param decodePool the pool whose engines generate tokens
+ * @param firstTokenTargetMillis the target for the time to the first token
+ * @param tokenGapTargetMillis the target for the time between tokens
+ * @param kvBytesPerToken the KV cache one token takes
+ * @param maxPromptTokens the longest prompt taken
+ * @param maxOutputTokens the longest answer, and the answer length assumed when a caller names none
+ * @param maxRunning the most requests running for this model, 0 for no limit
+ */
+public record ModelRow(
+        String name,
+        String prefillPool,
+        String decodePool,
+        long firstTokenTargetMillis,
+        long tokenGapTargetMillis,
+        long kvBytesPerToken,
+        int maxPromptTokens,
+        int maxOutputTokens,
+        int maxRunning)
+        implements Row {
+    private static final long MOST_MILLIS = 3_600_000;
+    private static final long MOST_KV_BYTES = 1L << 30;
+    private static final int MOST_TOKENS = 10_000_000;
+    private static final int MOST_RUNNING = 1_000_000;
+
+    /** Checks the fields. */
+    public ModelRow {
+        Fields.name("name", name);
+        Fields.name("prefillPool", prefillPool);
+        Fields.name("decodePool", decodePool);
+        Fields.range("firstTokenTargetMillis", firstTokenTargetMillis, 1, MOST_MILLIS);
+        Fields.range("tokenGapTargetMillis", tokenGapTargetMillis, 1, MOST_MILLIS);
+        Fields.range("kvBytesPerToken", kvBytesPerToken, 1, MOST_KV_BYTES);
+        Fields.range("maxPromptTokens", maxPromptTokens, 1, MOST_TOKENS);
+        Fields.range("maxOutputTokens", maxOutputTokens, 1, MOST_TOKENS);
+        Fields.range("maxRunning", maxRunning, 0, MOST_RUNNING);
+    }
+
+    @Override
+    public RowKind rowKind() {
+        return RowKind.MODEL;
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** How upstreams are spoken to: model engines and plain services. */
+package org.orchidmount.upstream;
