Continue answers whose engine fails, whatever the retry budget says

Cause: with one of three decode engines stalled, 13 of 40 requests needed another engine at once and the budget's stock of 10 ran out, so callers lost answers they had half of; and a resume at a stalled engine waited the 30 s of a first token. Ruled out: the circuit breaker (open after three failures) and the choice of engine (the failed one is excluded).

Change: an answer that its caller has in part goes on without asking the budget, since there are never more of those than were in progress; a resume must be answered within the cancel time-out. The stand-in engine now holds memory before it imports and frees the exporter's memory after, as engines do, so a stalled transfer holds memory on both sides.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionRun.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionRun.java
@@ -129,7 +129,7 @@
         }
         LOG.info("%s: attempt %d failed: %s", mId, mAttempt, failure.describe());
         boolean again = isRetryable(failure) && mAttempt < MAX_ATTEMPTS;
-        if (again && mParts.retries().take()) {
+        if (again && mayRetry()) {
             mExcluded.add(failure.peer());
             return false;
         }
@@ -137,6 +137,14 @@
         return true;
     }
 
+    /**
+     * Asks the retry budget. An answer that its caller has in part goes on without asking: giving
+     * it up would waste all its work, and there are no more such answers than were in progress.
+     */
+    private boolean mayRetry() {
+        return mDelivered > 0 || mParts.retries().take();
+    }
+
     private Failure serve(Reservation reservation) throws InterruptedException {
         String prefillId = mId + "-p" + mAttempt;
         phase("prefill", reservation);
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/Cluster.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/Cluster.java
@@ -48,6 +48,7 @@
 
     private final Path mFolder;
     private final ClusterPlan mPlan;
+    private final Map<String, Startup> mStartups = new LinkedHashMap<>();
     private final Map<String, ChildProcess> mUpstreams = new LinkedHashMap<>();
     private final Map<String, FaultProxy> mProxies = new LinkedHashMap<>();
     private final Map<String, EngineConfig> mEngines = new LinkedHashMap<>();
@@ -91,6 +92,7 @@
         }
         List<ChildProcess> started = startTogether(upstreams);
         for (int i = 0; i < upstreams.size(); i++) {
+            mStartups.put(upstreams.get(i).name(), upstreams.get(i));
             adopt(upstreams.get(i).name(), started.get(i));
         }
         writeSecret("resume.key", RESUME_KEY);
@@ -171,6 +173,22 @@
         mEntries.set(index, entryStartup(index + 1).start(mFolder));
     }
 
+    /**
+     * Starts an upstream again, on the port it had, with nothing left of its state.
+     *
+     * @param name the upstream's name
+     * @throws IOException if it does not start
+     */
+    public void restartUpstream(String name) throws IOException {
+        ChildProcess old = mUpstreams.get(name);
+        old.close();
+        List<String> arguments = new ArrayList<>(mStartups.get(name).arguments());
+        arguments.add("--port");
+        arguments.add(String.valueOf(old.port("port")));
+        String mainClass = mStartups.get(name).mainClass();
+        mUpstreams.put(name, new Startup(name, mainClass, arguments).start(mFolder));
+    }
+
     private ObjectNode settings(int number) {
         ObjectNode json = Json.object();
         json.put("instance", "entry-" + number);
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakeEngine.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakeEngine.java
@@ -82,7 +82,7 @@
                 long after = Long.parseLong(exchange.query("events_after"));
                 answer(exchange, StatusCodes.OK, mService.report(after));
             }
-            case "/v1/exports" -> take(exchange, body);
+            case "/v1/exports" -> export(exchange, body);
             case "/v1/orders" -> order(exchange, body);
             case "/test/state" -> answer(exchange, StatusCodes.OK, mService.state());
             case "/test/executions" -> {
@@ -185,12 +185,13 @@
         }
     }
 
-    private void take(ServerExchange exchange, JsonNode body) throws Exception {
-        ObjectNode taken = mService.takeExport(body.path("handle").asText());
-        if (taken == null) {
+    private void export(ServerExchange exchange, JsonNode body) throws Exception {
+        ObjectNode held =
+                mService.export(body.path("handle").asText(), body.path("imported").asBoolean());
+        if (held == null) {
             answer(exchange, StatusCodes.GONE, error("the cache is no longer held"));
         } else {
-            answer(exchange, StatusCodes.OK, taken);
+            answer(exchange, StatusCodes.OK, held);
         }
     }
 
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/EngineCore.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/EngineCore.java
@@ -263,8 +263,13 @@
         }
     }
 
-    /** Gives an exported cache away; returns null if there is none. */
-    Export takeExport(String id) {
+    /** Finds an exported cache; it is held until {@link #releaseExport} or it runs out. */
+    Export findExport(String id) {
+        return locked(() -> mExports.get(id));
+    }
+
+    /** Frees an exported cache that was imported; returns false if it is no longer held. */
+    boolean releaseExport(String id) {
         return locked(
                 () -> {
                     Export export = mExports.remove(id);
@@ -272,7 +277,7 @@
                         mKvBytesHeld -= export.kvBytes();
                         mChanged.signalAll();
                     }
-                    return export;
+                    return export != null;
                 });
     }
 
@@ -317,8 +322,7 @@
             while (!sequence.isDropped() && !mClosed) {
                 if (isNext(sequence)) {
                     mKvBytesHeld += sequence.kvBytes();
-                    sequence.setRunning();
-                    mChanged.signalAll();
+                    sequence.setHoldsMemory();
                     return true;
                 }
                 mChanged.await(50, TimeUnit.MILLISECONDS);
@@ -330,19 +334,28 @@
     }
 
     private boolean isNext(EngineSequence sequence) {
-        long running = mSequences.values().stream().filter(EngineSequence::isRunning).count();
-        if (running >= mConfig.maxBatch()
-                || mKvBytesHeld + sequence.kvBytes() > mConfig.kvBytes()) {
+        long batch = mSequences.values().stream().filter(EngineSequence::holdsMemory).count();
+        if (batch >= mConfig.maxBatch() || mKvBytesHeld + sequence.kvBytes() > mConfig.kvBytes()) {
             return false;
         }
         return mSequences.values().stream()
-                .filter(other -> !other.isRunning() && other != sequence)
+                .filter(other -> !other.holdsMemory() && other != sequence)
                 .noneMatch(
                         other ->
                                 other.priority() < sequence.priority()
                                         && mKvBytesHeld + other.kvBytes() <= mConfig.kvBytes());
     }
 
+    /** Begins to generate, now that the cache is here. */
+    void run(EngineSequence sequence) {
+        locked(
+                () -> {
+                    sequence.setRunning();
+                    mChanged.signalAll();
+                    return null;
+                });
+    }
+
     private void decodeLoop() throws InterruptedException {
         mLock.lock();
         try {
@@ -418,7 +431,7 @@
                     }
                     EngineSequence sequence = mSequences.remove(id);
                     if (sequence != null) {
-                        if (sequence.isRunning()) {
+                        if (sequence.holdsMemory()) {
                             mKvBytesHeld -= sequence.kvBytes();
                         }
                         sequence.drop();
@@ -455,7 +468,7 @@
     private Report capture() {
         int running = 0;
         for (EngineSequence sequence : mSequences.values()) {
-            running += sequence.isRunning() ? 1 : 0;
+            running += sequence.holdsMemory() ? 1 : 0;
         }
         int waiting = mSequences.size() - running + mPrefillQueue.size();
         return new Report(running, waiting, mKvBytesHeld);
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/EngineSequence.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/EngineSequence.java
@@ -34,6 +34,7 @@
     private int mRead;
     private int mReader;
     private boolean mAttached;
+    private boolean mHoldsMemory;
     private boolean mRunning;
     private boolean mDropped;
 
@@ -90,6 +91,16 @@
         return mAttached;
     }
 
+    /** Tells whether memory and a place in the batch are held for this request. */
+    boolean holdsMemory() {
+        return mHoldsMemory;
+    }
+
+    void setHoldsMemory() {
+        mHoldsMemory = true;
+    }
+
+    /** Tells whether the request's cache has been imported, so that tokens are generated. */
     boolean isRunning() {
         return mRunning;
     }
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/EngineService.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/EngineService.java
@@ -150,14 +150,16 @@
     }
 
     /**
-     * Gives an exported cache to another engine.
+     * Tells another engine the size of an exported cache, or frees it once it was imported.
      *
-     * @param handle its name
+     * @param handle the cache's name
+     * @param imported true once the other engine has it
      * @return its size, or null if it is not held
      */
-    public ObjectNode takeExport(String handle) {
-        EngineCore.Export export = mCore.takeExport(handle);
-        return export == null ? null : Json.object().put("kv_bytes", export.kvBytes());
+    public ObjectNode export(String handle, boolean imported) {
+        EngineCore.Export export = mCore.findExport(handle);
+        boolean held = imported ? mCore.releaseExport(handle) : export != null;
+        return held ? Json.object().put("kv_bytes", export.kvBytes()) : null;
     }
 
     /**
@@ -178,33 +180,39 @@
                         PromptBlocks.of(call.prompt()).tokens(),
                         call.body().path("priority").asInt());
         int reader = mCore.attach(sequence, call.instance(), call.incarnation(), 0);
+        if (!mCore.admit(sequence)) {
+            mCore.drop(call.id());
+            return new Opened(-1, "the request was cancelled");
+        }
         JsonNode transfer = call.body().path(EngineProtocol.TRANSFER);
         boolean imports = transfer.path(EngineProtocol.REMOTE_PREFILL).asBoolean();
-        long bytes = 0;
-        if (imports) {
-            bytes = importBytes(transfer);
-            if (bytes < 0) {
-                mCore.drop(call.id());
-                return new Opened(-1, "the cache could not be imported");
-            }
-        }
-        if (!mCore.transfer(bytes, sequence) || !mCore.admit(sequence)) {
+        if (imports && !importCache(transfer, sequence)) {
             mCore.drop(call.id());
-            return new Opened(-1, "the request was cancelled");
+            return new Opened(-1, "the cache could not be imported");
         }
+        mCore.run(sequence);
         return new Opened(reader, null);
     }
 
-    private long importBytes(JsonNode transfer) {
+    private boolean importCache(JsonNode transfer, EngineSequence sequence)
+            throws InterruptedException {
+        long bytes = callExporter(transfer, false);
+        return bytes >= 0 && mCore.transfer(bytes, sequence) && callExporter(transfer, true) >= 0;
+    }
+
+    /** Asks the prefill engine for the size of a cache, or tells it that the cache is here. */
+    private long callExporter(JsonNode transfer, boolean imported) {
         Peer peer =
                 new Peer(
                         transfer.path("remote_engine_id").asText(),
                         transfer.path("remote_host").asText(),
                         transfer.path("remote_port").asInt());
-        byte[] body =
-                Json.bytes(Json.object().put("handle", transfer.path("remote_handle").asText()));
+        ObjectNode question = Json.object();
+        question.put("handle", transfer.path("remote_handle").asText());
+        question.put("imported", imported);
         HttpHead head = HttpHead.of(Methods.POST, "/v1/exports");
-        try (HttpCall call = mConnections.call(peer, Step.PREFILL, head, body, TAKE_TIMEOUT)) {
+        try (HttpCall call =
+                mConnections.call(peer, Step.PREFILL, head, Json.bytes(question), TAKE_TIMEOUT)) {
             int status = call.awaitResponse(TAKE_TIMEOUT).getResponseCode();
             byte[] answer = call.readAll(TAKE_TIMEOUT, MAX_ANSWER_BYTES);
             return status == StatusCodes.OK ? Json.parse(answer).path("kv_bytes").asLong() : -1;
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/upstream/HttpEngineClient.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/upstream/HttpEngineClient.java
@@ -123,20 +123,32 @@
         body.set(EngineProtocol.TRANSFER, transfer);
         HttpHead head = head(request.path(), request.id());
         return attempt(
-                () -> open(request.engine(), head, Json.bytes(body), request.id(), 0, cancel));
+                () ->
+                        open(
+                                request.engine(),
+                                head,
+                                Json.bytes(body),
+                                mSettings.firstTokenTimeout(),
+                                0,
+                                cancel));
     }
 
     @Override
     public Attempt<TokenStream> resume(Peer engine, String id, int offset, CancelSignal cancel) {
         HttpHead head = head(EngineProtocol.REQUESTS + "/" + id + "/resume", id);
         byte[] body = Json.bytes(Json.object().put("offset", offset));
-        return attempt(() -> open(engine, head, body, id, offset, cancel));
+        return attempt(() -> open(engine, head, body, mSettings.cancelTimeout(), offset, cancel));
     }
 
     private TokenStream open(
-            Peer engine, HttpHead head, byte[] body, String id, int offset, CancelSignal cancel)
+            Peer engine,
+            HttpHead head,
+            byte[] body,
+            Duration timeout,
+            int offset,
+            CancelSignal cancel)
             throws CallFailedException {
-        Duration timeout = mSettings.firstTokenTimeout();
+        String id = head.headers().getFirst(EngineProtocol.REQUEST_ID);
         HttpCall call = mConnections.call(engine, Step.DECODE, head, body, timeout);
         CancelSignal.Registration registration = cancel.onCancel(call::abort);
         try {
