--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/Daemon.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/Daemon.java
@@ -44,16 +44,19 @@
     /**
      * Stops as planned: turns unready, takes work for a notice more, lets all requests finish
      * within the limit, and ends. Returns when that is done; a second call returns at once.
-     *
-     * @return true if every request has finished, false if some had to be broken off
      */
-    boolean drainAndStop();
+    void drainAndStop();
 
     /** Breaks off a planned stop: what still runs is cancelled and told so. */
     void stopNow();
 
-    /** Waits until the instance has stopped. */
-    void awaitStop() throws InterruptedException;
+    /**
+     * Waits until the instance has stopped.
+     *
+     * @return true if every request has finished, false if some had to be broken off
+     * @throws InterruptedException if the thread is interrupted
+     */
+    boolean awaitStop() throws InterruptedException;
 
     @Override
     void close();
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/Main.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/Main.java
@@ -85,14 +85,13 @@
     private static int run(Settings settings) throws InterruptedException {
         LogSetup.install(settings.log().json(), settings.log().level());
         try (Daemon daemon = Daemon.start(settings)) {
-            AtomicBoolean brokenOff = new AtomicBoolean();
             AtomicBoolean asked = new AtomicBoolean();
             StopSignals.install(
                     () -> {
                         if (asked.getAndSet(true)) {
                             daemon.stopNow();
                         } else {
-                            brokenOff.set(!daemon.drainAndStop());
+                            daemon.drainAndStop();
                         }
                     });
             System.out.println(
@@ -100,8 +99,7 @@
                             + daemon.callerPort()
                             + " operators="
                             + daemon.operatorPort());
-            daemon.awaitStop();
-            return brokenOff.get() ? EXIT_BROKEN_OFF : EXIT_OK;
+            return daemon.awaitStop() ? EXIT_OK : EXIT_BROKEN_OFF;
         } catch (IOException e) {
             System.err.println("error: " + e.getMessage());
             return EXIT_START;
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionHandler.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionHandler.java
@@ -47,13 +47,13 @@
         CancelSignal cancel = new CancelSignal();
         mParts.requests().add(view(id, identity, request.model().name(), arrivedNanos), cancel);
         try {
-            exchange.onGone(cancel::cancel);
+            exchange.onGone(() -> cancel.cancel(CancelSignal.Reason.CALLER_GONE));
             AnswerWriter writer =
                     request.stream()
                             ? new StreamAnswer(exchange, id, mParts.resumeTokens(), mWriteTimeout)
                             : new WholeAnswer(exchange, id, request, mWriteTimeout);
             new CompletionRun(mParts, request, id, writer, cancel, arrivedNanos).run();
-            if (cancel.isCancelled()) {
+            if (cancel.reason() == CancelSignal.Reason.CALLER_GONE) {
                 exchange.abort();
             }
         } finally {
@@ -75,7 +75,7 @@
         CancelSignal cancel = new CancelSignal();
         mParts.requests().add(view(id, identity, "resume", mParts.clock().nanoTime()), cancel);
         try {
-            exchange.onGone(cancel::cancel);
+            exchange.onGone(() -> cancel.cancel(CancelSignal.Reason.CALLER_GONE));
             AnswerWriter writer =
                     new StreamAnswer(
                             exchange, source.requestId(), mParts.resumeTokens(), mWriteTimeout);
@@ -91,7 +91,7 @@
                 return;
             }
             mParts.cleaner().clean(engine, source.engineRequestId());
-            if (cancel.isCancelled()) {
+            if (cancel.reason() == CancelSignal.Reason.CALLER_GONE) {
                 exchange.abort();
             } else {
                 writer.fail(Refusal.failed(Messages.RESUME_FAILED.formatted(failure.describe())));
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionRun.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionRun.java
@@ -43,6 +43,7 @@
 final class CompletionRun {
     private static final PartLog LOG = PartLog.of("request");
     private static final int MAX_ATTEMPTS = 3;
+    private static final long STOP_RETRY_MILLIS = 1_000;
 
     private final Parts mParts;
     private final CompletionRequest mRequest;
@@ -78,7 +79,7 @@
             Ticket ticket = ticket();
             switch (await(ticket)) {
                 case Verdict.Withdrawn _ -> {
-                    count("gone");
+                    endCancelled();
                     return;
                 }
                 case Verdict.Refused(Decision.Refuse refuse) -> {
@@ -124,7 +125,7 @@
         }
         mMayHaveRun |= failure.mayHaveRun();
         if (mCancel.isCancelled()) {
-            count("gone");
+            endCancelled();
             return true;
         }
         LOG.info("%s: attempt %d failed: %s", mId, mAttempt, failure.describe());
@@ -137,6 +138,15 @@
         return true;
     }
 
+    /** Ends a cancelled request: a caller that is still there is told its fate. */
+    private void endCancelled() throws IOException, TimeoutException, InterruptedException {
+        if (mCancel.reason() == CancelSignal.Reason.CALLER_GONE) {
+            count("gone");
+            return;
+        }
+        finish(refusal(new Decision.Refuse(Decision.RefuseReason.STOPPING, STOP_RETRY_MILLIS)));
+    }
+
     /**
      * Asks the retry budget. An answer that its caller has in part goes on without asking: giving
      * it up would waste all its work, and there are no more such answers than were in progress.
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/EngineCleaner.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/EngineCleaner.java
@@ -11,9 +11,11 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.orchidmount.errors.Attempt;
+import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.upstream.EngineClient;
+import org.orchidmount.upstream.TokenStream;
 
 /**
  * Makes engines drop requests that are of no further use, and does not rest until they confirm.
@@ -48,6 +50,25 @@
         mThreads.execute(() -> cleanNow(engine, engineRequestId));
     }
 
+    /**
+     * Reads the end of a stream whose tokens have all come, so that its connection can serve again,
+     * and cancels the request if that end does not come.
+     */
+    void finish(TokenStream stream, Peer engine, String engineRequestId) {
+        mThreads.execute(
+                () -> {
+                    try (stream) {
+                        if (stream.next() == null) {
+                            return;
+                        }
+                        LOG.warn("engine %s goes on after the end", engine.name());
+                    } catch (CallFailedException e) {
+                        LOG.debug("%s: %s", engineRequestId, e.failure().describe());
+                    }
+                    cleanNow(engine, engineRequestId);
+                });
+    }
+
     private void cleanNow(Peer engine, String id) {
         int unknown = 0;
         for (Duration pause : PAUSES) {
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainHandler.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainHandler.java
@@ -72,7 +72,7 @@
         mParts.requests().add(view(id, identity, route), cancel);
         try {
             if (route.repeatable()) {
-                exchange.onGone(cancel::cancel);
+                exchange.onGone(() -> cancel.cancel(CancelSignal.Reason.CALLER_GONE));
                 mParts.retries().earn();
                 mForwarder.forward(exchange, id, route, cancel);
             } else {
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
@@ -69,6 +69,7 @@
     private final OperatorFront mOperators;
     private final AtomicBoolean mStopping = new AtomicBoolean();
     private final AtomicBoolean mHurry = new AtomicBoolean();
+    private final AtomicBoolean mBrokenOff = new AtomicBoolean();
     private final AtomicBoolean mClosed = new AtomicBoolean();
     private final CountDownLatch mStopped = new CountDownLatch(1);
 
@@ -227,9 +228,9 @@
     }
 
     @Override
-    public boolean drainAndStop() {
+    public void drainAndStop() {
         if (mStopping.getAndSet(true)) {
-            return mParts.requests().size() == 0;
+            return;
         }
         LOG.info("planned stop begins");
         mReadiness.leave();
@@ -240,12 +241,12 @@
         int left = mParts.requests().size();
         if (left > 0) {
             LOG.warn("%d requests are broken off", left);
+            mBrokenOff.set(true);
             mParts.requests().cancelAll();
             waitFor(LAST_WORDS, mCallers::isIdle);
         }
         close();
         LOG.info("stopped with %d requests broken off", left);
-        return left == 0;
     }
 
     @Override
@@ -254,8 +255,9 @@
     }
 
     @Override
-    public void awaitStop() throws InterruptedException {
+    public boolean awaitStop() throws InterruptedException {
         mStopped.await();
+        return !mBrokenOff.get();
     }
 
     @Override
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/TokenRelay.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/TokenRelay.java
@@ -104,16 +104,26 @@
         return mParts.engines().resume(mEngine, mSource.engineRequestId(), engineOffset, mCancel);
     }
 
+    /**
+     * Relays one stream. The token with a finish reason makes the answer whole; how the stream ends
+     * after it no longer matters to the caller.
+     */
     private Failure drain(TokenStream stream) throws InterruptedException {
-        try (stream) {
+        try {
             for (TokenChunk chunk = stream.next(); chunk != null; chunk = stream.next()) {
                 deliver(chunk);
+                if (chunk.finishReason() != null) {
+                    mParts.cleaner().finish(stream, mEngine, mSource.engineRequestId());
+                    return null;
+                }
             }
-            return null;
+            throw new IllegalStateException("a stream ended without a finish reason");
         } catch (CallFailedException e) {
+            stream.close();
             return e.failure();
         } catch (IOException | TimeoutException e) {
-            mCancel.cancel();
+            stream.close();
+            mCancel.cancel(CancelSignal.Reason.CALLER_GONE);
             return new Failure.CallerGone(Step.ANSWER, "caller", String.valueOf(e.getMessage()));
         }
     }
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/Cluster.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/Cluster.java
@@ -436,6 +436,36 @@
         return sumOfEngines("kvBytesHeld");
     }
 
+    /**
+     * Lists what the living engines hold, for the message of a failed test.
+     *
+     * @return a line for each engine
+     */
+    public String describeEngines() {
+        StringBuilder text = new StringBuilder();
+        for (String name : mEngines.keySet()) {
+            if (mUpstreams.get(name).awaitExit(0) < 0) {
+                JsonNode running = new Caller(upstreamUrl(name), "").getJson("/v1/requests");
+                text.append('\n').append(name).append(' ').append(engineState(name));
+                text.append(' ').append(running);
+            }
+        }
+        return text.toString();
+    }
+
+    /**
+     * Waits until no engine holds memory for a request.
+     *
+     * @throws AssertionError if one still does after {@link Await#LONG}; it tells which
+     */
+    public void awaitMemoryFree() {
+        Await.until(
+                "engine memory is free",
+                Await.LONG,
+                () -> kvBytesHeld() == 0,
+                this::describeEngines);
+    }
+
     /**
      * Adds a figure of the state of all engines that live.
      *
--- a/org.orchidmount.test/src/test/java/org/orchidmount/test/BrokenEngineTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/test/BrokenEngineTest.java
@@ -138,7 +138,7 @@
                     .that(answer.text())
                     .isEqualTo(FakeModel.answer(prompt(name, i), tokens));
         }
-        Await.until("memory is free", Await.LONG, () -> sCluster.kvBytesHeld() == 0);
+        sCluster.awaitMemoryFree();
         assertThat(answers).hasSize(REQUESTS);
     }
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/test/CancelTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/test/CancelTest.java
@@ -127,7 +127,7 @@
                 sCluster.caller(0, Cluster.MILL_KEY)
                         .complete(Caller.completion("and now?", 5, stream));
         assertThat(answer.outcome()).isEqualTo("completed");
-        Await.until("memory is free", Await.LONG, () -> sCluster.kvBytesHeld() == 0);
+        sCluster.awaitMemoryFree();
     }
 
     private static String body(int promptChars, int maxTokens) {
--- a/org.orchidmount/src/main/java/org/orchidmount/blackboard/RequestBoard.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/blackboard/RequestBoard.java
@@ -90,7 +90,7 @@
         try (OrderedLock.Held _ = mLock.hold()) {
             mEntries.values().forEach(entry -> signals.add(entry.cancel()));
         }
-        signals.forEach(CancelSignal::cancel);
+        signals.forEach(signal -> signal.cancel(CancelSignal.Reason.INSTANCE_STOPPING));
     }
 
     private record Entry(RequestView view, CancelSignal cancel) {}
--- a/org.orchidmount/src/main/java/org/orchidmount/upstream/CancelSignal.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/upstream/CancelSignal.java
@@ -16,16 +16,20 @@
  */
 public final class CancelSignal {
     private final List<Runnable> mActions = new ArrayList<>();
-    private boolean mCancelled;
+    private Reason mReason;
 
-    /** Cancels; later calls do nothing. */
-    public void cancel() {
+    /**
+     * Cancels; later calls do nothing.
+     *
+     * @param reason why
+     */
+    public void cancel(Reason reason) {
         List<Runnable> actions;
         synchronized (mActions) {
-            if (mCancelled) {
+            if (mReason != null) {
                 return;
             }
-            mCancelled = true;
+            mReason = reason;
             actions = List.copyOf(mActions);
             mActions.clear();
         }
@@ -39,7 +43,18 @@
      */
     public boolean isCancelled() {
         synchronized (mActions) {
-            return mCancelled;
+            return mReason != null;
+        }
+    }
+
+    /**
+     * Tells why the work was cancelled.
+     *
+     * @return the reason, or null if it was not cancelled
+     */
+    public Reason reason() {
+        synchronized (mActions) {
+            return mReason;
         }
     }
 
@@ -51,7 +66,7 @@
      */
     public Registration onCancel(Runnable action) {
         synchronized (mActions) {
-            if (!mCancelled) {
+            if (mReason == null) {
                 mActions.add(action);
                 return () -> withdraw(action);
             }
@@ -66,6 +81,14 @@
         }
     }
 
+    /** Why work is cancelled. */
+    public enum Reason {
+        /** Nobody waits for the answer. */
+        CALLER_GONE,
+        /** The instance stops and will not wait for the work; the caller is to be told. */
+        INSTANCE_STOPPING
+    }
+
     /** A registered action. */
     @FunctionalInterface
     public interface Registration extends AutoCloseable {
