--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
@@ -15,7 +15,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.random.RandomGenerator;
 import org.orchidmount.blackboard.Blackboard;
 import org.orchidmount.blackboard.RequestBoard;
 import org.orchidmount.clock.MonotonicClock;
@@ -50,6 +49,7 @@
 public final class RunningDaemon implements Daemon {
     private static final PartLog LOG = PartLog.of("daemon");
     private static final int WORKERS = 2;
+    private static final int INCARNATION_DIGITS = 11;
     private static final int CLIENT_IO_THREADS = 2;
     private static final Duration POLL = Duration.ofMillis(20);
 
@@ -79,8 +79,6 @@
     private RunningDaemon(Settings settings) throws IOException {
         mSettings = settings;
         MonotonicClock clock = new SystemMonotonicClock();
-        MetricRegistry metrics = new MetricRegistry();
-        String incarnation = HexFormat.of().toHexDigits(clock.millis(), 11);
         Path folder = settings.dataFolder();
         mTable = FileTableStore.open(folder.resolve("table.log"), clock);
         mClaims = new FileClaimStore(folder.resolve("claims.log"), clock);
@@ -88,60 +86,21 @@
             FirstTable.load(settings.firstTable().get(), mTable);
         }
         mXnio = Xnio.getInstance().createWorker(clientOptions());
-        HttpConnections connections =
-                new HttpConnections(mXnio, clock, settings.upstreams().connectTimeout());
-        EngineClient engines =
-                new HttpEngineClient(
-                        connections,
-                        settings.upstreams(),
-                        settings.instance(),
-                        incarnation,
-                        metrics);
-        Blackboard board = new Blackboard(clock, settings.zone());
-        mTable.addListener(board::applyTable);
-        board.applyTable(mTable.current());
-        LimitBook limits = new LimitBook(Shares.whole());
-        RandomGenerator random = new SplittableRandom();
-        Admission admission =
-                new Admission(
-                        board,
-                        limits,
-                        Policies.byName(settings.policy()),
-                        clock,
-                        random,
-                        mWorkers,
-                        metrics);
-        mParts =
-                new Parts(
-                        settings,
-                        incarnation,
-                        clock,
-                        mTable,
-                        board,
-                        new RequestBoard(),
-                        limits,
-                        new RetryBudget(settings.upstreams().retryPercent()),
-                        admission,
-                        engines,
-                        connections,
-                        new EngineCleaner(engines, CLEAN_FIRST_PAUSE, CLEAN_LONGEST_PAUSE),
-                        mClaims,
-                        resumeTokens(settings, clock),
-                        metrics);
+        mParts = parts(clock);
         mReports =
                 new ReportController(
-                        board,
-                        engines,
+                        mParts.board(),
+                        mParts.engines(),
                         settings.upstreams().reportEvery(),
-                        admission::wake,
+                        mParts.admission()::wake,
                         mWorkers);
         mOrphans =
                 new OrphanController(
-                        board,
-                        engines,
+                        mParts.board(),
+                        mParts.engines(),
                         clock,
                         settings.instance(),
-                        incarnation,
+                        mParts.incarnation(),
                         settings.upstreams().orphanGrace(),
                         mWorkers);
         mReadiness = new Readiness(mTable);
@@ -162,6 +121,45 @@
                         () -> new CallerFront(mParts, mReadiness));
     }
 
+    private Parts parts(MonotonicClock clock) throws IOException {
+        MetricRegistry metrics = new MetricRegistry();
+        String incarnation = HexFormat.of().toHexDigits(clock.millis(), INCARNATION_DIGITS);
+        Settings.Upstreams upstreams = mSettings.upstreams();
+        HttpConnections connections = new HttpConnections(mXnio, clock, upstreams.connectTimeout());
+        EngineClient engines =
+                new HttpEngineClient(
+                        connections, upstreams, mSettings.instance(), incarnation, metrics);
+        Blackboard board = new Blackboard(clock, mSettings.zone());
+        mTable.addListener(board::applyTable);
+        board.applyTable(mTable.current());
+        LimitBook limits = new LimitBook(Shares.whole());
+        Admission admission =
+                new Admission(
+                        board,
+                        limits,
+                        Policies.byName(mSettings.policy()),
+                        clock,
+                        new SplittableRandom(),
+                        mWorkers,
+                        metrics);
+        return new Parts(
+                mSettings,
+                incarnation,
+                clock,
+                mTable,
+                board,
+                new RequestBoard(),
+                limits,
+                new RetryBudget(upstreams.retryPercent()),
+                admission,
+                engines,
+                connections,
+                new EngineCleaner(engines, CLEAN_FIRST_PAUSE, CLEAN_LONGEST_PAUSE),
+                mClaims,
+                resumeTokens(mSettings, clock),
+                metrics);
+    }
+
     /**
      * Starts an instance.
      *
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakeModel.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakeModel.java
@@ -65,19 +65,18 @@
 
     /** Finds where the prompt proper ends and tokens of its own answer begin. */
     private static int baseLength(String prompt) {
-        int length = prompt.length();
+        int start = prompt.length();
+        int base = start;
         while (true) {
-            int start = prompt.lastIndexOf(" w", length - 1);
-            if (start < 0 || !TOKEN.matcher(prompt.substring(start, length)).matches()) {
-                break;
+            int before = prompt.lastIndexOf(" w", start - 1);
+            if (before < 0 || !TOKEN.matcher(prompt.substring(before, start)).matches()) {
+                return base;
+            }
+            start = before;
+            if (prompt.startsWith(" w0." + hash(prompt.substring(0, start)), start)) {
+                base = start;
             }
-            length = start;
-        }
-        if (length == prompt.length()) {
-            return length;
         }
-        String first = " w0." + hash(prompt.substring(0, length));
-        return prompt.startsWith(first, length) ? length : prompt.length();
     }
 
     private static int count(String generated) {
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/StandIns.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/StandIns.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import org.orchidmount.internal.json.Json;
+import org.orchidmount.internal.log.LogSetup;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -29,6 +30,7 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
+        LogSetup.install(false, "INFO");
         int code = new CommandLine(new StandIns()).execute(arguments);
         if (code != 0) {
             System.exit(code);
--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/Main.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/Main.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import org.orchidmount.Version;
+import org.orchidmount.internal.log.LogSetup;
 import org.orchidmount.pgm.internal.CliException;
 import org.orchidmount.pgm.internal.Session;
 import picocli.AutoComplete;
@@ -88,6 +89,7 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
+        LogSetup.install(false, "WARNING");
         System.exit(run(arguments));
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -30,7 +30,6 @@
     /** Each handler bounds bodies itself, by its own limit. */
     private static final long UNLIMITED = -1;
 
-
     private final ExecutorService mThreads = Executors.newVirtualThreadPerTaskExecutor();
     private final Undertow mUndertow;
     private final RequestHandler mHandler;
