Measure what the router adds and the slopes of its control work

The linter now also passes over the tests: their classes say what they test, and long tables of cases are cut in two.

--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/ChildProcess.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/ChildProcess.java
@@ -11,6 +11,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -24,6 +25,11 @@
  * <p>Invariant: the process is ended when this object is closed. Thread-safe.
  */
 public final class ChildProcess implements AutoCloseable {
+    /** The system property that sets the compiler tier of child processes; 4 to measure. */
+    public static final String TIER = "orchidmount.child.tier";
+
+    private static final long KIB = 1024;
+    private static final int QUICK_START_TIER = 1;
     private static final long READY_SECONDS = 60;
 
     private final String mName;
@@ -60,7 +66,7 @@
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.add("-XX:+UseSerialGC");
-        command.add("-XX:TieredStopAtLevel=1");
+        command.add("-XX:TieredStopAtLevel=" + Integer.getInteger(TIER, QUICK_START_TIER));
         command.add("--enable-native-access=ALL-UNNAMED");
         command.add("--sun-misc-unsafe-memory-access=allow");
         command.addAll(options);
@@ -185,6 +191,32 @@
         }
     }
 
+    /**
+     * Returns the processor time the process has used.
+     *
+     * @return the time, user and system together
+     */
+    public Duration cpuTime() {
+        return mProcess.info().totalCpuDuration().orElse(Duration.ZERO);
+    }
+
+    /**
+     * Returns the memory that the process holds in the machine's memory.
+     *
+     * @return bytes
+     */
+    public long residentBytes() {
+        try (var lines = Files.lines(Path.of("/proc", String.valueOf(mProcess.pid()), "status"))) {
+            return lines.filter(line -> line.startsWith("VmRSS:"))
+                            .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                            .findFirst()
+                            .orElse(0)
+                    * KIB;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /**
      * Returns the process's id.
      *
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FaultProxy.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FaultProxy.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * A TCP proxy that delays, stalls or cuts what passes through it.
@@ -31,6 +32,7 @@
     private final SplittableRandom mRandom;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
     private final Object mChanged = new Object();
+    private final AtomicLong mBytes = new AtomicLong();
     private Mode mMode = Mode.clear();
 
     /**
@@ -74,6 +76,15 @@
         mSockets.forEach(FaultProxy::closeQuietly);
     }
 
+    /**
+     * Returns the bytes that came from both sides.
+     *
+     * @return the payload bytes of TCP
+     */
+    public long bytes() {
+        return mBytes.get();
+    }
+
     private Mode mode() {
         synchronized (mChanged) {
             return mMode;
@@ -123,6 +134,7 @@
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+                mBytes.addAndGet(count);
                 hold(back);
                 out.write(buffer, 0, count);
                 out.flush();
--- a/org.orchidmount.test/src/test/java/org/orchidmount/blackboard/BlackboardTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/blackboard/BlackboardTest.java
@@ -36,6 +36,7 @@
 import org.orchidmount.table.UpstreamRow;
 import org.orchidmount.upstream.EngineReport;
 
+/** Tests {@link Blackboard} and {@link WaitQueue}. */
 class BlackboardTest {
     private static final ModelRow MODEL = new ModelRow("m", "p", "d", 100, 50, 10, 9999, 9999, 0);
     private static final ModelRow OTHER = new ModelRow("o", "p", "d", 100, 50, 10, 9999, 9999, 0);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/daemon/internal/EngineCleanerTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/daemon/internal/EngineCleanerTest.java
@@ -19,6 +19,7 @@
 import org.orchidmount.junit.Await;
 import org.orchidmount.upstream.EngineClient;
 
+/** Tests {@link EngineCleaner}. */
 class EngineCleanerTest {
     private static final Peer ENGINE = new Peer("e", "127.0.0.1", 1);
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/daemon/internal/ResumeTokensTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/daemon/internal/ResumeTokensTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+/** Tests {@link ResumeTokens}. */
 class ResumeTokensTest {
     private static final ResumeTokens.Resumable SOURCE =
             new ResumeTokens.Resumable("decode-1", "r-d1", "mill", "r", 7);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/claims/FileClaimStoreTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/claims/FileClaimStoreTest.java
@@ -18,6 +18,7 @@
 import org.orchidmount.claims.ClaimResult;
 import org.orchidmount.claims.RecordedAnswer;
 
+/** Tests {@link FileClaimStore}. */
 class FileClaimStoreTest {
     private static final ClaimKey KEY = new ClaimKey("mill", "confirm", "lot-1");
     private static final RecordedAnswer ANSWER =
--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/lock/OrderedLockTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/lock/OrderedLockTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+/** Tests {@link OrderedLock}. */
 class OrderedLockTest {
     @ParameterizedTest
     @CsvSource({
--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/table/FileTableStoreTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/table/FileTableStoreTest.java
@@ -24,6 +24,7 @@
 import org.orchidmount.table.PoolRole;
 import org.orchidmount.table.PoolRow;
 
+/** Tests {@link FileTableStore}. */
 class FileTableStoreTest {
     private static final int CHANGES = 300;
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/junit/FakeModelTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/junit/FakeModelTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+/** Tests {@link FakeModel}. */
 class FakeModelTest {
     @ParameterizedTest
     @CsvSource({
--- a/org.orchidmount.test/src/test/java/org/orchidmount/limits/LimitBookTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/limits/LimitBookTest.java
@@ -16,6 +16,7 @@
 import org.orchidmount.limits.LimitBook.Limit;
 import org.orchidmount.table.AccountRow;
 
+/** Tests {@link LimitBook}, {@link Shares} and {@link RetryBudget}. */
 class LimitBookTest {
     private static final long SECOND = 1_000_000_000L;
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/routing/PolicyTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/routing/PolicyTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+/** Tests the policies and the cutting of prompts. */
 class PolicyTest {
     private static final long MILLIS = 1_000_000;
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/settings/SettingsReaderTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/settings/SettingsReaderTest.java
@@ -19,7 +19,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.orchidmount.daemon.internal.TableCheck;
 
+/** Tests {@link SettingsReader} and the examples. */
 class SettingsReaderTest {
     private static final String GOOD =
             """
@@ -96,6 +99,7 @@
                 Arguments.of("{\"noticeMillis\": 100}", "7", "drain: must be an object in braces"),
                 Arguments.of("\"resume\"", "\"resum\"", "resume: is missing; add the object"),
                 Arguments.of("\"region\": ", "\"region\" ", ":4:12: is not JSON with comments"),
+                Arguments.of(GOOD, "{\"a\": 1", "expected close marker for Object]"),
                 Arguments.of(GOOD, "", "the file is empty"),
                 Arguments.of(GOOD, "[]", "must be an object in braces"));
     }
@@ -116,6 +120,17 @@
         assertThat(invalid.problems()).hasSize(3);
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"southern-mill", "travesia"})
+    void examplesAreSound(String site) throws IOException {
+        Path folder = Path.of("..", "examples", site);
+        for (int i = 1; i <= 8; i++) {
+            SettingsResult result = SettingsReader.read(folder.resolve("entry-" + i + ".json"));
+            assertThat(result).isInstanceOf(SettingsResult.Valid.class);
+            TableCheck.check(((SettingsResult.Valid) result).settings());
+        }
+    }
+
     @Test
     void shortKeyIsRefused() throws IOException {
         Files.writeString(mFolder.resolve("key"), "short");
--- a/org.orchidmount.test/src/test/java/org/orchidmount/table/TableTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/table/TableTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.orchidmount.internal.json.Json;
 
+/** Tests {@link Table} and {@link RowCodec}. */
 class TableTest {
     private static final PoolRow PREFILL = new PoolRow("p", PoolRole.PREFILL, 0);
     private static final PoolRow DECODE = new PoolRow("d", PoolRole.DECODE, 0);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/test/BadInputTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/test/BadInputTest.java
@@ -122,7 +122,11 @@
                         "wrong length: shorter body, sender waits",
                         COMPLETIONS + JSON + MILL + "Content-Length: 500\r\n\r\n" + GOOD,
                         408,
-                        "body_too_slow"),
+                        "body_too_slow"));
+    }
+
+    static List<Arguments> otherRequests() {
+        return List.of(
                 bad(
                         "wrong method",
                         "GET /v1/completions HTTP/1.1\r\nHost: x\r\n" + MILL + "\r\n",
@@ -153,7 +157,7 @@
     }
 
     @ParameterizedTest(name = "{0}")
-    @MethodSource("requests")
+    @MethodSource({"requests", "otherRequests"})
     void isRefusedAsNotRun(String name, String request, int status, String code)
             throws IOException {
         try (RawCaller caller = new RawCaller(sCluster.callerUrl(0))) {
--- a/org.orchidmount.test/src/test/java/org/orchidmount/test/CancelTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/test/CancelTest.java
@@ -68,6 +68,7 @@
                 true);
     }
 
+    /** Where a request is when its caller goes. */
     enum Stage {
         PREFILL,
         TRANSFER,
@@ -82,10 +83,10 @@
         try (RawCaller caller = new RawCaller(sCluster.callerUrl(0))) {
             int length = stage == Stage.PREFILL ? PROMPT_CHARS : 400;
             caller.post("/v1/completions", Cluster.MILL_KEY, body(length, 10_000));
-            switch (stage) {
-                case PREFILL -> awaitPhase("prefill");
-                case TRANSFER -> awaitPhase("decode");
-                case DECODE -> caller.readUntil("data: ");
+            if (stage == Stage.DECODE) {
+                caller.readUntil("data: ");
+            } else {
+                awaitPhase(stage == Stage.PREFILL ? "prefill" : "decode");
             }
             assertThat(Await.until("memory held", Await.LONG, () -> sCluster.kvBytesHeld() > 0))
                     .isNotNull();
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SettingsReader.java
@@ -25,6 +25,10 @@
 public final class SettingsReader {
     private static final long DAY_MILLIS = 86_400_000;
     private static final int MIN_KEY_BYTES = 32;
+
+    /** What the parser adds about its own state. */
+    private static final String PARSER_DETAIL = " \\(start marker at .*";
+
     private static final int MAX_BODY_BYTES = 256 * 1024 * 1024;
 
     private SettingsReader() {}
@@ -77,7 +81,9 @@
     private static SettingsResult invalidJson(String name, JsonProcessingException e) {
         int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
         int column = e.getLocation() == null ? 1 : e.getLocation().getColumnNr();
-        String message = "is not JSON with comments: " + e.getOriginalMessage();
+        String message =
+                "is not JSON with comments: "
+                        + e.getOriginalMessage().replaceFirst(PARSER_DETAIL, "");
         return new SettingsResult.Invalid(
                 List.of(new SettingsProblem(name, line, column, "", message)));
     }
