Let go of requests that a kept connection has served

Cause: one thread of the entry, that of the garbage collector, took a whole core under lookups. Each request registered a close listener with its connection, and the HTTP library never lets go of one, so every request and call lived as long as its connection.

Change: one listener per connection, which knows the request in progress. A test of requests sent ahead found two more: the watch for a caller that goes must end with its exchange, and the library held back the answer to a request that another had followed in part.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelWriter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelWriter.java
@@ -41,16 +41,36 @@
 
     /** Ends the stream and waits for the last bytes to leave. */
     void end(Duration timeout) throws IOException, TimeoutException, InterruptedException {
-        await(
-                done -> {
-                    try {
-                        mChannel.shutdownWrites();
-                        flush(done);
-                    } catch (IOException e) {
-                        done.completeExceptionally(e);
+        await(this::shutDown, timeout);
+    }
+
+    /**
+     * Writes all bytes and ends the stream. Must be called on the I/O thread, so that a whole
+     * answer costs one change of threads.
+     *
+     * @param done completed when the last byte has left
+     */
+    void writeAndEnd(byte[] bytes, CompletableFuture<Void> done) {
+        mPending = done;
+        CompletableFuture<Void> written = new CompletableFuture<>();
+        written.whenComplete(
+                (nothing, error) -> {
+                    if (error == null) {
+                        shutDown(done);
+                    } else {
+                        done.completeExceptionally(error);
                     }
-                },
-                timeout);
+                });
+        step(ByteBuffer.wrap(bytes), written);
+    }
+
+    private void shutDown(CompletableFuture<Void> done) {
+        try {
+            mChannel.shutdownWrites();
+            flush(done);
+        } catch (IOException e) {
+            done.completeExceptionally(e);
+        }
     }
 
     /** Fails a write that is under way, because the connection has closed. */
@@ -66,6 +86,12 @@
         CompletableFuture<Void> done = new CompletableFuture<>();
         mPending = done;
         mIoThread.execute(() -> operation.run(done));
+        await(done, timeout);
+    }
+
+    /** Waits for an operation that was begun. */
+    static void await(CompletableFuture<Void> done, Duration timeout)
+            throws IOException, TimeoutException, InterruptedException {
         try {
             done.get(timeout.toNanos(), TimeUnit.NANOSECONDS);
         } catch (ExecutionException e) {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -21,7 +21,6 @@
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
-import org.xnio.IoUtils;
 
 /**
  * One call to an upstream, seen from a virtual thread.
@@ -35,6 +34,7 @@
     private final HttpConnections mPool;
     private final Peer mPeer;
     private final Step mStep;
+    private final PooledConnection mPooled;
     private final ClientConnection mConnection;
     private final CompletableFuture<ClientExchange> mReady = new CompletableFuture<>();
     private final CompletableFuture<ClientResponse> mResponse = new CompletableFuture<>();
@@ -44,11 +44,13 @@
     private boolean mRequestEnded;
     private boolean mClosed;
 
-    HttpCall(HttpConnections pool, Peer peer, Step step, ClientConnection connection) {
+    HttpCall(HttpConnections pool, Peer peer, Step step, PooledConnection connection) {
         mPool = pool;
         mPeer = peer;
         mStep = step;
-        mConnection = connection;
+        mPooled = connection;
+        mConnection = connection.connection();
+        connection.setCurrent(this);
     }
 
     /** Sends the head. The body follows by {@link #write}, or the call ends with the head. */
@@ -61,7 +63,6 @@
     }
 
     private void sendOnIoThread(ClientRequest request) {
-        mConnection.addCloseListener(closed -> failAll(new IOException("connection closed")));
         if (!mConnection.isOpen()) {
             failAll(new IOException("connection closed"));
             return;
@@ -98,7 +99,7 @@
         mConnection.getIoThread().execute(() -> mPump.resume());
     }
 
-    private void failAll(IOException error) {
+    void failAll(IOException error) {
         mReady.completeExceptionally(error);
         mResponse.completeExceptionally(error);
         mBody.fail(error);
@@ -187,7 +188,7 @@
     /** Breaks the call off from any thread; a waiting reader or writer fails at once. */
     public void abort() {
         failAll(new IOException("call aborted"));
-        mConnection.getIoThread().execute(() -> IoUtils.safeClose(mConnection));
+        mPooled.closeLater();
     }
 
     /** Ends the call: keeps the connection if the answer was read to its end, else closes it. */
@@ -198,7 +199,8 @@
         }
         mClosed = true;
         if (mRequestEnded && mBody.isDrained() && mConnection.isOpen()) {
-            mPool.giveBack(mPeer, mConnection);
+            mPooled.setCurrent(null);
+            mPool.giveBack(mPeer, mPooled);
         } else {
             abort();
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -128,8 +128,8 @@
     }
 
     private HttpCall connect(Peer peer, Step step, boolean fresh) throws CallFailedException {
-        ClientConnection idle = fresh ? null : takeIdle(peer);
-        ClientConnection connection = idle != null ? idle : open(peer, step);
+        PooledConnection idle = fresh ? null : takeIdle(peer);
+        PooledConnection connection = idle != null ? idle : new PooledConnection(open(peer, step));
         return new HttpCall(this, peer, step, connection);
     }
 
@@ -156,7 +156,7 @@
         return new CallFailedException(new Failure.Unreachable(step, peer.name(), detail));
     }
 
-    private ClientConnection takeIdle(Peer peer) {
+    private PooledConnection takeIdle(Peer peer) {
         try (OrderedLock.Held _ = mLock.hold()) {
             Deque<Idle> idle = mIdle.get(peer);
             while (idle != null && !idle.isEmpty()) {
@@ -165,35 +165,31 @@
                 if (young && newest.connection().isOpen()) {
                     return newest.connection();
                 }
-                closeLater(newest.connection());
+                newest.connection().closeLater();
             }
             return null;
         }
     }
 
-    void giveBack(Peer peer, ClientConnection connection) {
+    void giveBack(Peer peer, PooledConnection connection) {
         try (OrderedLock.Held _ = mLock.hold()) {
             Deque<Idle> idle = mIdle.computeIfAbsent(peer, p -> new ArrayDeque<>());
             if (idle.size() >= MAX_IDLE_PER_PEER) {
-                closeLater(idle.pollFirst().connection());
+                idle.pollFirst().connection().closeLater();
             }
             idle.addLast(new Idle(connection, mClock.nanoTime()));
         }
     }
 
-    private static void closeLater(ClientConnection connection) {
-        connection.getIoThread().execute(() -> IoUtils.safeClose(connection));
-    }
-
     @Override
     public void close() {
         try (OrderedLock.Held _ = mLock.hold()) {
-            mIdle.values().forEach(idle -> idle.forEach(i -> closeLater(i.connection())));
+            mIdle.values().forEach(idle -> idle.forEach(i -> i.connection().closeLater()));
             mIdle.clear();
         }
     }
 
-    private record Idle(ClientConnection connection, long sinceNanos) {}
+    private record Idle(PooledConnection connection, long sinceNanos) {}
 
     private record Connected(CompletableFuture<ClientConnection> opened)
             implements ClientCallback<ClientConnection> {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -66,6 +66,7 @@
                                 (int) limits.idleTimeout().toMillis())
                         .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                         .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, UNLIMITED)
+                        .setServerOption(UndertowOptions.BUFFER_PIPELINED_DATA, false)
                         .setSocketOption(Options.TCP_NODELAY, true)
                         .setSocketOption(Options.SEND_BUFFER, SOCKET_BUFFER_BYTES)
                         .setSocketOption(Options.CONNECTION_HIGH_WATER, limits.maxConnections())
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
@@ -0,0 +1,51 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.internal.http;
+
+import io.undertow.client.ClientConnection;
+import java.io.IOException;
+import org.xnio.IoUtils;
+
+/**
+ * A connection to an upstream that serves one call after another.
+ *
+ * <p>Invariant: the library is given one close listener for the life of the connection, however
+ * many calls it serves, because it never lets go of one. Thread-safe.
+ */
+final class PooledConnection {
+    private final ClientConnection mConnection;
+    private volatile HttpCall mCurrent;
+
+    PooledConnection(ClientConnection connection) {
+        mConnection = connection;
+        connection.getIoThread().execute(() -> connection.addCloseListener(c -> onClosed()));
+    }
+
+    ClientConnection connection() {
+        return mConnection;
+    }
+
+    /** Sets the call that is told if the connection closes; null for none. */
+    void setCurrent(HttpCall call) {
+        mCurrent = call;
+    }
+
+    boolean isOpen() {
+        return mConnection.isOpen();
+    }
+
+    /** Closes the connection on its I/O thread. */
+    void closeLater() {
+        mConnection.getIoThread().execute(() -> IoUtils.safeClose(mConnection));
+    }
+
+    private void onClosed() {
+        HttpCall current = mCurrent;
+        if (current != null) {
+            current.failAll(new IOException("connection closed"));
+        }
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
@@ -24,7 +24,6 @@
 import java.util.function.Supplier;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
-import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
@@ -42,8 +41,8 @@
     private final XnioIoThread mIoThread;
     private final ByteQueue mBody = new ByteQueue(this::resumeReading);
     private final List<Runnable> mGoneActions = new ArrayList<>();
-    private ChannelPump mPump;
-    private ChannelWriter mWriter;
+    private volatile ChannelPump mPump;
+    private volatile ChannelWriter mWriter;
     private boolean mGone;
     private volatile boolean mStarted;
 
@@ -55,7 +54,7 @@
     public ServerExchange(HttpServerExchange exchange) {
         mExchange = exchange;
         mIoThread = exchange.getIoThread();
-        exchange.getConnection().addCloseListener(connection -> markGone());
+        CurrentExchange.of(exchange.getConnection()).set(this);
     }
 
     /** Begins to read the body and then to watch the caller. Must run first. */
@@ -188,14 +187,25 @@
         }
     }
 
-    /** Watches for the caller's end of the connection without losing a request sent ahead. */
+    /**
+     * Watches for the caller's end of the connection without losing a request sent ahead. The watch
+     * ends with the exchange, because the library takes reads that are already resumed for its own.
+     */
     private void watchCaller() {
         if (mExchange.isComplete()
                 || !(mExchange.getConnection() instanceof AbstractServerConnection connection)) {
             return;
         }
+        if (connection.getExtraBytes() != null) {
+            return;
+        }
         ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
         StreamSourceConduit conduit = connection.getOriginalSourceConduit();
+        mExchange.addExchangeCompleteListener(
+                (exchange, next) -> {
+                    conduit.suspendReads();
+                    next.proceed();
+                });
         channel.setReadListener(readable -> onCallerReadable(connection, conduit));
         conduit.resumeReads();
     }
@@ -230,7 +240,8 @@
         }
     }
 
-    private void markGone() {
+    /** Notes that the caller has closed its connection. */
+    void markGone() {
         List<Runnable> actions;
         synchronized (mGoneActions) {
             if (mGone) {
@@ -292,13 +303,9 @@
         mStarted = true;
         mIoThread.execute(
                 () -> {
-                    if (mExchange.isComplete()) {
-                        return;
+                    if (!mExchange.isComplete()) {
+                        begin(status, headers);
                     }
-                    mExchange.setStatusCode(status);
-                    mExchange.getResponseHeaders().putAll(headers);
-                    StreamSinkChannel channel = mExchange.getResponseChannel();
-                    mWriter = new ChannelWriter(mIoThread, channel);
                 });
     }
 
@@ -343,11 +350,26 @@
     public void answer(int status, HeaderMap headers, byte[] body, Duration timeout)
             throws IOException, TimeoutException, InterruptedException {
         headers.put(Headers.CONTENT_LENGTH, body.length);
-        start(status, headers);
-        if (body.length > 0) {
-            write(body, timeout);
-        }
-        end(timeout);
+        mStarted = true;
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        mIoThread.execute(
+                () -> {
+                    if (mExchange.isComplete() || isGone()) {
+                        done.completeExceptionally(new IOException("caller has gone"));
+                        return;
+                    }
+                    begin(status, headers);
+                    done.thenRun(() -> mIoThread.execute(mExchange::endExchange));
+                    mWriter.writeAndEnd(body, done);
+                });
+        ChannelWriter.await(done, timeout);
+    }
+
+    /** Sets the head of the answer; on the I/O thread. */
+    private void begin(int status, HeaderMap headers) {
+        mExchange.setStatusCode(status);
+        mExchange.getResponseHeaders().putAll(headers);
+        mWriter = new ChannelWriter(mIoThread, mExchange.getResponseChannel());
     }
 
     /**
