Size the retry stock for the loss of one engine

A nearer zone outweighs an engine's fullness at low load, so nearly all of an entry's 20 requests were on the killed engine, and the stock was 10. This is inferred from those counts; no trace of the spent budget was kept. Ruled out: the exclusion of the failed engine, which BlackboardTest covers.

Change: the stock is 64, some tens of requests being what an engine holds. BrokenEngineTest restarts the killed engine also when a check fails, so one failure no longer brings down seven; DrainTest ends its callers when a check fails, instead of waiting for them.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/test/BrokenEngineTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/test/BrokenEngineTest.java
@@ -72,8 +72,11 @@
 
     @Test
     void answersGoOnWhenDecodeEngineIsKilled() throws Exception {
-        checkUnharmed("killed", 400, () -> sCluster.upstream("decode-1").kill());
-        sCluster.restartUpstream("decode-1");
+        try {
+            checkUnharmed("killed", 400, () -> sCluster.upstream("decode-1").kill());
+        } finally {
+            sCluster.restartUpstream("decode-1");
+        }
     }
 
     @Test
--- a/org.orchidmount.test/src/test/java/org/orchidmount/test/DrainTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/test/DrainTest.java
@@ -63,29 +63,36 @@
                 int number = i;
                 failures.add(threads.submit(() -> load(number, running, served)));
             }
-            Await.until(upstream + " is used", Await.LONG, () -> !executions(upstream).isEmpty());
-            assertThat(command("drain", upstream)).isEqualTo(0);
-            long drainedNanos = System.nanoTime();
-            Await.until(
-                    "the bound is over",
-                    Await.LONG,
-                    () -> System.nanoTime() - drainedNanos > BOUND.toNanos());
-            Set<String> before = executions(upstream);
-            int servedBefore = served.get();
-            Await.until("more is served", Await.LONG, () -> served.get() > servedBefore + 100);
-            assertThat(executions(upstream)).isEqualTo(before);
-            assertThat(command("undrain", upstream)).isEqualTo(0);
-            Await.until(
-                    upstream + " is used again",
-                    Await.LONG,
-                    () -> executions(upstream).size() > before.size());
-            running.set(false);
+            try {
+                drainAndUndrain(upstream, served);
+            } finally {
+                running.set(false);
+            }
             for (Future<Integer> failed : failures) {
                 assertThat(failed.get()).isEqualTo(0);
             }
         }
     }
 
+    private static void drainAndUndrain(String upstream, AtomicInteger served) {
+        Await.until(upstream + " is used", Await.LONG, () -> !executions(upstream).isEmpty());
+        assertThat(command("drain", upstream)).isEqualTo(0);
+        long drainedNanos = System.nanoTime();
+        Await.until(
+                "the bound is over",
+                Await.LONG,
+                () -> System.nanoTime() - drainedNanos > BOUND.toNanos());
+        Set<String> before = executions(upstream);
+        int servedBefore = served.get();
+        Await.until("more is served", Await.LONG, () -> served.get() > servedBefore + 100);
+        assertThat(executions(upstream)).isEqualTo(before);
+        assertThat(command("undrain", upstream)).isEqualTo(0);
+        Await.until(
+                upstream + " is used again",
+                Await.LONG,
+                () -> executions(upstream).size() > before.size());
+    }
+
     private static int command(String name, String upstream) {
         String both = sCluster.operatorUrl(0) + "," + sCluster.operatorUrl(1);
         return Main.run("--operators", both, "--token", Cluster.OPERATOR_TOKEN, name, upstream);
--- a/org.orchidmount/src/main/java/org/orchidmount/limits/RetryBudget.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/limits/RetryBudget.java
@@ -15,7 +15,9 @@
  * Thread-safe.
  */
 public final class RetryBudget {
-    private static final double STOCK = 10;
+    /** Enough for the requests that one engine holds, so that the loss of an engine harms none. */
+    private static final double STOCK = 64;
+
     private static final double PERCENT = 100;
 
     private final OrderedLock mLock = new OrderedLock(LockRank.LIMITS);
