Take out what nothing calls and a look-up that stood twice

Cause: a read of the whole change found a longest wait, a lock condition and a lock rank that nothing uses, and the tool's "row that must be there" in two subcommands.

Change: the three are gone, and Changes.require serves drain, undrain and table delete. Behaviour and texts are as before.

--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/TablePgm.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/TablePgm.java
@@ -184,15 +184,7 @@
                     mTable.mMain.session(),
                     null,
                     sending -> {
-                        VersionedRow row =
-                                Changes.find(sending.instance(), key)
-                                        .orElseThrow(
-                                                () ->
-                                                        new CliException(
-                                                                ExitCode.INVALID,
-                                                                CliText.NO_ROW.formatted(
-                                                                        key,
-                                                                        sending.instance().url())));
+                        VersionedRow row = Changes.require(sending.instance(), key);
                         return sending.command().setComment(mComment).delete(key, row.version());
                     });
         }
--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Changes.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Changes.java
@@ -88,6 +88,23 @@
         };
     }
 
+    /**
+     * Finds a row that must be there.
+     *
+     * @param instance the instance
+     * @param key the row
+     * @return the row
+     * @throws CliException if it does not exist
+     */
+    public static VersionedRow require(Orchidmount instance, RowKey key) {
+        return find(instance, key)
+                .orElseThrow(
+                        () ->
+                                new CliException(
+                                        ExitCode.INVALID,
+                                        CliText.NO_ROW.formatted(key, instance.url())));
+    }
+
     /**
      * Sets the mode of an upstream at every instance.
      *
@@ -103,15 +120,7 @@
                 session,
                 null,
                 sending -> {
-                    VersionedRow row =
-                            find(sending.instance(), key)
-                                    .orElseThrow(
-                                            () ->
-                                                    new CliException(
-                                                            ExitCode.INVALID,
-                                                            CliText.NO_ROW.formatted(
-                                                                    key,
-                                                                    sending.instance().url())));
+                    VersionedRow row = require(sending.instance(), key);
                     UpstreamRow changed = ((UpstreamRow) row.row()).withMode(mode);
                     return sending.command().setComment(comment).put(changed, row.version());
                 });
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ByteQueue.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ByteQueue.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.Lock;
@@ -126,9 +125,4 @@
         }
         return chunk;
     }
-
-    /** The longest time that a wait may be asked for. */
-    static Duration longest() {
-        return Duration.ofNanos(TimeUnit.DAYS.toNanos(1));
-    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/lock/LockRank.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/lock/LockRank.java
@@ -21,7 +21,5 @@
     /** Claims of not-repeatable requests. */
     CLAIMS,
     /** Idle connections to upstreams. */
-    CONNECTIONS,
-    /** The hand-over of one call between its threads. */
-    CALL
+    CONNECTIONS
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/lock/OrderedLock.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/lock/OrderedLock.java
@@ -7,7 +7,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
@@ -50,15 +49,6 @@
         return this::release;
     }
 
-    /**
-     * Creates a condition of this lock; it may be awaited only while the lock is held.
-     *
-     * @return the condition
-     */
-    public Condition newCondition() {
-        return mLock.newCondition();
-    }
-
     /**
      * Tells whether the calling thread holds this lock.
      *
