--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -0,0 +1,347 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.orchidmount.cluster.ClusterMessage.Greeting;
+import org.orchidmount.cluster.ClusterMessage.KeepAlive;
+import org.orchidmount.cluster.ClusterMessage.Registrations;
+import org.orchidmount.cluster.ClusterMessage.RegistrationsHeld;
+import org.orchidmount.cluster.ClusterMessage.Replication;
+import org.orchidmount.cluster.ClusterMessage.TableDocument;
+import org.orchidmount.cluster.ClusterMessage.TableNotice;
+import org.orchidmount.cluster.ClusterMessage.TableRequest;
+import org.orchidmount.cluster.ClusterMessage.Voters;
+import org.orchidmount.consensus.DurableState;
+import org.orchidmount.consensus.EntryId;
+import org.orchidmount.consensus.GroupState;
+import org.orchidmount.consensus.Member;
+import org.orchidmount.consensus.ReplicaMessage;
+import org.orchidmount.consensus.ReplicaMessage.Append;
+import org.orchidmount.consensus.ReplicaMessage.AppendReply;
+import org.orchidmount.consensus.ReplicaMessage.Hello;
+import org.orchidmount.consensus.ReplicaMessage.VoteReply;
+import org.orchidmount.consensus.ReplicaMessage.VoteRequest;
+import org.orchidmount.membership.Registration;
+
+/**
+ * Writes and reads messages and the durable state as MessagePack: a type number, then the fields in
+ * order. Stateless and thread-safe.
+ */
+final class ClusterCodec {
+    private static final int MAX_LIST = 100_000;
+    private static final int MAX_DOCUMENT_BYTES = 64 * 1024 * 1024;
+    private static final int INFLATE_STEP_BYTES = 16 * 1024;
+
+    private static final int GREETING = 1;
+    private static final int KEEP_ALIVE = 2;
+    private static final int VOTERS = 3;
+    private static final int TABLE_NOTICE = 4;
+    private static final int TABLE_REQUEST = 5;
+    private static final int TABLE_DOCUMENT = 6;
+    private static final int REGISTRATIONS = 7;
+    private static final int REGISTRATIONS_HELD = 8;
+    private static final int VOTE_REQUEST = 20;
+    private static final int VOTE_REPLY = 21;
+    private static final int APPEND = 22;
+    private static final int APPEND_REPLY = 23;
+    private static final int HELLO = 24;
+
+    private ClusterCodec() {}
+
+    static byte[] encode(ClusterMessage message) {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            write(out, message);
+            return out.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("a message cannot be encoded", e);
+        }
+    }
+
+    static ClusterMessage decode(byte[] frame) throws IOException {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(frame)) {
+            return read(in);
+        } catch (MessagePackException | IllegalArgumentException e) {
+            throw new IOException("a garbled frame: " + e.getMessage(), e);
+        }
+    }
+
+    private static void write(MessageBufferPacker out, ClusterMessage message) throws IOException {
+        switch (message) {
+            case Greeting greeting -> {
+                out.packInt(GREETING).packInt(greeting.protocol()).packString(greeting.node());
+                out.packBoolean(greeting.voter() != null);
+                if (greeting.voter() != null) {
+                    writeMember(out, greeting.voter());
+                }
+            }
+            case KeepAlive _ -> out.packInt(KEEP_ALIVE);
+            case Voters voters -> {
+                out.packInt(VOTERS);
+                writeMembers(out, voters.members());
+            }
+            case TableNotice notice -> {
+                out.packInt(TABLE_NOTICE).packLong(notice.version());
+                out.packBoolean(notice.inTouch()).packInt(notice.entries());
+            }
+            case TableRequest _ -> out.packInt(TABLE_REQUEST);
+            case TableDocument table -> {
+                out.packInt(TABLE_DOCUMENT).packLong(table.version());
+                writeDocument(out, table.document());
+            }
+            case Registrations registrations -> {
+                out.packInt(REGISTRATIONS).packLong(registrations.number());
+                out.packArrayHeader(registrations.registrations().size());
+                for (Registration registration : registrations.registrations()) {
+                    writeRegistration(out, registration);
+                }
+            }
+            case RegistrationsHeld held -> out.packInt(REGISTRATIONS_HELD).packLong(held.number());
+            case Replication replication -> writeReplication(out, replication);
+        }
+    }
+
+    private static void writeReplication(MessageBufferPacker out, Replication replication)
+            throws IOException {
+        ReplicaMessage message = replication.message();
+        out.packInt(replicationType(message));
+        writeMember(out, replication.sender());
+        out.packLong(message.term());
+        switch (message) {
+            case VoteRequest request -> {
+                writeEntry(out, request.newest());
+                out.packBoolean(request.trial());
+            }
+            case VoteReply reply -> out.packBoolean(reply.granted()).packBoolean(reply.trial());
+            case Append append -> {
+                writeEntry(out, append.entry());
+                writeEntry(out, append.committed());
+                out.packLong(append.round());
+                out.packBoolean(append.state() != null);
+                if (append.state() != null) {
+                    writeState(out, append.state());
+                }
+            }
+            case AppendReply reply -> {
+                writeEntry(out, reply.durable());
+                out.packLong(reply.round());
+            }
+            case Hello hello -> writeEntry(out, hello.durable());
+        }
+    }
+
+    private static int replicationType(ReplicaMessage message) {
+        return switch (message) {
+            case VoteRequest _ -> VOTE_REQUEST;
+            case VoteReply _ -> VOTE_REPLY;
+            case Append _ -> APPEND;
+            case AppendReply _ -> APPEND_REPLY;
+            case Hello _ -> HELLO;
+        };
+    }
+
+    private static ClusterMessage read(MessageUnpacker in) throws IOException {
+        int type = in.unpackInt();
+        return switch (type) {
+            case GREETING ->
+                    new Greeting(
+                            in.unpackInt(),
+                            in.unpackString(),
+                            in.unpackBoolean() ? readMember(in) : null);
+            case KEEP_ALIVE -> new KeepAlive();
+            case VOTERS -> new Voters(readMembers(in));
+            case TABLE_NOTICE ->
+                    new TableNotice(in.unpackLong(), in.unpackBoolean(), in.unpackInt());
+            case TABLE_REQUEST -> new TableRequest();
+            case TABLE_DOCUMENT -> new TableDocument(in.unpackLong(), readDocument(in));
+            case REGISTRATIONS -> {
+                long number = in.unpackLong();
+                List<Registration> registrations = new ArrayList<>();
+                for (int left = readSize(in); left > 0; left--) {
+                    registrations.add(readRegistration(in));
+                }
+                yield new Registrations(number, registrations);
+            }
+            case REGISTRATIONS_HELD -> new RegistrationsHeld(in.unpackLong());
+            default -> readReplication(in, type);
+        };
+    }
+
+    private static Replication readReplication(MessageUnpacker in, int type) throws IOException {
+        Member sender = readMember(in);
+        long term = in.unpackLong();
+        ReplicaMessage message =
+                switch (type) {
+                    case VOTE_REQUEST ->
+                            new VoteRequest(term, sender.id(), readEntry(in), in.unpackBoolean());
+                    case VOTE_REPLY ->
+                            new VoteReply(
+                                    term, sender.id(), in.unpackBoolean(), in.unpackBoolean());
+                    case APPEND -> {
+                        EntryId entry = readEntry(in);
+                        EntryId committed = readEntry(in);
+                        long round = in.unpackLong();
+                        GroupState state = in.unpackBoolean() ? readState(in) : null;
+                        yield new Append(term, sender, entry, state, committed, round);
+                    }
+                    case APPEND_REPLY ->
+                            new AppendReply(term, sender.id(), readEntry(in), in.unpackLong());
+                    case HELLO -> new Hello(term, sender, readEntry(in));
+                    default -> throw new IOException("a frame of the unknown type " + type);
+                };
+        return new Replication(sender, message);
+    }
+
+    static byte[] encodeState(DurableState state) throws IOException {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            out.packString(state.self()).packLong(state.term()).packString(state.votedFor());
+            writeEntry(out, state.entry());
+            writeState(out, state.state());
+            return out.toByteArray();
+        }
+    }
+
+    static DurableState decodeState(byte[] body) throws IOException {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(body)) {
+            return new DurableState(
+                    in.unpackString(),
+                    in.unpackLong(),
+                    in.unpackString(),
+                    readEntry(in),
+                    readState(in));
+        } catch (MessagePackException e) {
+            throw new IOException("a garbled state: " + e.getMessage(), e);
+        }
+    }
+
+    private static void writeState(MessageBufferPacker out, GroupState state) throws IOException {
+        writeMembers(out, state.members());
+        out.packLong(state.tableVersion());
+        writeDocument(out, state.tableDocument());
+    }
+
+    private static GroupState readState(MessageUnpacker in) throws IOException {
+        return new GroupState(readMembers(in), in.unpackLong(), readDocument(in));
+    }
+
+    private static void writeMembers(MessageBufferPacker out, List<Member> members)
+            throws IOException {
+        out.packArrayHeader(members.size());
+        for (Member member : members) {
+            writeMember(out, member);
+        }
+    }
+
+    private static List<Member> readMembers(MessageUnpacker in) throws IOException {
+        List<Member> members = new ArrayList<>();
+        for (int left = readSize(in); left > 0; left--) {
+            members.add(readMember(in));
+        }
+        return members;
+    }
+
+    private static void writeMember(MessageBufferPacker out, Member member) throws IOException {
+        out.packString(member.id()).packString(member.address());
+        out.packString(member.controlAddress());
+    }
+
+    private static Member readMember(MessageUnpacker in) throws IOException {
+        return new Member(in.unpackString(), in.unpackString(), in.unpackString());
+    }
+
+    private static void writeEntry(MessageBufferPacker out, EntryId entry) throws IOException {
+        out.packLong(entry.term()).packLong(entry.index());
+    }
+
+    private static EntryId readEntry(MessageUnpacker in) throws IOException {
+        return new EntryId(in.unpackLong(), in.unpackLong());
+    }
+
+    private static void writeRegistration(MessageBufferPacker out, Registration registration)
+            throws IOException {
+        out.packString(registration.id()).packString(registration.service());
+        out.packString(registration.address()).packString(registration.zone());
+        out.packInt(registration.slots()).packInt(registration.stage().ordinal());
+        out.packInt(registration.state().ordinal()).packLong(registration.sequence());
+    }
+
+    private static Registration readRegistration(MessageUnpacker in) throws IOException {
+        return new Registration(
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackInt(),
+                constant(Registration.Stage.values(), in.unpackInt()),
+                constant(Registration.State.values(), in.unpackInt()),
+                in.unpackLong());
+    }
+
+    private static <T> T constant(T[] values, int ordinal) throws IOException {
+        if (ordinal < 0 || ordinal >= values.length) {
+            throw new IOException("a frame holds the unknown constant " + ordinal);
+        }
+        return values[ordinal];
+    }
+
+    private static int readSize(MessageUnpacker in) throws IOException {
+        int size = in.unpackArrayHeader();
+        if (size > MAX_LIST) {
+            throw new IOException("a frame holds a list of " + size);
+        }
+        return size;
+    }
+
+    /** Documents are compressed: they are text, and links between zones are dear. */
+    private static void writeDocument(MessageBufferPacker out, byte[] document) throws IOException {
+        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+        try {
+            deflater.setInput(document);
+            deflater.finish();
+            ByteArrayOutputStream packed = new ByteArrayOutputStream();
+            byte[] step = new byte[INFLATE_STEP_BYTES];
+            while (!deflater.finished()) {
+                packed.write(step, 0, deflater.deflate(step));
+            }
+            out.packBinaryHeader(packed.size()).writePayload(packed.toByteArray());
+        } finally {
+            deflater.end();
+        }
+    }
+
+    private static byte[] readDocument(MessageUnpacker in) throws IOException {
+        byte[] packed = in.readPayload(in.unpackBinaryHeader());
+        Inflater inflater = new Inflater();
+        try {
+            inflater.setInput(packed);
+            ByteArrayOutputStream document = new ByteArrayOutputStream();
+            byte[] step = new byte[INFLATE_STEP_BYTES];
+            while (!inflater.finished()) {
+                int count = inflater.inflate(step);
+                boolean stuck = count == 0 && !inflater.finished();
+                if (stuck || document.size() + count > MAX_DOCUMENT_BYTES) {
+                    throw new IOException("a frame holds a garbled document");
+                }
+                document.write(step, 0, count);
+            }
+            return document.toByteArray();
+        } catch (DataFormatException e) {
+            throw new IOException("a frame holds a garbled document", e);
+        } finally {
+            inflater.end();
+        }
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
@@ -0,0 +1,71 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+import java.util.List;
+import org.orchidmount.consensus.Member;
+import org.orchidmount.consensus.ReplicaMessage;
+import org.orchidmount.membership.Registration;
+
+/** What instances say to each other. */
+sealed interface ClusterMessage {
+    /**
+     * Opens a link in each direction.
+     *
+     * @param protocol the version of the protocol
+     * @param node the sender's name
+     * @param voter the sender as a replica, or null if it is an entry
+     */
+    record Greeting(int protocol, String node, Member voter) implements ClusterMessage {}
+
+    /** Shows that the sender lives. */
+    record KeepAlive() implements ClusterMessage {}
+
+    /**
+     * Carries a message of the agreement.
+     *
+     * @param sender where answers go
+     * @param message the message
+     */
+    record Replication(Member sender, ReplicaMessage message) implements ClusterMessage {}
+
+    /** Names the voters, and the replicas that may become voters. */
+    record Voters(List<Member> members) implements ClusterMessage {
+        public Voters {
+            members = List.copyOf(members);
+        }
+    }
+
+    /**
+     * Tells an entry which table is committed.
+     *
+     * @param version the table's version, 0 for none
+     * @param inTouch whether the sender is in touch with a quorum
+     * @param entries how many entries the sender serves
+     */
+    record TableNotice(long version, boolean inTouch, int entries) implements ClusterMessage {}
+
+    /** Asks for the committed table. */
+    record TableRequest() implements ClusterMessage {}
+
+    /** Carries a committed table. */
+    record TableDocument(long version, byte[] document) implements ClusterMessage {}
+
+    /**
+     * Carries registrations.
+     *
+     * @param number echoed once the receiver holds them; 0 if no answer is wanted
+     * @param registrations the registrations
+     */
+    record Registrations(long number, List<Registration> registrations) implements ClusterMessage {
+        public Registrations {
+            registrations = List.copyOf(registrations);
+        }
+    }
+
+    /** Answers {@link Registrations}. */
+    record RegistrationsHeld(long number) implements ClusterMessage {}
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/Dialer.java
@@ -0,0 +1,90 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
+import org.orchidmount.cluster.ClusterMessage.Greeting;
+
+/**
+ * Keeps a link to one address open: connects again whenever it breaks, with growing pauses.
+ *
+ * <p>Thread-safe.
+ */
+final class Dialer implements AutoCloseable {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final long FIRST_PAUSE_MILLIS = 80;
+    private static final long LONGEST_PAUSE_MILLIS = 800;
+
+    private final HostPort mAddress;
+    private final Greeting mGreeting;
+    private final Link.Handler mHandler;
+    private final Thread mThread;
+    private volatile boolean mClosed;
+    private volatile Link mLink;
+
+    Dialer(HostPort address, Greeting greeting, Link.Handler handler) {
+        mAddress = address;
+        mGreeting = greeting;
+        mHandler = handler;
+        mThread = Thread.ofVirtual().name("dial-" + address).start(this::keepOpen);
+    }
+
+    private void keepOpen() {
+        long pauseMillis = FIRST_PAUSE_MILLIS;
+        while (!mClosed) {
+            if (connect()) {
+                pauseMillis = FIRST_PAUSE_MILLIS;
+            }
+            try {
+                Thread.sleep(
+                        pauseMillis + ThreadLocalRandom.current().nextLong(pauseMillis / 2 + 1));
+            } catch (InterruptedException e) {
+                return;
+            }
+            pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
+        }
+    }
+
+    /** Connects once and carries messages until the link breaks; returns whether it was open. */
+    private boolean connect() {
+        Socket socket = new Socket();
+        try {
+            socket.connect(
+                    new InetSocketAddress(mAddress.host(), mAddress.port()),
+                    (int) CONNECT_TIMEOUT.toMillis());
+            Link link = new Link(socket, mHandler);
+            mLink = link;
+            link.send(mGreeting);
+            link.run();
+            return true;
+        } catch (IOException e) {
+            closeQuietly(socket);
+            return false;
+        }
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException ignored) {
+            // It was never of use.
+        }
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+        Link link = mLink;
+        if (link != null) {
+            link.close();
+        }
+        mThread.interrupt();
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -0,0 +1,286 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.cluster.ClusterMessage.Greeting;
+import org.orchidmount.cluster.ClusterMessage.KeepAlive;
+import org.orchidmount.cluster.ClusterMessage.Registrations;
+import org.orchidmount.cluster.ClusterMessage.RegistrationsHeld;
+import org.orchidmount.cluster.ClusterMessage.TableDocument;
+import org.orchidmount.cluster.ClusterMessage.TableNotice;
+import org.orchidmount.cluster.ClusterMessage.TableRequest;
+import org.orchidmount.cluster.ClusterMessage.Voters;
+import org.orchidmount.consensus.Member;
+import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.membership.Registration;
+import org.orchidmount.membership.Registry;
+import org.orchidmount.routes.RouteTable;
+import org.orchidmount.routes.RouteTableParser;
+
+/**
+ * What an entry knows from the voters: the route table in force and the upstreams.
+ *
+ * <p>Invariants: the table never goes back to a lower version; an upstream that has begun to leave
+ * never comes back. What is known stays in use while no voter can be reached. The state is confined
+ * to one thread; the public methods are thread-safe.
+ */
+public final class EntryNode implements AutoCloseable {
+    private static final PartLog LOG = PartLog.of("entry");
+    private static final long TICK_MILLIS = 200;
+    private static final long REQUEST_AGAIN_NANOS = Duration.ofMillis(250).toNanos();
+    private static final long REMEMBER_NANOS = Duration.ofMinutes(10).toNanos();
+    private static final long SILENT_NANOS = Duration.ofSeconds(30).toNanos();
+
+    /** After this time a table of a voter without a quorum has to do. */
+    private static final long WAIT_FOR_QUORUM_NANOS = Duration.ofSeconds(3).toNanos();
+
+    private final ScheduledThreadPoolExecutor mThread =
+            new ScheduledThreadPoolExecutor(
+                    1, Thread.ofPlatform().name("entry").daemon().factory());
+    private final MonotonicClock mClock;
+    private final RouteTableParser mParser;
+    private final RegistrationListener mListener;
+    private final Greeting mGreeting;
+    private final Set<HostPort> mSeeds;
+    private final Link.Handler mHandler = new LinkEvents();
+    private final Map<HostPort, Dialer> mDialers = new HashMap<>();
+    private final Map<HostPort, Long> mSeenNanos = new HashMap<>();
+    private final Map<Link, TableNotice> mNotices = new HashMap<>();
+    private final Map<Link, HostPort> mLinks = new HashMap<>();
+    private final Registry mRegistry = new Registry(REMEMBER_NANOS);
+    private final long mStartNanos;
+    private long mRequestedNanos;
+    private boolean mConfirmed;
+    private volatile RouteTable mTable;
+    private volatile boolean mReady;
+    private volatile int mEntries = 1;
+
+    /** Learns what upstreams say; called on the node's thread. */
+    @FunctionalInterface
+    public interface RegistrationListener {
+        /**
+         * Takes a registration that says something new.
+         *
+         * @param registration the registration
+         */
+        void changed(Registration registration);
+    }
+
+    /**
+     * Starts to follow the voters.
+     *
+     * @param node the instance's name
+     * @param seeds cluster addresses of some voters
+     * @param parser reads tables
+     * @param listener learns of upstreams
+     * @param clock the clock
+     */
+    public EntryNode(
+            String node,
+            List<HostPort> seeds,
+            RouteTableParser parser,
+            RegistrationListener listener,
+            MonotonicClock clock) {
+        mClock = clock;
+        mParser = parser;
+        mListener = listener;
+        mGreeting = new Greeting(VoterNode.PROTOCOL, node, null);
+        mSeeds = Set.copyOf(seeds);
+        mStartNanos = clock.nanoTime();
+        mRequestedNanos = mStartNanos - REQUEST_AGAIN_NANOS;
+        post(() -> mSeeds.forEach(this::dial));
+        mThread.scheduleWithFixedDelay(
+                () -> guarded(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Returns the table in force here.
+     *
+     * @return the table, or nothing until one is known
+     */
+    public Optional<RouteTable> table() {
+        return Optional.ofNullable(mTable);
+    }
+
+    /**
+     * Tells whether a table is known that was in force when this instance started, or later.
+     *
+     * @return false until then
+     */
+    public boolean isReady() {
+        return mReady;
+    }
+
+    /**
+     * Returns how many entries share the limits of the site.
+     *
+     * @return the number, at least 1
+     */
+    public int entries() {
+        return mEntries;
+    }
+
+    private void dial(HostPort address) {
+        mDialers.computeIfAbsent(address, to -> new Dialer(to, mGreeting, mHandler));
+    }
+
+    private void onMessage(Link link, ClusterMessage message) {
+        switch (message) {
+            case Greeting greeting -> onGreeting(link, greeting);
+            case Voters voters -> voters.members().forEach(this::learn);
+            case TableNotice notice -> {
+                mNotices.put(link, notice);
+                mEntries = Math.max(1, entriesTold());
+                follow();
+            }
+            case TableDocument document -> apply(document);
+            case Registrations registrations -> {
+                for (Registration registration : registrations.registrations()) {
+                    mRegistry.merge(registration, mClock.nanoTime()).ifPresent(mListener::changed);
+                }
+                if (registrations.number() != 0) {
+                    link.send(new RegistrationsHeld(registrations.number()));
+                }
+            }
+            default -> {}
+        }
+    }
+
+    private int entriesTold() {
+        return mNotices.values().stream().mapToInt(TableNotice::entries).max().orElse(1);
+    }
+
+    private void onGreeting(Link link, Greeting greeting) {
+        if (greeting.protocol() != VoterNode.PROTOCOL || greeting.voter() == null) {
+            LOG.warn("%s is no voter that can be followed", greeting.node());
+            link.close();
+            return;
+        }
+        mLinks.put(link, HostPort.parse(greeting.voter().address()));
+        learn(greeting.voter());
+        LOG.info("voter %s is reached", greeting.node());
+    }
+
+    private void learn(Member member) {
+        HostPort address = HostPort.parse(member.address());
+        mSeenNanos.put(address, mClock.nanoTime());
+        dial(address);
+    }
+
+    /** Asks for a newer table, and decides whether the one held may be served from. */
+    private void follow() {
+        long held = mTable == null ? 0 : mTable.version();
+        Link newest = null;
+        for (Map.Entry<Link, TableNotice> notice : mNotices.entrySet()) {
+            boolean open = notice.getKey().isOpen();
+            if (open && notice.getValue().version() > held) {
+                newest = notice.getKey();
+                held = notice.getValue().version();
+            }
+        }
+        long nowNanos = mClock.nanoTime();
+        if (newest != null && nowNanos - mRequestedNanos >= REQUEST_AGAIN_NANOS) {
+            mRequestedNanos = nowNanos;
+            newest.send(new TableRequest());
+        }
+        mConfirmed |= mNotices.values().stream().anyMatch(TableNotice::inTouch);
+        boolean waited = nowNanos - mStartNanos > WAIT_FOR_QUORUM_NANOS;
+        boolean known = mTable != null && newest == null;
+        if (!mReady && known && (mConfirmed || waited)) {
+            mReady = true;
+            LOG.info("ready with table %d", mTable.version());
+        }
+    }
+
+    private void apply(TableDocument document) {
+        mRequestedNanos = mClock.nanoTime() - REQUEST_AGAIN_NANOS;
+        if (mTable != null && document.version() <= mTable.version()) {
+            return;
+        }
+        try {
+            mTable = mParser.parse(document.document());
+            LOG.info("table %d is in force", document.version());
+        } catch (IllegalArgumentException e) {
+            LOG.error("table " + document.version() + " cannot be read", e);
+        }
+        follow();
+    }
+
+    private void tick() {
+        long nowNanos = mClock.nanoTime();
+        mLinks.values().forEach(address -> mSeenNanos.put(address, nowNanos));
+        List<HostPort> silent = new ArrayList<>();
+        mSeenNanos.forEach(
+                (address, seenNanos) -> {
+                    if (nowNanos - seenNanos > SILENT_NANOS && !mSeeds.contains(address)) {
+                        silent.add(address);
+                    }
+                });
+        for (HostPort address : silent) {
+            mSeenNanos.remove(address);
+            mDialers.remove(address).close();
+        }
+        mRegistry.forgetOld(nowNanos);
+        follow();
+    }
+
+    private void onClosed(Link link) {
+        mNotices.remove(link);
+        HostPort voter = mLinks.remove(link);
+        if (voter != null) {
+            LOG.info("voter at %s is lost", voter);
+        }
+    }
+
+    private void post(Runnable task) {
+        try {
+            mThread.execute(() -> guarded(task));
+        } catch (RejectedExecutionException e) {
+            LOG.debug("a task came after the end: %s", e);
+        }
+    }
+
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.error("a task failed", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        mThread.shutdownNow();
+        Set<Dialer> dialers = new HashSet<>(mDialers.values());
+        dialers.forEach(Dialer::close);
+    }
+
+    private final class LinkEvents implements Link.Handler {
+        @Override
+        public void received(Link link, ClusterMessage message) {
+            if (!(message instanceof KeepAlive)) {
+                post(() -> onMessage(link, message));
+            }
+        }
+
+        @Override
+        public void closed(Link link) {
+            post(() -> onClosed(link));
+        }
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/HostPort.java
@@ -0,0 +1,39 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+/**
+ * An IP address and a TCP port.
+ *
+ * @param host the IP address
+ * @param port the port
+ */
+public record HostPort(String host, int port) {
+    /**
+     * Reads the form host:port.
+     *
+     * @param text the text
+     * @return the address
+     * @throws IllegalArgumentException if it is none
+     */
+    public static HostPort parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("'" + text + "' is no address; give host:port");
+        }
+        try {
+            return new HostPort(
+                    text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("'" + text + "' has no port; give host:port", e);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/Link.java
@@ -0,0 +1,124 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.orchidmount.cluster.ClusterMessage.KeepAlive;
+
+/**
+ * A connection to another instance that carries messages both ways.
+ *
+ * <p>Frames are a length of four bytes and a message. A link on which nothing arrives for {@link
+ * #SILENCE} is closed, so one that is cut in silence is found. Sending never blocks: a peer that
+ * does not read loses the link. Thread-safe.
+ */
+final class Link implements AutoCloseable {
+    /** How long a sender rests at most. */
+    static final Duration KEEP_ALIVE = Duration.ofMillis(400);
+
+    /** How long a receiver waits. */
+    static final Duration SILENCE = Duration.ofMillis(1_500);
+
+    private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
+    private static final int MAX_QUEUED = 512;
+
+    private final Socket mSocket;
+    private final Handler mHandler;
+    private final BlockingQueue<ClusterMessage> mQueue = new ArrayBlockingQueue<>(MAX_QUEUED);
+    private final AtomicBoolean mClosed = new AtomicBoolean();
+
+    /** Takes what arrives; called on the link's reader thread. */
+    interface Handler {
+        /** Takes a message. */
+        void received(Link link, ClusterMessage message);
+
+        /** Learns that the link has closed. */
+        void closed(Link link);
+    }
+
+    Link(Socket socket, Handler handler) throws SocketException {
+        mSocket = socket;
+        mHandler = handler;
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout((int) SILENCE.toMillis());
+    }
+
+    /** Carries messages until the link closes. */
+    void run() {
+        Thread.ofVirtual().name("link-writer").start(this::writeAll);
+        try (DataInputStream in =
+                new DataInputStream(new BufferedInputStream(mSocket.getInputStream()))) {
+            while (!mClosed.get()) {
+                int length = in.readInt();
+                if (length <= 0 || length > MAX_FRAME_BYTES) {
+                    throw new IOException("a frame of " + length + " bytes");
+                }
+                byte[] frame = in.readNBytes(length);
+                if (frame.length < length) {
+                    throw new IOException("a frame was cut off");
+                }
+                mHandler.received(this, ClusterCodec.decode(frame));
+            }
+        } catch (IOException ignored) {
+            // The link ends here; whoever needs it connects again.
+        } finally {
+            close();
+            mHandler.closed(this);
+        }
+    }
+
+    private void writeAll() {
+        try (DataOutputStream out = new DataOutputStream(mSocket.getOutputStream())) {
+            while (!mClosed.get()) {
+                ClusterMessage message = mQueue.poll(KEEP_ALIVE.toMillis(), TimeUnit.MILLISECONDS);
+                byte[] body = ClusterCodec.encode(message == null ? new KeepAlive() : message);
+                byte[] frame = new byte[Integer.BYTES + body.length];
+                ByteBuffer.wrap(frame).putInt(body.length).put(body);
+                out.write(frame);
+            }
+        } catch (IOException ignored) {
+            // The reader finds the closed socket and tells the handler.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            close();
+        }
+    }
+
+    /** Queues a message; closes the link if the peer reads too slowly. */
+    void send(ClusterMessage message) {
+        if (!mQueue.offer(message)) {
+            close();
+        }
+    }
+
+    boolean isOpen() {
+        return !mClosed.get();
+    }
+
+    @Override
+    public void close() {
+        if (mClosed.getAndSet(true)) {
+            return;
+        }
+        try {
+            mSocket.close();
+        } catch (IOException ignored) {
+            // Nothing is left to be done with it.
+        }
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/LinkServer.java
@@ -0,0 +1,60 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import org.orchidmount.cluster.ClusterMessage.Greeting;
+import org.orchidmount.internal.log.PartLog;
+
+/** Takes links from other instances. Thread-safe. */
+final class LinkServer implements AutoCloseable {
+    private static final PartLog LOG = PartLog.of("link");
+    private static final int BACKLOG = 512;
+
+    private final ServerSocket mSocket;
+    private final Greeting mGreeting;
+    private final Link.Handler mHandler;
+
+    LinkServer(HostPort address, Greeting greeting, Link.Handler handler) throws IOException {
+        mGreeting = greeting;
+        mHandler = handler;
+        mSocket = new ServerSocket();
+        mSocket.setReuseAddress(true);
+        mSocket.bind(new InetSocketAddress(address.host(), address.port()), BACKLOG);
+        Thread.ofVirtual().name("link-server").start(this::accept);
+    }
+
+    int port() {
+        return mSocket.getLocalPort();
+    }
+
+    private void accept() {
+        while (!mSocket.isClosed()) {
+            try {
+                Socket socket = mSocket.accept();
+                Link link = new Link(socket, mHandler);
+                link.send(mGreeting);
+                Thread.ofVirtual().name("link-reader").start(link::run);
+            } catch (IOException e) {
+                if (!mSocket.isClosed()) {
+                    LOG.warn("a link was not taken: %s", e);
+                }
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            mSocket.close();
+        } catch (IOException e) {
+            LOG.warn("the listener was not closed: %s", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
@@ -0,0 +1,151 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.orchidmount.cluster.ClusterMessage.Greeting;
+import org.orchidmount.consensus.Member;
+
+/**
+ * The links of a voter to other voters and to entries, and the addresses at which voters may be.
+ *
+ * <p>Confined to the voter's own thread.
+ */
+final class VoterLinks implements AutoCloseable {
+    private static final long FORGET_NANOS = 30_000_000_000L;
+
+    private final HostPort mSelf;
+    private final Greeting mGreeting;
+    private final Link.Handler mHandler;
+    private final Set<HostPort> mSeeds;
+    private final Map<HostPort, Dialer> mDialers = new HashMap<>();
+    private final Map<HostPort, Member> mMembers = new HashMap<>();
+    private final Map<HostPort, Long> mSeenNanos = new HashMap<>();
+    private final Map<Link, HostPort> mVoterLinks = new LinkedHashMap<>();
+    private final Map<Link, String> mEntryLinks = new LinkedHashMap<>();
+
+    VoterLinks(HostPort self, Greeting greeting, Collection<HostPort> seeds, Link.Handler handler) {
+        mSelf = self;
+        mGreeting = greeting;
+        mHandler = handler;
+        mSeeds = Set.copyOf(seeds);
+        mSeeds.forEach(this::dial);
+    }
+
+    /** Keeps a link to an address open from now on. */
+    private void dial(HostPort address) {
+        if (!address.equals(mSelf)) {
+            mDialers.computeIfAbsent(address, to -> new Dialer(to, mGreeting, mHandler));
+        }
+    }
+
+    /** Notes where a replica is; returns true if that was not known. */
+    boolean learn(Member member, long nowNanos) {
+        HostPort address = HostPort.parse(member.address());
+        if (address.equals(mSelf)) {
+            return false;
+        }
+        mSeenNanos.put(address, nowNanos);
+        dial(address);
+        return !member.equals(mMembers.put(address, member));
+    }
+
+    void voterGreeted(Link link, Member member) {
+        mVoterLinks.put(link, HostPort.parse(member.address()));
+    }
+
+    void entryGreeted(Link link, String node) {
+        mEntryLinks.put(link, node);
+    }
+
+    boolean isGreeted(Link link) {
+        return mVoterLinks.containsKey(link) || mEntryLinks.containsKey(link);
+    }
+
+    boolean isVoter(Link link) {
+        return mVoterLinks.containsKey(link);
+    }
+
+    void closed(Link link) {
+        mVoterLinks.remove(link);
+        mEntryLinks.remove(link);
+    }
+
+    /** Returns the replicas known to be about. */
+    List<Member> members() {
+        return new ArrayList<>(mMembers.values());
+    }
+
+    int entries() {
+        return (int) mEntryLinks.values().stream().distinct().count();
+    }
+
+    void send(Member to, ClusterMessage message) {
+        HostPort address = HostPort.parse(to.address());
+        for (Map.Entry<Link, HostPort> link : mVoterLinks.entrySet()) {
+            if (link.getValue().equals(address) && link.getKey().isOpen()) {
+                link.getKey().send(message);
+                return;
+            }
+        }
+    }
+
+    /** Sends a message once to every voter that is linked. */
+    void sendToVoters(ClusterMessage message) {
+        List<HostPort> reached = new ArrayList<>();
+        for (Map.Entry<Link, HostPort> link : mVoterLinks.entrySet()) {
+            if (link.getKey().isOpen() && !reached.contains(link.getValue())) {
+                reached.add(link.getValue());
+                link.getKey().send(message);
+            }
+        }
+    }
+
+    void sendToEntries(ClusterMessage message) {
+        mEntryLinks.keySet().forEach(link -> link.send(message));
+    }
+
+    /** Stops dialing addresses that are neither seeds nor voters and have long been silent. */
+    void forgetOld(Collection<Member> voters, long nowNanos) {
+        mVoterLinks.values().forEach(address -> mSeenNanos.put(address, nowNanos));
+        for (Member voter : voters) {
+            learn(voter, nowNanos);
+        }
+        mSeenNanos
+                .entrySet()
+                .removeIf(
+                        seen -> {
+                            boolean old = nowNanos - seen.getValue() > FORGET_NANOS;
+                            if (old) {
+                                mMembers.remove(seen.getKey());
+                                hangUp(seen.getKey());
+                            }
+                            return old;
+                        });
+    }
+
+    private void hangUp(HostPort address) {
+        if (!mSeeds.contains(address)) {
+            Dialer dialer = mDialers.remove(address);
+            if (dialer != null) {
+                dialer.close();
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        mDialers.values().forEach(Dialer::close);
+        mVoterLinks.keySet().forEach(Link::close);
+        mEntryLinks.keySet().forEach(Link::close);
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -0,0 +1,510 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.cluster.ClusterMessage.Greeting;
+import org.orchidmount.cluster.ClusterMessage.KeepAlive;
+import org.orchidmount.cluster.ClusterMessage.Registrations;
+import org.orchidmount.cluster.ClusterMessage.RegistrationsHeld;
+import org.orchidmount.cluster.ClusterMessage.Replication;
+import org.orchidmount.cluster.ClusterMessage.TableDocument;
+import org.orchidmount.cluster.ClusterMessage.TableNotice;
+import org.orchidmount.cluster.ClusterMessage.TableRequest;
+import org.orchidmount.cluster.ClusterMessage.Voters;
+import org.orchidmount.consensus.DurableState;
+import org.orchidmount.consensus.EntryId;
+import org.orchidmount.consensus.GroupState;
+import org.orchidmount.consensus.Member;
+import org.orchidmount.consensus.Replica;
+import org.orchidmount.consensus.ReplicaEffects;
+import org.orchidmount.consensus.ReplicaMessage;
+import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.membership.Registration;
+import org.orchidmount.membership.Registry;
+
+/**
+ * An instance that votes on the route table and spreads registrations.
+ *
+ * <p>Invariants: a change is answered as accepted only once it is synced at a quorum; a
+ * registration that says an upstream leaves is answered only once a quorum holds it; what entries
+ * are told is committed. All state is confined to one thread; the public methods are thread-safe
+ * and answer by futures.
+ */
+public final class VoterNode implements AutoCloseable {
+    /** The version of the protocol between instances. */
+    static final int PROTOCOL = 1;
+
+    private static final PartLog LOG = PartLog.of("voter");
+    private static final long TICK_MILLIS = 50;
+    private static final long NOTICE_MILLIS = 1_000;
+    private static final long REMEMBER_NANOS = Duration.ofMinutes(10).toNanos();
+    private static final int IDENTITY_BYTES = 8;
+    private static final String FOUNDER = "/first";
+
+    private final ScheduledThreadPoolExecutor mThread =
+            new ScheduledThreadPoolExecutor(
+                    1, Thread.ofPlatform().name("voter").daemon().factory());
+    private final MonotonicClock mClock;
+    private final Member mSelf;
+    private final Replica mReplica;
+    private final Persister mPersister;
+    private final VoterLinks mLinks;
+    private final LinkServer mServer;
+    private final Registry mRegistry = new Registry(REMEMBER_NANOS);
+    private final Map<Long, Spread> mSpreads = new HashMap<>();
+
+    /** What upstreams said here since the other voters were last told. */
+    private final Map<String, Registration> mHeard = new HashMap<>();
+
+    private GroupState mCommitted = new GroupState(List.of(), 0, new byte[0]);
+    private long mSpreadNumber;
+    private boolean mWasInTouch;
+    private Replica.Role mWasRole = Replica.Role.FOLLOWER;
+
+    /** Registrations on their way to a quorum. */
+    private static final class Spread {
+        private final CompletableFuture<Boolean> mDone;
+        private int mHolders = 1;
+
+        Spread(CompletableFuture<Boolean> done) {
+            mDone = done;
+        }
+    }
+
+    private VoterNode(VoterConfig config, MonotonicClock clock) throws IOException {
+        mClock = clock;
+        StateFile file = StateFile.open(config.folder());
+        DurableState durable = file.read().orElseGet(() -> firstState(config));
+        mSelf = new Member(durable.self(), config.address().toString(), config.controlAddress());
+        Greeting greeting = new Greeting(PROTOCOL, config.node(), mSelf);
+        Link.Handler handler = new LinkEvents();
+        mPersister = new Persister(file, this::onPersisted);
+        mReplica =
+                new Replica(
+                        mSelf,
+                        durable,
+                        2 * config.lossesBorne() + 1,
+                        config.timing(),
+                        new SplittableRandom(),
+                        new Effects(),
+                        clock.nanoTime());
+        mLinks =
+                new VoterLinks(
+                        config.address(),
+                        greeting,
+                        config.seeds().stream().map(VoterConfig.Seed::address).toList(),
+                        handler);
+        mServer = new LinkServer(config.address(), greeting, handler);
+        mThread.setRemoveOnCancelPolicy(true);
+        mThread.scheduleWithFixedDelay(
+                () -> guarded(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        mThread.scheduleWithFixedDelay(
+                () -> guarded(this::refresh), NOTICE_MILLIS, NOTICE_MILLIS, TimeUnit.MILLISECONDS);
+        LOG.info(
+                "replica %s holds entry %s with table %d",
+                mSelf.id(), durable.entry(), durable.state().tableVersion());
+    }
+
+    /**
+     * Starts a voter.
+     *
+     * @param config how it is set up
+     * @param clock the clock
+     * @return the running voter
+     * @throws IOException if its folder cannot be read or its address not bound
+     */
+    public static VoterNode start(VoterConfig config, MonotonicClock clock) throws IOException {
+        return new VoterNode(config, clock);
+    }
+
+    /**
+     * The state of an empty disk: a founder's if it is one, else that of a replica to be taught.
+     */
+    private static DurableState firstState(VoterConfig config) {
+        List<Member> founders =
+                config.seeds().stream()
+                        .map(
+                                seed ->
+                                        new Member(
+                                                seed.address() + FOUNDER,
+                                                seed.address().toString(),
+                                                seed.controlAddress()))
+                        .toList();
+        String founder = config.address() + FOUNDER;
+        boolean founds =
+                config.firstStart()
+                        && founders.stream().anyMatch(member -> member.id().equals(founder));
+        if (founds) {
+            GroupState state = new GroupState(founders, 0, new byte[0]);
+            return new DurableState(founder, 0, "", new EntryId(0, 1), state);
+        }
+        byte[] identity = new byte[IDENTITY_BYTES];
+        new SecureRandom().nextBytes(identity);
+        return new DurableState(
+                config.address() + "/" + HexFormat.of().formatHex(identity),
+                0,
+                "",
+                EntryId.NONE,
+                new GroupState(List.of(), 0, new byte[0]));
+    }
+
+    // ---- operators
+
+    /**
+     * Puts a table in force if its version is higher than that held.
+     *
+     * @param version its version
+     * @param document the checked table
+     * @return the answer, in time or not at all
+     */
+    public CompletableFuture<TableAnswer> putTable(long version, byte[] document) {
+        return ask(
+                done -> {
+                    GroupState newest = mReplica.state();
+                    boolean same = version == newest.tableVersion();
+                    if (version > newest.tableVersion()) {
+                        LOG.info("table %d replaces %d", version, newest.tableVersion());
+                        mReplica.propose(
+                                newest.withTable(version, document),
+                                committed -> done.accept(accepted(committed, version)));
+                    } else if (same && !Arrays.equals(document, newest.tableDocument())) {
+                        done.accept(new TableAnswer.Conflict(version));
+                    } else {
+                        mReplica.confirm(
+                                confirmed ->
+                                        done.accept(accepted(confirmed, newest.tableVersion())));
+                    }
+                });
+    }
+
+    private static TableAnswer accepted(boolean certain, long version) {
+        return certain ? new TableAnswer.Accepted(version) : new TableAnswer.Unavailable();
+    }
+
+    /**
+     * Reads the newest table, confirmed by a quorum.
+     *
+     * @return the answer, in time or not at all
+     */
+    public CompletableFuture<TableAnswer> readTable() {
+        return ask(
+                done ->
+                        mReplica.confirm(
+                                confirmed ->
+                                        done.accept(
+                                                confirmed
+                                                        ? new TableAnswer.Current(
+                                                                mCommitted.tableVersion(),
+                                                                mCommitted.tableDocument())
+                                                        : new TableAnswer.Unavailable())));
+    }
+
+    /** Runs a question on the leader, or names the leader. */
+    private CompletableFuture<TableAnswer> ask(Consumer<Consumer<TableAnswer>> question) {
+        CompletableFuture<TableAnswer> answer = new CompletableFuture<>();
+        post(
+                () -> {
+                    if (mReplica.role() == Replica.Role.LEADER) {
+                        question.accept(answer::complete);
+                        return;
+                    }
+                    Optional<Member> leader =
+                            mReplica.isInTouch() ? mReplica.leader() : Optional.empty();
+                    answer.complete(
+                            leader.map(Member::controlAddress)
+                                    .<TableAnswer>map(TableAnswer.AskLeader::new)
+                                    .orElseGet(TableAnswer.Unavailable::new));
+                });
+        return answer;
+    }
+
+    // ---- upstreams
+
+    /**
+     * Takes what an upstream says of itself.
+     *
+     * @param registration the registration
+     * @return true once it is known where it must be, false if this voter may be cut off
+     */
+    public CompletableFuture<Boolean> register(Registration registration) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        post(
+                () -> {
+                    Optional<Registration> changed =
+                            mRegistry.merge(registration, mClock.nanoTime());
+                    changed.ifPresent(VoterNode::logChange);
+                    mHeard.put(registration.id(), registration);
+                    boolean leaving = registration.state() != Registration.State.READY;
+                    if (leaving) {
+                        spread(mRegistry.find(registration.id()).orElse(registration), done);
+                        return;
+                    }
+                    changed.ifPresent(this::forward);
+                    done.complete(mReplica.isInTouch());
+                });
+        return done;
+    }
+
+    /**
+     * Takes the word of an upstream that it leaves.
+     *
+     * @param id its identity
+     * @return true once a quorum of the voters knows, false if this voter may be cut off
+     */
+    public CompletableFuture<Boolean> leave(String id) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        post(
+                () -> {
+                    Registration gone = mRegistry.leave(id, mClock.nanoTime());
+                    logChange(gone);
+                    spread(gone, done);
+                });
+        return done;
+    }
+
+    private void spread(Registration leaving, CompletableFuture<Boolean> done) {
+        if (!mReplica.isInTouch()) {
+            forward(leaving);
+            done.complete(false);
+            return;
+        }
+        long number = ++mSpreadNumber;
+        mSpreads.put(number, new Spread(done));
+        done.whenComplete((held, error) -> post(() -> mSpreads.remove(number)));
+        Registrations message = new Registrations(number, List.of(leaving));
+        mLinks.sendToVoters(message);
+        mLinks.sendToEntries(new Registrations(0, List.of(leaving)));
+        checkSpread(number);
+    }
+
+    private void checkSpread(long number) {
+        Spread spread = mSpreads.get(number);
+        if (spread != null && spread.mHolders >= mReplica.state().quorum()) {
+            spread.mDone.complete(true);
+        }
+    }
+
+    private void forward(Registration changed) {
+        Registrations message = new Registrations(0, List.of(changed));
+        mLinks.sendToVoters(message);
+        mLinks.sendToEntries(message);
+    }
+
+    private static void logChange(Registration changed) {
+        LOG.info(
+                "upstream %s of %s at %s is %s, stage %s, sequence %d",
+                changed.id(),
+                changed.service(),
+                changed.address(),
+                changed.state(),
+                changed.stage(),
+                changed.sequence());
+    }
+
+    // ---- links
+
+    private void onMessage(Link link, ClusterMessage message) {
+        if (message instanceof Greeting greeting) {
+            onGreeting(link, greeting);
+            return;
+        }
+        if (!mLinks.isGreeted(link)) {
+            link.close();
+            return;
+        }
+        switch (message) {
+            case Replication replication -> onReplication(replication);
+            case Registrations registrations -> onRegistrations(link, registrations);
+            case RegistrationsHeld held -> {
+                Spread spread = mSpreads.get(held.number());
+                if (spread != null && mLinks.isVoter(link)) {
+                    spread.mHolders++;
+                    checkSpread(held.number());
+                }
+            }
+            case TableRequest _ ->
+                    link.send(
+                            new TableDocument(
+                                    mCommitted.tableVersion(), mCommitted.tableDocument()));
+            case Voters voters -> voters.members().forEach(this::learn);
+            case KeepAlive _, Greeting _, TableNotice _, TableDocument _ -> {}
+        }
+    }
+
+    private void onGreeting(Link link, Greeting greeting) {
+        if (greeting.protocol() != PROTOCOL) {
+            LOG.warn(
+                    "%s speaks protocol %d; its link is closed",
+                    greeting.node(), greeting.protocol());
+            link.close();
+            return;
+        }
+        if (greeting.voter() == null) {
+            mLinks.entryGreeted(link, greeting.node());
+            link.send(new Voters(knownVoters()));
+            link.send(notice());
+        } else {
+            mLinks.voterGreeted(link, greeting.voter());
+            learn(greeting.voter());
+            link.send(new Voters(knownVoters()));
+        }
+        link.send(new Registrations(0, mRegistry.all()));
+    }
+
+    private void onReplication(Replication replication) {
+        learn(replication.sender());
+        mReplica.receive(replication.message(), replication.sender(), mClock.nanoTime());
+        noteRole();
+    }
+
+    private void learn(Member member) {
+        if (mLinks.learn(member, mClock.nanoTime())) {
+            Voters voters = new Voters(knownVoters());
+            mLinks.sendToVoters(voters);
+            mLinks.sendToEntries(voters);
+        }
+    }
+
+    private List<Member> knownVoters() {
+        List<Member> known = mLinks.members();
+        known.add(mSelf);
+        return known;
+    }
+
+    private void onRegistrations(Link link, Registrations registrations) {
+        for (Registration registration : registrations.registrations()) {
+            mRegistry.merge(registration, mClock.nanoTime()).ifPresent(this::forward);
+        }
+        if (registrations.number() != 0) {
+            link.send(new RegistrationsHeld(registrations.number()));
+        }
+    }
+
+    private TableNotice notice() {
+        return new TableNotice(mCommitted.tableVersion(), mReplica.isInTouch(), mLinks.entries());
+    }
+
+    // ---- time
+
+    private void tick() {
+        mReplica.tick(mClock.nanoTime());
+        noteRole();
+        if (mWasInTouch != mReplica.isInTouch()) {
+            mWasInTouch = mReplica.isInTouch();
+            LOG.info("quorum %s", mWasInTouch ? "regained" : "lost");
+            mLinks.sendToEntries(notice());
+        }
+    }
+
+    private void noteRole() {
+        if (mWasRole != mReplica.role()) {
+            mWasRole = mReplica.role();
+            LOG.info("role %s in term %d", mWasRole, mReplica.term());
+        }
+    }
+
+    private void refresh() {
+        long nowNanos = mClock.nanoTime();
+        mLinks.forgetOld(mReplica.state().members(), nowNanos);
+        mRegistry.forgetOld(nowNanos);
+        mLinks.sendToEntries(notice());
+        if (!mHeard.isEmpty()) {
+            mLinks.sendToVoters(new Registrations(0, List.copyOf(mHeard.values())));
+            mHeard.clear();
+        }
+    }
+
+    private void onPersisted(long number, EntryId entry) {
+        post(() -> mReplica.persisted(number, entry, mClock.nanoTime()));
+    }
+
+    private void post(Runnable task) {
+        try {
+            mThread.execute(() -> guarded(task));
+        } catch (RejectedExecutionException e) {
+            LOG.debug("a task came after the end: %s", e);
+        }
+    }
+
+    /** A defect in one task must not end the thread's other work. */
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.error("a task failed", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+        mThread.shutdownNow();
+        mPersister.close();
+        mLinks.close();
+    }
+
+    private final class LinkEvents implements Link.Handler {
+        @Override
+        public void received(Link link, ClusterMessage message) {
+            if (!(message instanceof KeepAlive)) {
+                post(() -> onMessage(link, message));
+            }
+        }
+
+        @Override
+        public void closed(Link link) {
+            post(() -> mLinks.closed(link));
+        }
+    }
+
+    private final class Effects implements ReplicaEffects {
+        @Override
+        public void send(Member to, ReplicaMessage message) {
+            mLinks.send(to, new Replication(mSelf, message));
+        }
+
+        @Override
+        public void announce(ReplicaMessage message) {
+            mLinks.sendToVoters(new Replication(mSelf, message));
+        }
+
+        @Override
+        public void persist(long number, DurableState state) {
+            mPersister.persist(number, state);
+        }
+
+        @Override
+        public void committed(EntryId entry, GroupState state) {
+            boolean changed = state.tableVersion() != mCommitted.tableVersion();
+            boolean voters = !state.members().equals(mCommitted.members());
+            mCommitted = state;
+            if (changed) {
+                LOG.info("table %d is committed at %s", state.tableVersion(), entry);
+                mLinks.sendToEntries(notice());
+            }
+            if (voters) {
+                LOG.info("voters are %s", state.members());
+                state.members().forEach(VoterNode.this::learn);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/consensus/Replica.java
@@ -0,0 +1,677 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.consensus;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.orchidmount.consensus.ReplicaMessage.Append;
+import org.orchidmount.consensus.ReplicaMessage.AppendReply;
+import org.orchidmount.consensus.ReplicaMessage.Hello;
+import org.orchidmount.consensus.ReplicaMessage.VoteReply;
+import org.orchidmount.consensus.ReplicaMessage.VoteRequest;
+
+/**
+ * One replica of the group, without I/O, threads or a clock of its own.
+ *
+ * <p>Invariants: nothing that promises durability is sent before the state it speaks of is synced;
+ * a replica votes at most once in a term; a leader commits only states of its own term; the state
+ * held only moves forward in the order of {@link EntryId}. Confined to one thread.
+ */
+public final class Replica {
+    private final Member mSelf;
+    private final Timing mTiming;
+    private final ReplicaEffects mEffects;
+    private final RandomGenerator mRandom;
+    private final int mTargetVoters;
+    private final Map<String, PeerProgress> mPeers = new HashMap<>();
+    private final Set<String> mVotes = new HashSet<>();
+    private final Deque<Deferred> mDeferred = new ArrayDeque<>();
+    private final List<Waiter> mCommitWaiters = new ArrayList<>();
+    private final List<ReadWaiter> mReadWaiters = new ArrayList<>();
+    private DurableState mState;
+    private long mWrites;
+    private long mSynced;
+    private EntryId mDurable;
+    private EntryId mCommitted = EntryId.NONE;
+    private Role mRole = Role.FOLLOWER;
+    private Member mLeader;
+    private long mNowNanos;
+    private long mLeaderHeardNanos;
+    private long mElectionAtNanos;
+    private long mHeartbeatAtNanos;
+    private long mWritingSinceNanos;
+    private long mLeadingSinceNanos;
+    private long mRound;
+
+    /** What a replica does in the group. */
+    public enum Role {
+        /** Takes its state from a leader. */
+        FOLLOWER,
+        /** Asks whether it would be elected. */
+        TRIAL,
+        /** Asks for votes. */
+        CANDIDATE,
+        /** Makes the states of its term. */
+        LEADER
+    }
+
+    private record Deferred(long write, Member to, ReplicaMessage message) {}
+
+    private record Waiter(EntryId entry, Consumer<Boolean> done) {}
+
+    private record ReadWaiter(long round, Consumer<Boolean> done) {}
+
+    /**
+     * Creates a replica that follows.
+     *
+     * @param self the replica; its identity is that of the durable state
+     * @param durable what its disk holds
+     * @param targetVoters how many voters the group grows to
+     * @param timing the time-outs
+     * @param random spreads elections
+     * @param effects sends and writes
+     * @param nowNanos the monotonic time
+     */
+    public Replica(
+            Member self,
+            DurableState durable,
+            int targetVoters,
+            Timing timing,
+            RandomGenerator random,
+            ReplicaEffects effects,
+            long nowNanos) {
+        mSelf = self;
+        mState = durable;
+        mDurable = durable.entry();
+        mTargetVoters = targetVoters;
+        mTiming = timing;
+        mRandom = random;
+        mEffects = effects;
+        mNowNanos = nowNanos;
+        mLeaderHeardNanos = nowNanos - timing.election().toNanos();
+        planElection();
+        if (!isVoter()) {
+            mElectionAtNanos = nowNanos;
+        }
+    }
+
+    /**
+     * Tells whether this replica is a voter in the newest state it holds.
+     *
+     * @return true if it votes
+     */
+    public boolean isVoter() {
+        return state().member(mSelf.id()).isPresent();
+    }
+
+    /**
+     * Tells whether this replica is in touch with a quorum: it leads one or hears its leader.
+     *
+     * @return false if it may be cut off
+     */
+    public boolean isInTouch() {
+        boolean follows = mRole == Role.FOLLOWER && mLeader != null && hasLiveLeader();
+        return mRole == Role.LEADER ? holdsQuorum() : follows;
+    }
+
+    /**
+     * Returns what the replica does now.
+     *
+     * @return the role
+     */
+    public Role role() {
+        return mRole;
+    }
+
+    /**
+     * Returns the leader, if one was heard of lately.
+     *
+     * @return the leader, maybe this replica
+     */
+    public Optional<Member> leader() {
+        return Optional.ofNullable(mLeader);
+    }
+
+    /**
+     * Returns the newest state held, committed or not.
+     *
+     * @return the state
+     */
+    public GroupState state() {
+        return mState.state();
+    }
+
+    /**
+     * Returns the place of the newest state held.
+     *
+     * @return the place
+     */
+    public EntryId entry() {
+        return mState.entry();
+    }
+
+    /**
+     * Returns the highest term seen.
+     *
+     * @return the term
+     */
+    public long term() {
+        return mState.term();
+    }
+
+    /**
+     * Returns the place up to which states are known to be committed.
+     *
+     * @return the place
+     */
+    public EntryId committed() {
+        return mCommitted;
+    }
+
+    /**
+     * Tells whether a quorum of the voters has answered this leader within an election time-out.
+     *
+     * @return false if this replica does not lead or may have been replaced
+     */
+    public boolean holdsQuorum() {
+        return mRole == Role.LEADER && heardVoters() >= state().quorum();
+    }
+
+    /**
+     * Lets time pass: sends heartbeats, stands for election, replaces voters that are gone.
+     *
+     * @param nowNanos the monotonic time
+     */
+    public void tick(long nowNanos) {
+        mNowNanos = nowNanos;
+        if (mRole == Role.LEADER) {
+            tickLeader();
+        } else if (mNowNanos - mElectionAtNanos >= 0) {
+            standForElection();
+        }
+    }
+
+    private void tickLeader() {
+        boolean diskStalled =
+                mSynced < mWrites && mNowNanos - mWritingSinceNanos > mTiming.diskStall().toNanos();
+        boolean settled = mNowNanos - mLeadingSinceNanos > mTiming.election().toNanos();
+        if (diskStalled || (settled && heardVoters() < state().quorum())) {
+            follow(mState.term(), null);
+            return;
+        }
+        reviseMembers();
+        if (mNowNanos - mHeartbeatAtNanos >= 0) {
+            broadcast();
+        }
+    }
+
+    private int heardVoters() {
+        int heard = 0;
+        for (Member member : state().members()) {
+            if (member.id().equals(mSelf.id()) || isHeard(member.id(), mTiming.election())) {
+                heard++;
+            }
+        }
+        return heard;
+    }
+
+    private boolean isHeard(String id, Duration within) {
+        PeerProgress peer = mPeers.get(id);
+        return peer != null && mNowNanos - peer.mHeardNanos <= within.toNanos();
+    }
+
+    // ---- elections
+
+    private void planElection() {
+        long shortest = mTiming.election().toNanos();
+        mElectionAtNanos = mNowNanos + shortest + mRandom.nextLong(shortest);
+    }
+
+    private void standForElection() {
+        planElection();
+        mLeader = null;
+        mRole = Role.FOLLOWER;
+        mEffects.announce(new Hello(mState.term(), mSelf, mDurable));
+        if (!isVoter() || mSynced < mWrites) {
+            return;
+        }
+        mRole = Role.TRIAL;
+        mVotes.clear();
+        mVotes.add(mSelf.id());
+        askForVotes(mState.term() + 1, true);
+        if (mVotes.size() >= state().quorum()) {
+            becomeCandidate();
+        }
+    }
+
+    private void becomeCandidate() {
+        mRole = Role.CANDIDATE;
+        mVotes.clear();
+        long write = persist(mState.withVote(mState.term() + 1, mSelf.id()));
+        planElection();
+        VoteRequest request = new VoteRequest(mState.term(), mSelf.id(), mState.entry(), false);
+        for (Member member : others()) {
+            defer(write, member, request);
+        }
+        // The own vote counts once it is synced, which this message to itself tells.
+        defer(write, mSelf, new VoteReply(mState.term(), mSelf.id(), true, false));
+    }
+
+    private void askForVotes(long term, boolean trial) {
+        VoteRequest request = new VoteRequest(term, mSelf.id(), mState.entry(), trial);
+        others().forEach(member -> mEffects.send(member, request));
+    }
+
+    private List<Member> others() {
+        return state().members().stream()
+                .filter(member -> !member.id().equals(mSelf.id()))
+                .toList();
+    }
+
+    /**
+     * Takes a message.
+     *
+     * @param message the message
+     * @param sender where answers go
+     * @param nowNanos the monotonic time
+     */
+    public void receive(ReplicaMessage message, Member sender, long nowNanos) {
+        mNowNanos = nowNanos;
+        boolean trial =
+                message instanceof VoteRequest request && request.trial()
+                        || message instanceof VoteReply reply && reply.trial() && reply.granted();
+        if (message.term() > mState.term() && !trial && !(message instanceof Hello)) {
+            if (message instanceof VoteRequest && hasLiveLeader()) {
+                return;
+            }
+            persist(mState.withVote(message.term(), ""));
+            follow(message.term(), null);
+        }
+        switch (message) {
+            case VoteRequest request -> onVoteRequest(request, sender);
+            case VoteReply reply -> onVoteReply(reply);
+            case Append append -> onAppend(append);
+            case AppendReply reply -> onAppendReply(reply);
+            case Hello hello -> onHello(hello);
+        }
+    }
+
+    private boolean hasLiveLeader() {
+        return mRole == Role.LEADER || mNowNanos - mLeaderHeardNanos < mTiming.election().toNanos();
+    }
+
+    private void onVoteRequest(VoteRequest request, Member sender) {
+        boolean current = request.newest().reaches(mState.entry());
+        if (request.trial()) {
+            boolean granted = request.term() > mState.term() && current && !hasLiveLeader();
+            long term = granted ? request.term() : mState.term();
+            mEffects.send(sender, new VoteReply(term, mSelf.id(), granted, true));
+            return;
+        }
+        boolean free = mState.votedFor().isEmpty() || mState.votedFor().equals(request.from());
+        boolean granted = request.term() == mState.term() && current && free;
+        if (granted) {
+            planElection();
+            if (mState.votedFor().isEmpty()) {
+                persist(mState.withVote(mState.term(), request.from()));
+            }
+        }
+        defer(mWrites, sender, new VoteReply(mState.term(), mSelf.id(), granted, false));
+    }
+
+    private void onVoteReply(VoteReply reply) {
+        if (!reply.granted()) {
+            return;
+        }
+        boolean expected =
+                reply.trial()
+                        ? mRole == Role.TRIAL && reply.term() == mState.term() + 1
+                        : mRole == Role.CANDIDATE && reply.term() == mState.term();
+        if (!expected || state().member(reply.from()).isEmpty()) {
+            return;
+        }
+        mVotes.add(reply.from());
+        if (mVotes.size() < state().quorum()) {
+            return;
+        }
+        if (reply.trial()) {
+            becomeCandidate();
+        } else {
+            becomeLeader();
+        }
+    }
+
+    private void becomeLeader() {
+        mRole = Role.LEADER;
+        mLeader = mSelf;
+        mPeers.clear();
+        mLeadingSinceNanos = mNowNanos;
+        // A state of the own term, so that what earlier leaders left can be committed.
+        append(state());
+    }
+
+    private void follow(long term, Member leader) {
+        boolean led = mRole == Role.LEADER;
+        mRole = Role.FOLLOWER;
+        mLeader = leader;
+        if (led) {
+            planElection();
+            failWaiters();
+        }
+    }
+
+    private void failWaiters() {
+        List<Waiter> commits = List.copyOf(mCommitWaiters);
+        List<ReadWaiter> reads = List.copyOf(mReadWaiters);
+        mCommitWaiters.clear();
+        mReadWaiters.clear();
+        commits.forEach(waiter -> waiter.done().accept(false));
+        reads.forEach(waiter -> waiter.done().accept(false));
+    }
+
+    // ---- replication
+
+    /**
+     * Makes a new state, if this replica leads.
+     *
+     * @param state the state
+     * @param done told true once the state is committed, false if that is not known
+     */
+    public void propose(GroupState state, Consumer<Boolean> done) {
+        if (mRole != Role.LEADER) {
+            done.accept(false);
+            return;
+        }
+        EntryId entry = append(state);
+        mCommitWaiters.add(new Waiter(entry, done));
+        commit();
+    }
+
+    /**
+     * Waits for the newest state held to be committed and for this replica to be confirmed as the
+     * leader by a quorum after this call.
+     *
+     * @param done told true once both hold, false if this replica does not lead
+     */
+    public void confirm(Consumer<Boolean> done) {
+        if (mRole != Role.LEADER) {
+            done.accept(false);
+            return;
+        }
+        EntryId newest = mState.entry();
+        broadcast();
+        mReadWaiters.add(
+                new ReadWaiter(
+                        mRound,
+                        confirmed -> {
+                            if (!confirmed) {
+                                done.accept(false);
+                            } else if (mCommitted.reaches(newest)) {
+                                done.accept(true);
+                            } else {
+                                mCommitWaiters.add(new Waiter(newest, done));
+                            }
+                        }));
+        confirmReads();
+    }
+
+    private EntryId append(GroupState state) {
+        EntryId entry = new EntryId(mState.term(), mState.entry().index() + 1);
+        persist(mState.withEntry(entry, state));
+        broadcast();
+        return entry;
+    }
+
+    private void broadcast() {
+        mRound++;
+        mHeartbeatAtNanos = mNowNanos + mTiming.heartbeat().toNanos();
+        for (Member member : others()) {
+            PeerProgress peer = mPeers.computeIfAbsent(member.id(), id -> new PeerProgress());
+            peer.mMember = member;
+        }
+        long forgetNanos = 4 * mTiming.memberGone().toNanos();
+        mPeers.values()
+                .removeIf(
+                        peer ->
+                                state().member(peer.mMember.id()).isEmpty()
+                                        && mNowNanos - peer.mHeardNanos > forgetNanos);
+        mPeers.values().forEach(this::sendAppend);
+    }
+
+    private void sendAppend(PeerProgress peer) {
+        boolean holds = peer.mDurable.equals(mState.entry());
+        boolean resend = mNowNanos - peer.mSentNanos > 2 * mTiming.heartbeat().toNanos();
+        boolean withState = !holds && (!peer.mSent.equals(mState.entry()) || resend);
+        if (withState) {
+            peer.mSent = mState.entry();
+            peer.mSentNanos = mNowNanos;
+        }
+        mEffects.send(
+                peer.mMember,
+                new Append(
+                        mState.term(),
+                        mSelf,
+                        mState.entry(),
+                        withState ? state() : null,
+                        mCommitted,
+                        mRound));
+    }
+
+    private void onAppend(Append append) {
+        if (append.term() < mState.term()) {
+            mEffects.send(
+                    append.leader(),
+                    new AppendReply(mState.term(), mSelf.id(), EntryId.NONE, append.round()));
+            return;
+        }
+        mLeaderHeardNanos = mNowNanos;
+        planElection();
+        follow(append.term(), append.leader());
+        if (append.state() != null && append.entry().compareTo(mState.entry()) > 0) {
+            persist(mState.withEntry(append.entry(), append.state()));
+        }
+        // Only states of the same leader are known to lead up to the committed one.
+        boolean sameLeader = append.committed().term() == mState.entry().term();
+        if (sameLeader && append.committed().reaches(mState.entry())) {
+            markCommitted(mState.entry());
+        }
+        boolean holds = mState.entry().equals(append.entry());
+        if (holds && !mDurable.equals(mState.entry())) {
+            defer(mWrites, append.leader(), reply(append.round()));
+        } else {
+            mEffects.send(append.leader(), reply(append.round()));
+        }
+    }
+
+    /** Answers with what is on the disk; a deferred answer is made anew when it is sent. */
+    private AppendReply reply(long round) {
+        return new AppendReply(mState.term(), mSelf.id(), mDurable, round);
+    }
+
+    private void onAppendReply(AppendReply reply) {
+        PeerProgress peer = mPeers.get(reply.from());
+        if (mRole != Role.LEADER || peer == null || reply.term() != mState.term()) {
+            return;
+        }
+        peer.mHeardNanos = mNowNanos;
+        peer.mRound = Math.max(peer.mRound, reply.round());
+        if (reply.durable().reaches(peer.mDurable)) {
+            peer.mDurable = reply.durable();
+        }
+        if (!peer.mDurable.equals(mState.entry()) && !peer.mSent.equals(mState.entry())) {
+            sendAppend(peer);
+        }
+        commit();
+        confirmReads();
+    }
+
+    private void onHello(Hello hello) {
+        if (mRole != Role.LEADER) {
+            return;
+        }
+        PeerProgress peer = mPeers.computeIfAbsent(hello.from(), id -> new PeerProgress());
+        peer.mMember = hello.member();
+        if (hello.term() > mState.term()) {
+            // A replica whose term ran ahead refuses this leader until a later term begins.
+            persist(mState.withVote(hello.term(), ""));
+            follow(hello.term(), null);
+            return;
+        }
+        sendAppend(peer);
+    }
+
+    private void commit() {
+        if (mRole != Role.LEADER || mCommitted.reaches(mState.entry())) {
+            return;
+        }
+        int holders = 0;
+        for (Member member : state().members()) {
+            PeerProgress peer = mPeers.get(member.id());
+            boolean self = member.id().equals(mSelf.id());
+            EntryId durable = self ? mDurable : peer == null ? EntryId.NONE : peer.mDurable;
+            if (durable.equals(mState.entry())) {
+                holders++;
+            }
+        }
+        if (holders >= state().quorum()) {
+            markCommitted(mState.entry());
+            broadcast();
+        }
+    }
+
+    private void markCommitted(EntryId entry) {
+        if (mCommitted.reaches(entry)) {
+            return;
+        }
+        mCommitted = entry;
+        mEffects.committed(entry, state());
+        List<Waiter> reached = new ArrayList<>();
+        mCommitWaiters.removeIf(
+                waiter -> {
+                    boolean done = entry.reaches(waiter.entry());
+                    if (done) {
+                        reached.add(waiter);
+                    }
+                    return done;
+                });
+        reached.forEach(waiter -> waiter.done().accept(true));
+    }
+
+    private void confirmReads() {
+        if (mRole != Role.LEADER || mReadWaiters.isEmpty()) {
+            return;
+        }
+        List<ReadWaiter> reached = new ArrayList<>();
+        mReadWaiters.removeIf(
+                waiter -> {
+                    boolean done = votersAtRound(waiter.round()) >= state().quorum();
+                    if (done) {
+                        reached.add(waiter);
+                    }
+                    return done;
+                });
+        reached.forEach(waiter -> waiter.done().accept(true));
+    }
+
+    private int votersAtRound(long round) {
+        int voters = 0;
+        for (Member member : state().members()) {
+            PeerProgress peer = mPeers.get(member.id());
+            if (member.id().equals(mSelf.id()) || peer != null && peer.mRound >= round) {
+                voters++;
+            }
+        }
+        return voters;
+    }
+
+    // ---- voters
+
+    /** Changes one voter at a time, and only once the state before is committed. */
+    private void reviseMembers() {
+        if (!mCommitted.equals(mState.entry())) {
+            return;
+        }
+        boolean settled = mNowNanos - mLeadingSinceNanos > mTiming.memberGone().toNanos();
+        int quorumWithout = (state().members().size() - 1) / 2 + 1;
+        boolean mayRemove = settled && heardVoters() >= quorumWithout;
+        new VoterPlan(state(), mTargetVoters, mSelf)
+                .next(
+                        mPeers.values().stream().filter(this::isWaiting).toList(),
+                        member -> mayRemove && !isHeard(member.id(), mTiming.memberGone()))
+                .ifPresent(members -> append(state().withMembers(members)));
+    }
+
+    /** Tells whether a replica is no voter, but holds all that a voter must. */
+    private boolean isWaiting(PeerProgress peer) {
+        return state().member(peer.mMember.id()).isEmpty()
+                && peer.mDurable.equals(mState.entry())
+                && isHeard(peer.mMember.id(), mTiming.election());
+    }
+
+    // ---- disk
+
+    private long persist(DurableState state) {
+        if (mSynced == mWrites) {
+            mWritingSinceNanos = mNowNanos;
+        }
+        mState = state;
+        mWrites++;
+        mEffects.persist(mWrites, state);
+        return mWrites;
+    }
+
+    private void defer(long write, Member to, ReplicaMessage message) {
+        if (write <= mSynced) {
+            deliver(to, message);
+        } else {
+            mDeferred.addLast(new Deferred(write, to, message));
+        }
+    }
+
+    private void deliver(Member to, ReplicaMessage message) {
+        boolean self = to.id().equals(mSelf.id());
+        switch (message) {
+            case VoteReply vote when self -> onVoteReply(vote);
+            case AppendReply reply -> {
+                if (reply.term() == mState.term()) {
+                    mEffects.send(to, reply(reply.round()));
+                }
+            }
+            default -> mEffects.send(to, message);
+        }
+    }
+
+    /**
+     * Tells that a state was synced.
+     *
+     * @param number the number of the write; earlier ones need no call of their own
+     * @param entry the place of the state that was written
+     * @param nowNanos the monotonic time
+     */
+    public void persisted(long number, EntryId entry, long nowNanos) {
+        mNowNanos = nowNanos;
+        mSynced = Math.max(mSynced, number);
+        mWritingSinceNanos = nowNanos;
+        if (entry.reaches(mDurable)) {
+            mDurable = entry;
+        }
+        while (!mDeferred.isEmpty() && mDeferred.peekFirst().write() <= mSynced) {
+            Deferred deferred = mDeferred.pollFirst();
+            deliver(deferred.to(), deferred.message());
+        }
+        commit();
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/consensus/Timing.java
@@ -0,0 +1,33 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.consensus;
+
+import java.time.Duration;
+
+/**
+ * The time-outs of a group, all on the monotonic clock.
+ *
+ * @param heartbeat the pause between rounds of heartbeats
+ * @param election the shortest silence of a leader after which a replica stands for election; the
+ *     longest is twice that
+ * @param memberGone the silence after which a voter may be replaced by a waiting replica
+ * @param diskStall how long a leader waits for its own disk before it steps down
+ */
+public record Timing(
+        Duration heartbeat, Duration election, Duration memberGone, Duration diskStall) {
+    /**
+     * Returns time-outs for links of a few milliseconds.
+     *
+     * @return heartbeats each 150 ms, elections after 700 to 1,400 ms
+     */
+    public static Timing defaults() {
+        return new Timing(
+                Duration.ofMillis(150),
+                Duration.ofMillis(700),
+                Duration.ofMillis(2_500),
+                Duration.ofMillis(900));
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -58,13 +58,15 @@
         mRequestEnded = !hasBody;
         ClientRequest request = new ClientRequest().setMethod(head.method()).setPath(head.path());
         request.getRequestHeaders().putAll(head.headers());
-        request.getRequestHeaders().put(Headers.HOST, mPeer.host() + ":" + mPeer.port());
+        if (!request.getRequestHeaders().contains(Headers.HOST)) {
+            request.getRequestHeaders().put(Headers.HOST, mPeer.host() + ":" + mPeer.port());
+        }
         mConnection.getIoThread().execute(() -> sendOnIoThread(request));
     }
 
     private void sendOnIoThread(ClientRequest request) {
         if (!mConnection.isOpen()) {
-            failAll(new IOException("connection closed"));
+            failAll(new NotSentException());
             return;
         }
         mConnection.sendRequest(
@@ -185,6 +187,15 @@
         return body.toByteArray();
     }
 
+    /**
+     * Limits how long the connection may rest before it is used again.
+     *
+     * @param limit the longest rest; zero if it is to be closed
+     */
+    public void limitIdle(Duration limit) {
+        mPooled.setIdleLimitNanos(limit.toNanos());
+    }
+
     /** Breaks the call off from any thread; a waiting reader or writer fails at once. */
     public void abort() {
         failAll(new IOException("call aborted"));
@@ -198,7 +209,8 @@
             return;
         }
         mClosed = true;
-        if (mRequestEnded && mBody.isDrained() && mConnection.isOpen()) {
+        boolean reusable = mPooled.idleLimitNanos() > 0 && mConnection.isOpen();
+        if (mRequestEnded && mBody.isDrained() && reusable) {
             mPooled.setCurrent(null);
             mPool.giveBack(mPeer, mPooled);
         } else {
@@ -219,6 +231,10 @@
             throw new CallFailedException(
                     new Failure.CallerGone(mStep, mPeer.name(), "interrupted"));
         } catch (IOException e) {
+            if (e.getCause() instanceof NotSentException) {
+                throw new CallFailedException(
+                        new Failure.Unreachable(mStep, mPeer.name(), e.getMessage()));
+            }
             throw new CallFailedException(
                     new Failure.Broken(mStep, mPeer.name(), String.valueOf(e.getMessage())));
         }
@@ -233,6 +249,13 @@
         }
     }
 
+    /** The connection closed before a byte of the request was handed to it. */
+    private static final class NotSentException extends IOException {
+        NotSentException() {
+            super("the kept connection had closed");
+        }
+    }
+
     @FunctionalInterface
     private interface Blocking<T> {
         T run() throws IOException, TimeoutException, InterruptedException;
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -161,7 +161,8 @@
             Deque<Idle> idle = mIdle.get(peer);
             while (idle != null && !idle.isEmpty()) {
                 Idle newest = idle.pollLast();
-                boolean young = mClock.nanoTime() - newest.sinceNanos() < MAX_IDLE_NANOS;
+                long mostNanos = Math.min(MAX_IDLE_NANOS, newest.connection().idleLimitNanos());
+                boolean young = mClock.nanoTime() - newest.sinceNanos() < mostNanos;
                 if (young && newest.connection().isOpen()) {
                     return newest.connection();
                 }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
@@ -18,6 +18,7 @@
 final class PooledConnection {
     private final ClientConnection mConnection;
     private volatile HttpCall mCurrent;
+    private volatile long mIdleLimitNanos = Long.MAX_VALUE;
 
     PooledConnection(ClientConnection connection) {
         mConnection = connection;
@@ -33,6 +34,15 @@
         mCurrent = call;
     }
 
+    /** Sets how long the connection may rest and still be used again. */
+    void setIdleLimitNanos(long nanos) {
+        mIdleLimitNanos = nanos;
+    }
+
+    long idleLimitNanos() {
+        return mIdleLimitNanos;
+    }
+
     boolean isOpen() {
         return mConnection.isOpen();
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
@@ -91,6 +91,15 @@
         return mExchange.getRequestPath();
     }
 
+    /**
+     * Returns the path as it was sent, nothing decoded, without query.
+     *
+     * @return the path
+     */
+    public String rawPath() {
+        return mExchange.getRequestURI();
+    }
+
     /**
      * Returns path and query as they are to be forwarded.
      *
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/membership/Registry.java
@@ -0,0 +1,124 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.orchidmount.membership.Registration.State;
+
+/**
+ * The registrations known to one instance.
+ *
+ * <p>Merging is commutative and idempotent, so instances that have exchanged their registrations in
+ * any order hold the same. Those that left are remembered for a while, so that a late message does
+ * not bring them back. Not thread-safe.
+ */
+public final class Registry {
+    private final Map<String, Entry> mEntries = new HashMap<>();
+    private final long mRememberNanos;
+
+    private record Entry(Registration registration, long heardNanos) {}
+
+    /**
+     * Creates an empty registry.
+     *
+     * @param rememberNanos how long those that left are remembered
+     */
+    public Registry(long rememberNanos) {
+        mRememberNanos = rememberNanos;
+    }
+
+    /**
+     * Merges a registration.
+     *
+     * @param message the registration
+     * @param nowNanos the monotonic time
+     * @return the registration now held if the message changed what it says, else nothing
+     */
+    public Optional<Registration> merge(Registration message, long nowNanos) {
+        Entry held = mEntries.get(message.id());
+        if (held == null) {
+            mEntries.put(message.id(), new Entry(message, nowNanos));
+            return Optional.of(message);
+        }
+        Registration merged = held.registration().merge(message);
+        mEntries.put(message.id(), new Entry(merged, nowNanos));
+        return merged.saysSame(held.registration()) ? Optional.empty() : Optional.of(merged);
+    }
+
+    /**
+     * Notes that an upstream leaves, of which nothing else may be known.
+     *
+     * @param id its identity
+     * @param nowNanos the monotonic time
+     * @return the registration now held
+     */
+    public Registration leave(String id, long nowNanos) {
+        Entry held = mEntries.get(id);
+        Registration gone =
+                held == null
+                        ? new Registration(
+                                id, "", "", "", 0, Registration.Stage.NONE, State.GONE, 0)
+                        : held.registration().in(State.GONE);
+        mEntries.put(id, new Entry(gone, nowNanos));
+        return gone;
+    }
+
+    /**
+     * Finds a registration.
+     *
+     * @param id the upstream's identity
+     * @return what it last said, or nothing
+     */
+    public Optional<Registration> find(String id) {
+        return Optional.ofNullable(mEntries.get(id)).map(Entry::registration);
+    }
+
+    /**
+     * Returns all registrations, those that left too, the ones heard of last at the end.
+     *
+     * @return a copy
+     */
+    public List<Registration> all() {
+        return mEntries.values().stream()
+                .sorted(Comparator.comparingLong(Entry::heardNanos))
+                .map(Entry::registration)
+                .toList();
+    }
+
+    /**
+     * Returns the registrations heard of within a time.
+     *
+     * @param sinceNanos the monotonic time from which on they must have been heard
+     * @return a copy
+     */
+    public List<Registration> heardSince(long sinceNanos) {
+        List<Registration> heard = new ArrayList<>();
+        for (Entry entry : mEntries.values()) {
+            if (entry.heardNanos() - sinceNanos >= 0) {
+                heard.add(entry.registration());
+            }
+        }
+        return heard;
+    }
+
+    /**
+     * Forgets those that left long ago.
+     *
+     * @param nowNanos the monotonic time
+     */
+    public void forgetOld(long nowNanos) {
+        mEntries.values()
+                .removeIf(
+                        entry ->
+                                entry.registration().state() == State.GONE
+                                        && nowNanos - entry.heardNanos() > mRememberNanos);
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -0,0 +1,108 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.relay;
+
+import java.time.Duration;
+import org.orchidmount.membership.Registration;
+import org.orchidmount.membership.Registration.State;
+
+/** One upstream as this instance sees it. Guarded by the lock of {@link UpstreamBook}. */
+final class Upstream {
+    /** By what share of its work a choice is varied, so that instances do not choose alike. */
+    static final double TIE_SHARE = 0.1;
+
+    private static final double WEIGHT = 0.15;
+    private static final double FAILURE_MILLIS = 600;
+    private static final double AVOIDED_MILLIS = 100_000;
+    private static final double LEAST_SLOWNESS = 0.7;
+    private static final double MOST_SLOWNESS = 10;
+    private static final long FULL_NANOS = Duration.ofMillis(60).toNanos();
+    private static final long FIRST_AVOID_NANOS = Duration.ofMillis(150).toNanos();
+    private static final int MOST_DOUBLINGS = 5;
+
+    private Registration mRegistration;
+    private int mRunning;
+    private double mPendingMillis;
+    private double mFailureShare;
+    private double mSlowness = 1;
+    private int mFailuresInRow;
+    private long mAvoidUntilNanos;
+    private boolean mAvoided;
+
+    Upstream(Registration registration) {
+        mRegistration = registration;
+    }
+
+    Registration registration() {
+        return mRegistration;
+    }
+
+    boolean isReady() {
+        return mRegistration.state() == State.READY;
+    }
+
+    void update(Registration registration) {
+        mRegistration = mRegistration.merge(registration);
+    }
+
+    void begin(double workMillis) {
+        mRunning++;
+        mPendingMillis += workMillis;
+    }
+
+    void endWork(double workMillis) {
+        mPendingMillis = Math.max(0, mPendingMillis - workMillis);
+    }
+
+    void endRequest() {
+        mRunning--;
+    }
+
+    /** Estimates when a piece of work would be done; an avoided upstream comes last. */
+    double expectedMillis(double workMillis, long nowNanos) {
+        int slots = Math.max(1, mRegistration.slots());
+        boolean serial = mRegistration.stage() != Registration.Stage.NONE;
+        double queueMillis = serial ? mPendingMillis : mPendingMillis / slots;
+        double millis = (queueMillis + workMillis) * mSlowness + mFailureShare * FAILURE_MILLIS;
+        boolean avoided = mAvoided && nowNanos - mAvoidUntilNanos < 0;
+        return avoided ? millis + AVOIDED_MILLIS : millis;
+    }
+
+    void succeeded(double slowness) {
+        mFailureShare *= 1 - WEIGHT;
+        mFailuresInRow = 0;
+        mAvoided = false;
+        double clamped = Math.clamp(slowness, LEAST_SLOWNESS, MOST_SLOWNESS);
+        mSlowness += WEIGHT * (clamped - mSlowness);
+    }
+
+    void failed(long nowNanos) {
+        mFailureShare += WEIGHT * (1 - mFailureShare);
+        mFailuresInRow++;
+        if (mFailuresInRow > 1) {
+            int doublings = Math.min(MOST_DOUBLINGS, mFailuresInRow - 2);
+            avoid(nowNanos, FIRST_AVOID_NANOS << doublings);
+        }
+    }
+
+    /** Notes that no connection could be made: the upstream is most likely gone. */
+    void unreachable(long nowNanos) {
+        mFailuresInRow = Math.max(mFailuresInRow, 2);
+        failed(nowNanos);
+    }
+
+    void full(long nowNanos) {
+        avoid(nowNanos, FULL_NANOS);
+    }
+
+    private void avoid(long nowNanos, long nanos) {
+        long until = nowNanos + nanos;
+        if (!mAvoided || until - mAvoidUntilNanos > 0) {
+            mAvoidUntilNanos = until;
+        }
+        mAvoided = true;
+    }
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamProtocol.java
@@ -0,0 +1,102 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.relay;
+
+import io.undertow.client.ClientResponse;
+import io.undertow.util.HeaderMap;
+import java.io.IOException;
+import org.orchidmount.internal.http.HttpHead;
+
+/**
+ * What upstreams speak. Implementations translate only: they hold no state, decide nothing and are
+ * thread-safe.
+ */
+public interface UpstreamProtocol {
+    /**
+     * Makes the head of a call.
+     *
+     * @param request the request
+     * @param handover how it is handed over
+     * @return the head
+     */
+    HttpHead head(RelayRequest request, Handover handover);
+
+    /**
+     * Judges the head of an answer.
+     *
+     * @param request the request
+     * @param response the head of the answer
+     * @return what it means
+     */
+    Verdict judge(RelayRequest request, ClientResponse response);
+
+    /**
+     * Returns the fields of an answer that are passed on to the caller.
+     *
+     * @param response the head of the answer
+     * @return the fields
+     */
+    HeaderMap answerHeaders(ClientResponse response);
+
+    /**
+     * Reads the answer to a prefill.
+     *
+     * @param body the whole answer
+     * @return the handle
+     * @throws IOException if the answer cannot be read
+     */
+    String handle(byte[] body) throws IOException;
+
+    /**
+     * Makes the body of the call that reserves memory and a place at an engine.
+     *
+     * @param tokens the memory
+     * @param lifeMillis how long it is kept if it is not used
+     * @return the body
+     */
+    byte[] reservation(int tokens, long lifeMillis);
+
+    /**
+     * Makes the head of the call that reserves memory and a place at an engine.
+     *
+     * @param upstreamId the engine
+     * @return the head
+     */
+    HttpHead reserve(String upstreamId);
+
+    /**
+     * Reads the answer to a reservation.
+     *
+     * @param body the whole answer
+     * @return the reservation's name
+     * @throws IOException if the answer cannot be read
+     */
+    String reserved(byte[] body) throws IOException;
+
+    /**
+     * Makes the head of the call that gives a reservation back.
+     *
+     * @param reservation its name
+     * @return the head
+     */
+    HttpHead unreserve(String reservation);
+
+    /**
+     * Makes the head of the call that frees a handle.
+     *
+     * @param handle the handle
+     * @return the head
+     */
+    HttpHead freeHandle(String handle);
+
+    /**
+     * Returns the longest rest after which a connection may be used again.
+     *
+     * @param response the head of an answer
+     * @return milliseconds; 0 if the connection is not to be used again
+     */
+    long idleMillis(ClientResponse response);
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Verdict.java
@@ -0,0 +1,18 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.relay;
+
+/** What the head of an upstream's answer means. */
+public enum Verdict {
+    /** The answer of the upstream to this request, whatever its status. */
+    ANSWER,
+    /** The upstream says that it has not run the request and will not. */
+    NOT_RUN,
+    /** Another upstream has the address; it has not run the request. */
+    MISDIRECTED,
+    /** The answer of another request, or of nobody that can be trusted. */
+    FOREIGN
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/routes/RouteTable.java
@@ -0,0 +1,124 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.routes;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * All routes and services of one version. Immutable and thread-safe.
+ *
+ * <p>Invariant: no two routes share host and path; every destination names a service of the table.
+ */
+public final class RouteTable {
+    private final long mVersion;
+    private final Map<String, List<Route>> mRoutesByHost = new HashMap<>();
+    private final Map<String, Service> mServices;
+    private final CallerLimits mLimits;
+
+    /**
+     * Creates a table.
+     *
+     * @param version its version
+     * @param routes the routes
+     * @param services the services by name
+     * @param limits the limits for callers
+     * @throws IllegalArgumentException if the invariant is broken; the message says where
+     */
+    public RouteTable(
+            long version, List<Route> routes, Map<String, Service> services, CallerLimits limits) {
+        mVersion = version;
+        mServices = Map.copyOf(services);
+        mLimits = limits;
+        for (Route route : routes) {
+            check(route);
+            mRoutesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+        }
+        Comparator<Route> longestFirst =
+                Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+        mRoutesByHost.values().forEach(list -> list.sort(longestFirst));
+    }
+
+    private void check(Route route) {
+        int weights = 0;
+        for (Route.Destination destination : route.destinations()) {
+            if (!mServices.containsKey(destination.service())) {
+                throw new IllegalArgumentException(
+                        "route "
+                                + route.name()
+                                + ": service "
+                                + destination.service()
+                                + " is unknown");
+            }
+            if (destination.weight() < 0) {
+                throw new IllegalArgumentException(
+                        "route " + route.name() + ": a weight is below 0");
+            }
+            weights += destination.weight();
+        }
+        if (weights <= 0) {
+            throw new IllegalArgumentException("route " + route.name() + ": its weights sum to 0");
+        }
+        if (!route.timeout().isPositive()) {
+            throw new IllegalArgumentException("route " + route.name() + ": its time-out is 0");
+        }
+        boolean taken =
+                mRoutesByHost.getOrDefault(route.host(), List.of()).stream()
+                        .anyMatch(other -> other.pathPrefix().equals(route.pathPrefix()));
+        if (taken) {
+            throw new IllegalArgumentException(
+                    "route " + route.name() + ": another has the same host and path");
+        }
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return the version
+     */
+    public long version() {
+        return mVersion;
+    }
+
+    /**
+     * Returns the limits for callers.
+     *
+     * @return the limits
+     */
+    public CallerLimits limits() {
+        return mLimits;
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name
+     * @return the service, or nothing if it is unknown
+     */
+    public Optional<Service> service(String name) {
+        return Optional.ofNullable(mServices.get(name));
+    }
+
+    /**
+     * Finds the route of a request: of those of its host, the one with the longest prefix.
+     *
+     * @param host the host without port
+     * @param path the path as it was sent
+     * @return the route, or nothing
+     */
+    public Optional<Route> find(String host, String path) {
+        List<Route> routes = mRoutesByHost.get(host.toLowerCase(Locale.ROOT));
+        if (routes == null) {
+            return Optional.empty();
+        }
+        return routes.stream().filter(route -> path.startsWith(route.pathPrefix())).findFirst();
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/Section.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/Section.java
@@ -7,12 +7,14 @@
 
 import java.math.BigInteger;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.regex.Pattern;
+import org.orchidmount.cluster.HostPort;
 import org.orchidmount.settings.Located.Arr;
 import org.orchidmount.settings.Located.Obj;
 import org.orchidmount.settings.Located.Scalar;
@@ -128,6 +130,85 @@
                 number(key, defaultMillis, least, most, "a whole number of milliseconds"));
     }
 
+    /** Reads host and port. */
+    HostPort hostPort(String key) {
+        String text = text(key, null);
+        if (text != null) {
+            try {
+                HostPort address = HostPort.parse(text);
+                if (ADDRESS.matcher(address.host()).matches()) {
+                    return address;
+                }
+                reject(key, "'" + address.host() + "' is no IP address; give digits, not a name");
+            } catch (IllegalArgumentException e) {
+                reject(key, e.getMessage());
+            }
+        }
+        return new HostPort("127.0.0.1", 0);
+    }
+
+    /** Reads a list of addresses. */
+    List<HostPort> hostPorts(String key) {
+        mKnown.add(key);
+        List<HostPort> addresses = new ArrayList<>();
+        Located value = value(key);
+        if (!(value instanceof Arr list)) {
+            problem(value == null ? mObject : value, key, "must be a list of host:port");
+            return addresses;
+        }
+        for (Located item : list.items()) {
+            try {
+                if (item instanceof Scalar scalar && scalar.value() instanceof String text) {
+                    addresses.add(HostPort.parse(text));
+                } else {
+                    problem(item, key, "must hold texts of the form host:port");
+                }
+            } catch (IllegalArgumentException e) {
+                problem(item, key, e.getMessage());
+            }
+        }
+        return addresses;
+    }
+
+    /** Reads true or false. */
+    boolean flag(String key, boolean defaultFlag) {
+        mKnown.add(key);
+        Located value = value(key);
+        if (value == null) {
+            return defaultFlag;
+        }
+        if (value instanceof Scalar scalar && scalar.value() instanceof Boolean flag) {
+            return flag;
+        }
+        problem(value, key, "must be true or false without quotes");
+        return defaultFlag;
+    }
+
+    /** Reads a number that may have a fraction. */
+    double decimal(String key, double defaultNumber, double least, double most) {
+        mKnown.add(key);
+        Located value = value(key);
+        if (value == null) {
+            return defaultNumber;
+        }
+        if (value instanceof Scalar scalar && scalar.value() instanceof Number number) {
+            double decimal = number.doubleValue();
+            if (decimal >= least && decimal <= most) {
+                return decimal;
+            }
+            problem(value, key, "is " + number + "; give a number from " + least + " to " + most);
+            return defaultNumber;
+        }
+        problem(value, key, "must be a number without quotes");
+        return defaultNumber;
+    }
+
+    /** Tells whether a key is there. */
+    boolean has(String key) {
+        mKnown.add(key);
+        return value(key) != null;
+    }
+
     /** Reads a list of texts. */
     Set<String> names(String key, Set<String> allowed) {
         mKnown.add(key);
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SettingsReader.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import org.orchidmount.routing.Policies;
 
 /**
@@ -40,8 +41,28 @@
      * @return the settings, or all that is wrong with the file
      */
     public static SettingsResult read(Path file) {
-        List<SettingsProblem> problems = new ArrayList<>();
         List<SettingsProblem> warnings = new ArrayList<>();
+        Path folder = file.toAbsolutePath().getParent();
+        return switch (parse(file, section -> settings(section, folder, warnings))) {
+            case Parsed.Good<Settings>(Settings settings) ->
+                    new SettingsResult.Valid(settings, List.copyOf(warnings));
+            case Parsed.Bad<Settings>(List<SettingsProblem> problems) ->
+                    new SettingsResult.Invalid(problems);
+        };
+    }
+
+    /** A file that was read as a whole, or all that is wrong with it. */
+    sealed interface Parsed<T> {
+        /** The file is well. */
+        record Good<T>(T value) implements Parsed<T> {}
+
+        /** The file is not. */
+        record Bad<T>(List<SettingsProblem> problems) implements Parsed<T> {}
+    }
+
+    /** Reads a file of JSON with comments and checks it by a function. */
+    static <T> Parsed<T> parse(Path file, Function<Section, T> check) {
+        List<SettingsProblem> problems = new ArrayList<>();
         String name = file.toString();
         Located root;
         try {
@@ -57,35 +78,32 @@
                                                     key,
                                                     "stands twice; remove one")));
         } catch (JsonProcessingException e) {
-            return invalidJson(name, e);
+            return new Parsed.Bad<>(List.of(invalidJson(name, e)));
         } catch (IOException e) {
-            return new SettingsResult.Invalid(
+            return new Parsed.Bad<>(
                     List.of(new SettingsProblem(name, 0, 0, "", "cannot be read: " + e)));
         }
         if (!(root instanceof Located.Obj object)) {
-            return new SettingsResult.Invalid(
+            return new Parsed.Bad<>(
                     List.of(new SettingsProblem(name, 1, 1, "", "must be an object in braces")));
         }
-        Path folder = file.toAbsolutePath().getParent();
-        Section section = new Section(name, "", object, problems);
-        Settings settings = settings(section, folder, warnings);
-        if (!problems.isEmpty()) {
-            problems.sort(
-                    Comparator.comparingInt(SettingsProblem::line)
-                            .thenComparingInt(SettingsProblem::column));
-            return new SettingsResult.Invalid(List.copyOf(problems));
+        T value = check.apply(new Section(name, "", object, problems));
+        if (problems.isEmpty()) {
+            return new Parsed.Good<>(value);
         }
-        return new SettingsResult.Valid(settings, List.copyOf(warnings));
+        problems.sort(
+                Comparator.comparingInt(SettingsProblem::line)
+                        .thenComparingInt(SettingsProblem::column));
+        return new Parsed.Bad<>(List.copyOf(problems));
     }
 
-    private static SettingsResult invalidJson(String name, JsonProcessingException e) {
+    private static SettingsProblem invalidJson(String name, JsonProcessingException e) {
         int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
         int column = e.getLocation() == null ? 1 : e.getLocation().getColumnNr();
         String message =
                 "is not JSON with comments: "
                         + e.getOriginalMessage().replaceFirst(PARSER_DETAIL, "");
-        return new SettingsResult.Invalid(
-                List.of(new SettingsProblem(name, line, column, "", message)));
+        return new SettingsProblem(name, line, column, "", message);
     }
 
     private static Settings settings(Section root, Path folder, List<SettingsProblem> warnings) {
@@ -146,7 +164,7 @@
         return Optional.of(file);
     }
 
-    private static Settings.Log log(Section section) {
+    static Settings.Log log(Section section) {
         Settings.Log log =
                 new Settings.Log(
                         section.choice("format", List.of("text", "json")).equals("json"),
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
@@ -0,0 +1,68 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.settings;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.orchidmount.cluster.HostPort;
+
+/**
+ * The checked settings of an instance of a site whose upstreams register themselves. Immutable.
+ *
+ * @param instance the instance's name
+ * @param zone its availability zone
+ * @param cluster where it listens to other instances
+ * @param seeds addresses of the operators' interface of some voters
+ * @param entry set if the instance serves callers
+ * @param voter set if the instance votes
+ * @param retries the limit on attempts beyond the first
+ * @param stop how long a planned stop may take
+ * @param log the form of the logs
+ */
+public record SiteSettings(
+        String instance,
+        String zone,
+        HostPort cluster,
+        List<HostPort> seeds,
+        Optional<Entry> entry,
+        Optional<Voter> voter,
+        Retries retries,
+        Duration stop,
+        Settings.Log log) {
+    /** Copies the list of seeds. */
+    public SiteSettings {
+        seeds = List.copyOf(seeds);
+    }
+
+    /**
+     * The settings of an instance that serves callers.
+     *
+     * @param callers where it listens to callers
+     * @param ready where it tells whether it takes work
+     */
+    public record Entry(HostPort callers, HostPort ready) {}
+
+    /**
+     * The settings of an instance that votes.
+     *
+     * @param operators where it listens to operators and upstreams
+     * @param dataFolder where its state is kept
+     * @param firstStart true only at the first start of the whole site
+     * @param lossesBorne how many voters may be lost at once
+     */
+    public record Voter(HostPort operators, Path dataFolder, boolean firstStart, int lossesBorne) {}
+
+    /**
+     * What all instances together may add in attempts beyond the first.
+     *
+     * @param ratio extra attempts for each request
+     * @param window the span over which is counted
+     * @param slack extra attempts beyond the ratio in each span
+     */
+    public record Retries(double ratio, Duration window, int slack) {}
+}
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -0,0 +1,102 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.settings;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Reads and checks the settings file of an instance of a site whose upstreams register themselves.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class SiteSettingsReader {
+    private static final double MILLIS = 1_000;
+    private static final double LONGEST_STOP_SECONDS = 3_600;
+
+    private SiteSettingsReader() {}
+
+    /** The settings, or all that is wrong with the file. */
+    public sealed interface Result {
+        /** The file is well. */
+        record Valid(SiteSettings settings) implements Result {}
+
+        /** The file is not. */
+        record Invalid(List<SettingsProblem> problems) implements Result {}
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @param file the file
+     * @return the settings, or all that is wrong with the file
+     */
+    public static Result read(Path file) {
+        return switch (SettingsReader.parse(file, SiteSettingsReader::settings)) {
+            case SettingsReader.Parsed.Good<SiteSettings>(SiteSettings settings) ->
+                    new Result.Valid(settings);
+            case SettingsReader.Parsed.Bad<SiteSettings>(List<SettingsProblem> problems) ->
+                    new Result.Invalid(problems);
+        };
+    }
+
+    private static SiteSettings settings(Section root) {
+        SiteSettings settings =
+                new SiteSettings(
+                        root.name("instance"),
+                        root.name("zone"),
+                        root.hostPort("cluster"),
+                        root.hostPorts("seeds"),
+                        root.has("entry")
+                                ? Optional.of(entry(root.section("entry", true)))
+                                : Optional.empty(),
+                        root.has("voter")
+                                ? Optional.of(voter(root.section("voter", true)))
+                                : Optional.empty(),
+                        retries(root.section("retries", false)),
+                        seconds(root.decimal("stopSeconds", 8, 0.1, LONGEST_STOP_SECONDS)),
+                        SettingsReader.log(root.section("log", false)));
+        if (settings.entry().isEmpty() == settings.voter().isEmpty()) {
+            root.reject("entry", "give either the object \"entry\" or the object \"voter\"");
+        }
+        root.finish();
+        return settings;
+    }
+
+    private static SiteSettings.Entry entry(Section section) {
+        SiteSettings.Entry entry =
+                new SiteSettings.Entry(section.hostPort("callers"), section.hostPort("ready"));
+        section.finish();
+        return entry;
+    }
+
+    private static SiteSettings.Voter voter(Section section) {
+        SiteSettings.Voter voter =
+                new SiteSettings.Voter(
+                        section.hostPort("operators"),
+                        Path.of(section.text("dataFolder", "data")),
+                        section.flag("firstStart", false),
+                        section.count("lossesBorne", 1, 0, 100));
+        section.finish();
+        return voter;
+    }
+
+    private static SiteSettings.Retries retries(Section section) {
+        SiteSettings.Retries retries =
+                new SiteSettings.Retries(
+                        section.decimal("ratio", 0.1, 0, 10),
+                        seconds(section.decimal("windowSeconds", 10, 0.1, 3_600)),
+                        (int) section.decimal("slack", 10, 0, 1_000_000));
+        section.finish();
+        return retries;
+    }
+
+    private static Duration seconds(double seconds) {
+        return Duration.ofMillis(Math.round(seconds * MILLIS));
+    }
+}
