--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterConfig.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterConfig.java
@@ -6,6 +6,7 @@
 package org.orchidmount.cluster;
 
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import org.orchidmount.consensus.Timing;
 
@@ -20,6 +21,7 @@
  * @param folder where its state is kept
  * @param lossesBorne how many voters may be lost at once
  * @param timing the time-outs of the group
+ * @param stages how orders to engines are given
  */
 public record VoterConfig(
         String node,
@@ -29,12 +31,24 @@
         boolean firstStart,
         Path folder,
         int lossesBorne,
-        Timing timing) {
+        Timing timing,
+        Stages stages) {
     /** Copies the list of seeds. */
     public VoterConfig {
         seeds = List.copyOf(seeds);
     }
 
+    /**
+     * How orders to engines are given.
+     *
+     * @param lease how long a holder's orders may be under way
+     * @param heartbeat the pause between two messages of an upstream
+     * @param prefillShare the share of prefill engines
+     * @param orders gives the orders
+     */
+    public record Stages(
+            Duration lease, Duration heartbeat, double prefillShare, StageOrders orders) {}
+
     /**
      * A voter known from the settings.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -69,6 +69,7 @@
     private final Persister mPersister;
     private final VoterLinks mLinks;
     private final LinkServer mServer;
+    private final StageController mStages;
     private final Registry mRegistry = new Registry(REMEMBER_NANOS);
     private final Map<Long, Spread> mSpreads = new HashMap<>();
 
@@ -114,6 +115,7 @@
                         config.seeds().stream().map(VoterConfig.Seed::address).toList(),
                         handler);
         mServer = new LinkServer(config.address(), greeting, handler);
+        mStages = new StageController(config.stages(), config.node());
         mThread.setRemoveOnCancelPolicy(true);
         mThread.scheduleWithFixedDelay(
                 () -> guarded(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -408,6 +410,7 @@
     private void tick() {
         mReplica.tick(mClock.nanoTime());
         noteRole();
+        orderStages();
         if (mWasInTouch != mReplica.isInTouch()) {
             mWasInTouch = mReplica.isInTouch();
             LOG.info("quorum %s", mWasInTouch ? "regained" : "lost");
@@ -415,6 +418,27 @@
         }
     }
 
+    private void orderStages() {
+        long nowNanos = mClock.nanoTime();
+        long term = mReplica.holdsQuorum() ? mReplica.term() : -1;
+        mStages.tick(
+                term,
+                mRegistry.heardSince(nowNanos - mStages.heardWithin().toNanos()),
+                () -> stillLeads(term),
+                nowNanos);
+    }
+
+    /** Tells, from another thread, whether this voter leads a quorum in a term. */
+    private boolean stillLeads(long term) {
+        CompletableFuture<Boolean> leads = new CompletableFuture<>();
+        post(
+                () -> {
+                    mReplica.tick(mClock.nanoTime());
+                    leads.complete(mReplica.holdsQuorum() && mReplica.term() == term);
+                });
+        return leads.completeOnTimeout(false, TICK_MILLIS, TimeUnit.MILLISECONDS).join();
+    }
+
     private void noteRole() {
         if (mWasRole != mReplica.role()) {
             mWasRole = mReplica.role();
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
@@ -54,8 +54,23 @@
      * @param dataFolder where its state is kept
      * @param firstStart true only at the first start of the whole site
      * @param lossesBorne how many voters may be lost at once
+     * @param engines how orders to engines are given
      */
-    public record Voter(HostPort operators, Path dataFolder, boolean firstStart, int lossesBorne) {}
+    public record Voter(
+            HostPort operators,
+            Path dataFolder,
+            boolean firstStart,
+            int lossesBorne,
+            Engines engines) {}
+
+    /**
+     * How orders to engines are given.
+     *
+     * @param lease how long a holder's orders may be under way
+     * @param heartbeat the pause between two messages of an upstream
+     * @param prefillShare the share of prefill engines
+     */
+    public record Engines(Duration lease, Duration heartbeat, double prefillShare) {}
 
     /**
      * What all instances together may add in attempts beyond the first.
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -17,6 +17,7 @@
  */
 public final class SiteSettingsReader {
     private static final double MILLIS = 1_000;
+    private static final double DEFAULT_PREFILL_SHARE = 0.33;
     private static final double LONGEST_STOP_SECONDS = 3_600;
 
     private SiteSettingsReader() {}
@@ -81,11 +82,27 @@
                         section.hostPort("operators"),
                         Path.of(section.text("dataFolder", "data")),
                         section.flag("firstStart", false),
-                        section.count("lossesBorne", 1, 0, 100));
+                        section.count("lossesBorne", 1, 0, 100),
+                        engines(section.section("engines", false)));
         section.finish();
         return voter;
     }
 
+    private static SiteSettings.Engines engines(Section section) {
+        SiteSettings.Engines engines =
+                new SiteSettings.Engines(
+                        millis(section, "leaseMillis", 3_000),
+                        millis(section, "heartbeatMillis", 1_000),
+                        section.decimal("prefillShare", DEFAULT_PREFILL_SHARE, 0, 1));
+        section.finish();
+        return engines;
+    }
+
+    private static Duration millis(Section section, String key, double otherwise) {
+        return Duration.ofMillis(
+                Math.round(section.decimal(key, otherwise, 1, LONGEST_STOP_SECONDS * MILLIS)));
+    }
+
     private static SiteSettings.Retries retries(Section section) {
         SiteSettings.Retries retries =
                 new SiteSettings.Retries(
