--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/StopSignals.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/StopSignals.java
@@ -27,27 +27,39 @@
      * @param handler called on a thread of its own at each signal
      */
     public static void install(Runnable handler) {
-        for (String name : new String[] {"TERM", "INT"}) {
-            try {
-                Class<?> signal = Class.forName("sun.misc.Signal");
-                Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
-                InvocationHandler invocation =
-                        (proxy, method, arguments) -> {
-                            if (method.getName().equals("handle")) {
-                                handler.run();
-                            }
-                            return null;
-                        };
-                Object proxy =
-                        Proxy.newProxyInstance(
-                                StopSignals.class.getClassLoader(),
-                                new Class<?>[] {handlerType},
-                                invocation);
-                signal.getMethod("handle", signal, handlerType)
-                        .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
-            } catch (ReflectiveOperationException | IllegalArgumentException e) {
-                LOG.warn("signal %s cannot be handled: %s", name, e);
-            }
+        handle("TERM", handler);
+        handle("INT", handler);
+    }
+
+    /**
+     * Installs a handler for SIGHUP, which says that the settings have changed.
+     *
+     * @param handler called on a thread of its own at each signal
+     */
+    public static void installReload(Runnable handler) {
+        handle("HUP", handler);
+    }
+
+    private static void handle(String name, Runnable handler) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
+            InvocationHandler invocation =
+                    (proxy, method, arguments) -> {
+                        if (method.getName().equals("handle")) {
+                            handler.run();
+                        }
+                        return null;
+                    };
+            Object proxy =
+                    Proxy.newProxyInstance(
+                            StopSignals.class.getClassLoader(),
+                            new Class<?>[] {handlerType},
+                            invocation);
+            signal.getMethod("handle", signal, handlerType)
+                    .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
+        } catch (ReflectiveOperationException | IllegalArgumentException e) {
+            LOG.warn("signal %s cannot be handled: %s", name, e);
         }
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -135,6 +135,15 @@
         return mEntries;
     }
 
+    /**
+     * Looks for voters at more addresses from now on.
+     *
+     * @param seeds cluster addresses of some voters
+     */
+    public void addSeeds(List<HostPort> seeds) {
+        post(() -> seeds.forEach(this::dial));
+    }
+
     private void dial(HostPort address) {
         mDialers.computeIfAbsent(address, to -> new Dialer(to, mGreeting, mHandler));
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
@@ -42,13 +42,16 @@
     }
 
     /** Keeps a link to an address open from now on. */
-    private void dial(HostPort address) {
+    void dial(HostPort address) {
         if (!address.equals(mSelf)) {
             mDialers.computeIfAbsent(address, to -> new Dialer(to, mGreeting, mHandler));
         }
     }
 
-    /** Notes where a replica is; returns true if that was not known. */
+    /**
+     * Notes where a replica is; returns true if its address was not known. A replica that lost its
+     * disk goes by two identities for a while, which must not count as news again and again.
+     */
     boolean learn(Member member, long nowNanos) {
         HostPort address = HostPort.parse(member.address());
         if (address.equals(mSelf)) {
@@ -56,7 +59,7 @@
         }
         mSeenNanos.put(address, nowNanos);
         dial(address);
-        return !member.equals(mMembers.put(address, member));
+        return mMembers.put(address, member) == null;
     }
 
     void voterGreeted(Link link, Member member) {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -239,6 +239,15 @@
         return answer;
     }
 
+    /**
+     * Looks for voters at more addresses from now on.
+     *
+     * @param seeds cluster addresses of some voters
+     */
+    public void addSeeds(List<HostPort> seeds) {
+        post(() -> seeds.forEach(mLinks::dial));
+    }
+
     // ---- upstreams
 
     /**
