Test the new packages; learn of a voter's successor from its answers

Cause (found by VoterNodeTest, 30 s without a successor): a replica that comes back with an empty disk says hello before its links are up; then the leader's messages to its old identity reach it by its address, so it is content and says hello no more, and the leader ignored answers of identities it did not know. The lost voter stayed counted for ever. Change: an answer of an unknown identity makes it known. Ruled out: the plan of voters itself (VoterPlanTest).

--- /dev/null
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -0,0 +1,88 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.orchidmount.consensus.EntryId;
+import org.orchidmount.consensus.GroupState;
+import org.orchidmount.consensus.Member;
+import org.orchidmount.consensus.ReplicaMessage;
+import org.orchidmount.membership.Registration;
+
+final class ClusterCodecTest {
+    private static final Member A = new Member("a/first", "10.0.0.1:1", "10.0.0.1:2");
+    private static final EntryId ENTRY = new EntryId(4, 9);
+    private static final GroupState STATE =
+            new GroupState(List.of(A), 12, "{\"version\":12}".getBytes());
+
+    static List<ClusterMessage> messages() {
+        return List.of(
+                new ClusterMessage.Greeting(1, "a", A),
+                new ClusterMessage.Greeting(1, "a", null),
+                new ClusterMessage.KeepAlive(),
+                new ClusterMessage.Voters(List.of(A)),
+                new ClusterMessage.TableNotice(5, true, 8),
+                new ClusterMessage.TableRequest(),
+                new ClusterMessage.Registrations(
+                        3,
+                        List.of(
+                                new Registration(
+                                        "i-1",
+                                        "s",
+                                        "10.0.0.9:80",
+                                        "a",
+                                        4,
+                                        Registration.Stage.DECODE,
+                                        Registration.State.DRAINING,
+                                        7))),
+                new ClusterMessage.RegistrationsHeld(3),
+                replication(new ReplicaMessage.VoteRequest(5, "a/first", ENTRY, true)),
+                replication(new ReplicaMessage.VoteReply(5, "a/first", true, false)),
+                replication(new ReplicaMessage.Append(5, A, ENTRY, STATE, ENTRY, 8)),
+                replication(new ReplicaMessage.Append(5, A, ENTRY, null, ENTRY, 8)),
+                replication(new ReplicaMessage.AppendReply(5, "a/first", ENTRY, 8)),
+                replication(new ReplicaMessage.Hello(5, A, ENTRY)));
+    }
+
+    private static ClusterMessage replication(ReplicaMessage message) {
+        return new ClusterMessage.Replication(A, message);
+    }
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void messagesComeBackAsTheyWere(ClusterMessage message) throws IOException {
+        assertThat(ClusterCodec.decode(ClusterCodec.encode(message))).isEqualTo(message);
+    }
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void garbledFramesAreRefusedAndNothingElse(ClusterMessage message) {
+        SplittableRandom random = new SplittableRandom(3);
+        byte[] whole = ClusterCodec.encode(message);
+        for (int i = 0; i < 300; i++) {
+            byte[] garbled = whole.clone();
+            garbled[random.nextInt(garbled.length)] = (byte) random.nextInt();
+            try {
+                ClusterCodec.decode(garbled);
+            } catch (IOException expected) {
+                assertThat(expected).hasMessageThat().isNotEmpty();
+            }
+        }
+    }
+
+    @Test
+    void anUnknownTypeIsRefused() {
+        assertThrows(IOException.class, () -> ClusterCodec.decode(new byte[] {99}));
+    }
+}
--- /dev/null
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StageControllerTest.java
@@ -0,0 +1,96 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.orchidmount.junit.Await;
+import org.orchidmount.membership.Registration;
+import org.orchidmount.membership.Registration.Stage;
+import org.orchidmount.membership.Registration.State;
+
+final class StageControllerTest {
+    private static final long MILLI = 1_000_000;
+    private static final long TERM = 7;
+
+    private final BlockingQueue<StageOrders.Order> mOrders = new LinkedBlockingQueue<>();
+    private volatile StageOrders.Result mResult = StageOrders.Result.TAKEN;
+    private final StageController mController =
+            new StageController(
+                    new VoterConfig.Stages(
+                            Duration.ofMillis(3_000),
+                            Duration.ofMillis(1_000),
+                            0.33,
+                            (order, stillHeld) -> {
+                                mOrders.add(order);
+                                return mResult;
+                            }),
+                    "voter-1");
+    private long mNowMillis;
+
+    @Test
+    void waitsUntilTheLeaseBeforeMustBeOut() throws InterruptedException {
+        pass(TERM, 3_600);
+        assertThat(mOrders).isEmpty();
+        pass(TERM, 2_000);
+        StageOrders.Order order = mOrders.poll(10, TimeUnit.SECONDS);
+        assertThat(order.fence()).isEqualTo(TERM);
+        assertThat(order.holder()).isEqualTo("voter-1");
+    }
+
+    @Test
+    void aNewTermWaitsAnew() throws InterruptedException {
+        pass(TERM, 3_600);
+        pass(-1, 100);
+        pass(TERM + 1, 3_600);
+        assertThat(mOrders).isEmpty();
+    }
+
+    @Test
+    void anOrderThatMayYetBeDoneIsWaitedFor() throws InterruptedException {
+        mResult = StageOrders.Result.UNKNOWN;
+        pass(TERM, 6_000);
+        assertThat(mOrders.poll(10, TimeUnit.SECONDS)).isNotNull();
+        pass(TERM, 12_000);
+        assertThat(mOrders).isEmpty();
+    }
+
+    @Test
+    void aFencedLeaderGivesNoMoreOrders() throws InterruptedException {
+        mResult = StageOrders.Result.FENCED;
+        pass(TERM, 6_000);
+        assertThat(mOrders.poll(10, TimeUnit.SECONDS)).isNotNull();
+        pass(TERM, 60_000);
+        assertThat(mOrders).isEmpty();
+    }
+
+    /** Ticks every 50 ms; where an order is due, it has been given when this returns. */
+    private void pass(long term, long millis) {
+        for (long end = mNowMillis + millis; mNowMillis < end; mNowMillis += 50) {
+            mController.tick(term, ENGINES, () -> true, mNowMillis * MILLI);
+            Await.until("order ended", Duration.ofSeconds(10), () -> !mController.isCalling());
+        }
+    }
+
+    private static final List<Registration> ENGINES =
+            List.of(
+                    engine("a", Stage.PREFILL),
+                    engine("b", Stage.PREFILL),
+                    engine("c", Stage.PREFILL),
+                    engine("d", Stage.DECODE),
+                    engine("e", Stage.DECODE),
+                    engine("f", Stage.DECODE));
+
+    private static Registration engine(String id, Stage stage) {
+        return new Registration(id, "s", "10.0.0.9:80", "a", 4, stage, State.READY, 1);
+    }
+}
--- /dev/null
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
@@ -0,0 +1,244 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.orchidmount.clock.SystemMonotonicClock;
+import org.orchidmount.consensus.Timing;
+import org.orchidmount.junit.Await;
+import org.orchidmount.membership.Registration;
+import org.orchidmount.routes.CallerLimits;
+import org.orchidmount.routes.RouteTable;
+
+/** Real voters and an entry, linked over loopback. */
+final class VoterNodeTest {
+    private static final Duration LONGEST = Duration.ofSeconds(30);
+    private static final int VOTERS = 3;
+
+    @TempDir Path mFolder;
+    private final List<HostPort> mAddresses = new ArrayList<>();
+    private final List<VoterNode> mVoters = new ArrayList<>();
+    private final Map<String, Registration> mSeen = new ConcurrentHashMap<>();
+    private EntryNode mEntry;
+
+    @BeforeEach
+    void start() throws IOException {
+        for (int i = 0; i < VOTERS; i++) {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                mAddresses.add(new HostPort("127.0.0.1", socket.getLocalPort()));
+            }
+        }
+        for (int i = 0; i < VOTERS; i++) {
+            mVoters.add(voter(i, true));
+        }
+        mEntry =
+                new EntryNode(
+                        "entry",
+                        List.of(mAddresses.getFirst()),
+                        VoterNodeTest::parse,
+                        registration -> mSeen.put(registration.id(), registration),
+                        new SystemMonotonicClock());
+    }
+
+    @AfterEach
+    void stop() {
+        mEntry.close();
+        mVoters.forEach(VoterNode::close);
+    }
+
+    @Test
+    void anAcceptedTableComesIntoForceAndIsReadAgain() {
+        put(1);
+        put(7);
+        Await.until("table in force", LONGEST, () -> versionInForce() == 7);
+        assertThat(mEntry.isReady()).isTrue();
+        assertThat(read()).isEqualTo("7");
+        put(3);
+        assertThat(read()).isEqualTo("7");
+    }
+
+    @Test
+    void anotherTableUnderTheSameVersionIsAConflict() {
+        put(5);
+        TableAnswer answer = ask(voter -> voter.putTable(5, "other".getBytes()));
+        assertThat(answer).isEqualTo(new TableAnswer.Conflict(5));
+        assertThat(ask(voter -> voter.putTable(5, "5".getBytes())))
+                .isEqualTo(new TableAnswer.Accepted(5));
+    }
+
+    @Test
+    void aVoterThatLostItsDiskIsReplacedAndNothingIsLost() throws IOException {
+        put(4);
+        for (int i = 0; i < VOTERS; i++) {
+            mVoters.get(i).close();
+            wipe(folder(i));
+            mVoters.set(i, voter(i, false));
+            awaitSuccessor(mVoters.get(i), mAddresses.get(i));
+            put(5 + i);
+        }
+        assertThat(read()).isEqualTo("7");
+    }
+
+    @Test
+    void aLeavingUpstreamIsKnownToTheEntry() {
+        put(1);
+        Registration ready =
+                new Registration(
+                        "i-1",
+                        "s",
+                        "10.0.0.9:80",
+                        "a",
+                        4,
+                        Registration.Stage.NONE,
+                        Registration.State.READY,
+                        1);
+        Await.until("registered", LONGEST, () -> isHeld(mVoters.getLast().register(ready)));
+        Await.until("known", LONGEST, () -> mSeen.containsKey("i-1"));
+        Await.until("left", LONGEST, () -> isHeld(mVoters.getFirst().leave("i-1")));
+        Await.until(
+                "known as gone",
+                LONGEST,
+                () -> mSeen.get("i-1").state() == Registration.State.GONE);
+    }
+
+    @Test
+    void aVoterWithoutItsPeersAcknowledgesNothing() {
+        put(1);
+        mVoters.get(1).close();
+        mVoters.get(2).close();
+        VoterNode left = mVoters.getFirst();
+        Await.until(
+                "quorum lost",
+                LONGEST,
+                () -> join(left.readTable()) instanceof TableAnswer.Unavailable);
+        assertThat(isHeld(left.leave("i-9"))).isFalse();
+        assertThat(join(left.putTable(2, "2".getBytes())))
+                .isInstanceOf(TableAnswer.Unavailable.class);
+        assertThat(versionInForce()).isEqualTo(1);
+    }
+
+    private VoterNode voter(int index, boolean firstStart) throws IOException {
+        List<VoterConfig.Seed> seeds =
+                mAddresses.stream()
+                        .map(address -> new VoterConfig.Seed(address, address.toString()))
+                        .toList();
+        VoterConfig.Stages stages =
+                new VoterConfig.Stages(
+                        Duration.ofSeconds(3),
+                        Duration.ofSeconds(1),
+                        0.33,
+                        (order, held) -> StageOrders.Result.REFUSED);
+        HostPort address = mAddresses.get(index);
+        return VoterNode.start(
+                new VoterConfig(
+                        "voter-" + index,
+                        address,
+                        address.toString(),
+                        seeds,
+                        firstStart,
+                        folder(index),
+                        1,
+                        Timing.defaults(),
+                        stages),
+                new SystemMonotonicClock());
+    }
+
+    /** Waits until a voter whose disk was lost votes again, under another identity. */
+    private static void awaitSuccessor(VoterNode voter, HostPort address) {
+        Await.until(
+                "successor votes",
+                LONGEST,
+                () ->
+                        join(voter.voters()).stream()
+                                .filter(member -> member.address().equals(address.toString()))
+                                .anyMatch(member -> !member.id().endsWith("/first")));
+    }
+
+    private Path folder(int index) {
+        return mFolder.resolve("voter-" + index);
+    }
+
+    private static void wipe(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    private void put(long version) {
+        byte[] document = Long.toString(version).getBytes(StandardCharsets.UTF_8);
+        TableAnswer answer = ask(voter -> voter.putTable(version, document));
+        assertThat(answer).isInstanceOf(TableAnswer.Accepted.class);
+    }
+
+    private String read() {
+        TableAnswer.Current current = (TableAnswer.Current) ask(VoterNode::readTable);
+        return new String(current.document(), StandardCharsets.UTF_8);
+    }
+
+    /** Asks all voters by turns until one gives an answer of its own. */
+    private TableAnswer ask(Function<VoterNode, CompletableFuture<TableAnswer>> question) {
+        List<TableAnswer> answers = new ArrayList<>();
+        Await.until(
+                "an answer",
+                LONGEST,
+                () -> {
+                    for (VoterNode voter : mVoters) {
+                        TableAnswer answer = join(question.apply(voter));
+                        boolean own =
+                                answer != null
+                                        && !(answer instanceof TableAnswer.AskLeader)
+                                        && !(answer instanceof TableAnswer.Unavailable);
+                        if (own) {
+                            answers.add(answer);
+                            return true;
+                        }
+                    }
+                    return false;
+                });
+        return answers.getFirst();
+    }
+
+    private static <T> T join(CompletableFuture<T> asked) {
+        return asked.completeOnTimeout(null, 800, TimeUnit.MILLISECONDS).join();
+    }
+
+    private static boolean isHeld(CompletableFuture<Boolean> asked) {
+        return Boolean.TRUE.equals(join(asked));
+    }
+
+    private long versionInForce() {
+        return mEntry.table().map(RouteTable::version).orElse(0L);
+    }
+
+    private static RouteTable parse(byte[] document) {
+        long version = Long.parseLong(new String(document, StandardCharsets.UTF_8));
+        CallerLimits limits = new CallerLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1));
+        return new RouteTable(version, List.of(), Map.of(), limits);
+    }
+}
--- /dev/null
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/membership/RegistrationTest.java
@@ -0,0 +1,84 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.orchidmount.membership.Registration.Stage;
+import org.orchidmount.membership.Registration.State;
+
+final class RegistrationTest {
+    @Test
+    void newerMessageCounts() {
+        Registration merged = message(State.READY, 7, Stage.PREFILL).merge(ready(3));
+        assertThat(merged.stage()).isEqualTo(Stage.PREFILL);
+        assertThat(merged.sequence()).isEqualTo(7);
+    }
+
+    @Test
+    void whatBeganToLeaveNeverComesBack() {
+        Registry registry = new Registry(1_000);
+        registry.merge(message(State.DRAINING, 5, Stage.DECODE), 0);
+        registry.merge(ready(4), 1);
+        registry.merge(ready(6), 2);
+        assertThat(registry.find("i-1").get().state()).isEqualTo(State.DRAINING);
+        registry.leave("i-1", 3);
+        registry.merge(ready(9), 4);
+        assertThat(registry.find("i-1").get().state()).isEqualTo(State.GONE);
+    }
+
+    @Test
+    void aLeaveThatComesFirstIsRemembered() {
+        Registry registry = new Registry(1_000);
+        registry.leave("i-1", 0);
+        registry.merge(ready(1), 1);
+        assertThat(registry.find("i-1").get().state()).isEqualTo(State.GONE);
+        registry.forgetOld(2_000);
+        assertThat(registry.find("i-1")).isEmpty();
+    }
+
+    @Test
+    void onlyNewsIsTold() {
+        Registry registry = new Registry(1_000);
+        assertThat(registry.merge(ready(1), 0)).isPresent();
+        assertThat(registry.merge(ready(2), 1)).isEmpty();
+        assertThat(registry.merge(message(State.READY, 3, Stage.PREFILL), 2)).isPresent();
+    }
+
+    @Test
+    void anyOrderOfMessagesEndsAlike() {
+        List<Registration> messages =
+                new ArrayList<>(
+                        List.of(
+                                ready(1),
+                                message(State.READY, 2, Stage.PREFILL),
+                                message(State.DRAINING, 3, Stage.PREFILL),
+                                ready(4)));
+        Random random = new Random(5);
+        List<Registration> ends = new ArrayList<>();
+        for (int i = 0; i < 50; i++) {
+            Collections.shuffle(messages, random);
+            Registry registry = new Registry(1_000);
+            messages.forEach(message -> registry.merge(message, 0));
+            ends.add(registry.find("i-1").get());
+        }
+        assertThat(ends.stream().distinct().toList()).hasSize(1);
+        assertThat(ends.getFirst().state()).isEqualTo(State.DRAINING);
+    }
+
+    private static Registration ready(long sequence) {
+        return message(State.READY, sequence, Stage.DECODE);
+    }
+
+    private static Registration message(State state, long sequence, Stage stage) {
+        return new Registration("i-1", "s", "10.0.0.9:80", "a", 4, stage, state, sequence);
+    }
+}
--- /dev/null
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/settings/SiteSettingsReaderTest.java
@@ -0,0 +1,74 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class SiteSettingsReaderTest {
+    private static final String ENTRY =
+            """
+            {
+              // an entry
+              "instance": "front-1",
+              "zone": "a",
+              "cluster": "10.1.0.2:7000",
+              "seeds": ["10.1.0.3:8000", "10.1.0.4:8000"],
+              "entry": { "callers": "10.1.0.2:8001", "ready": "10.1.0.2:8002" },
+              "retries": { "ratio": 0.2, "windowSeconds": 10, "slack": 56.0 },
+              "stopSeconds": 8
+            }
+            """;
+
+    @TempDir Path mFolder;
+
+    @Test
+    void readsAnEntry() throws IOException {
+        SiteSettings settings = ((SiteSettingsReader.Result.Valid) read(ENTRY)).settings();
+        assertThat(settings.seeds()).hasSize(2);
+        assertThat(settings.entry().get().ready().port()).isEqualTo(8002);
+        assertThat(settings.voter()).isEmpty();
+        assertThat(settings.retries().slack()).isEqualTo(56);
+        assertThat(settings.stop()).isEqualTo(Duration.ofSeconds(8));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"ratio\": 0.2 | \"ratio\": \"much\" | 8 | retries.ratio",
+                "\"zone\": \"a\", | | 3 | zone",
+                "\"10.1.0.3:8000\" | \"10.1.0.3\" | 6 | seeds",
+                "\"10.1.0.2:8002\" | \"front:8002\" | 7 | entry.ready",
+                "\"stopSeconds\": 8 | \"stopSeconds\": 0 | 9 | stopSeconds",
+                "\"stopSeconds\" | \"stopMinutes\" | 9 | stopMinutes",
+                "\"entry\" | \"voter\" | 7 | voter.operators",
+            })
+    void aBadFileIsNamedByLineAndKey(String text, String replacement, int line, String key)
+            throws IOException {
+        String bad = ENTRY.replace(text, replacement == null ? "" : replacement);
+        SiteSettingsReader.Result.Invalid invalid = (SiteSettingsReader.Result.Invalid) read(bad);
+        assertThat(invalid.problems().stream().map(SettingsProblem::path).toList()).contains(key);
+        if (line != 3) {
+            assertThat(invalid.problems().stream().map(SettingsProblem::line).toList())
+                    .contains(line);
+        }
+    }
+
+    private SiteSettingsReader.Result read(String text) throws IOException {
+        Path file = mFolder.resolve("settings.json");
+        Files.writeString(file, text);
+        return SiteSettingsReader.read(file);
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
@@ -50,6 +50,11 @@
         mHolder = holder;
     }
 
+    /** Tells whether an order is under way. */
+    boolean isCalling() {
+        return mCalling.get();
+    }
+
     /** How long an upstream may be silent and still be counted. */
     Duration heardWithin() {
         return mConfig.heartbeat().multipliedBy(3);
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -239,6 +239,17 @@
         return answer;
     }
 
+    /**
+     * Returns the voters, as far as this one knows them to be committed.
+     *
+     * @return the voters, in time or not at all
+     */
+    public CompletableFuture<List<Member>> voters() {
+        CompletableFuture<List<Member>> voters = new CompletableFuture<>();
+        post(() -> voters.complete(mCommitted.members()));
+        return voters;
+    }
+
     /**
      * Looks for voters at more addresses from now on.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/consensus/Replica.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/consensus/Replica.java
@@ -304,7 +304,7 @@
             case VoteRequest request -> onVoteRequest(request, sender);
             case VoteReply reply -> onVoteReply(reply);
             case Append append -> onAppend(append);
-            case AppendReply reply -> onAppendReply(reply);
+            case AppendReply reply -> onAppendReply(reply, sender);
             case Hello hello -> onHello(hello);
         }
     }
@@ -501,11 +501,13 @@
         return new AppendReply(mState.term(), mSelf.id(), mDurable, round);
     }
 
-    private void onAppendReply(AppendReply reply) {
-        PeerProgress peer = mPeers.get(reply.from());
-        if (mRole != Role.LEADER || peer == null || reply.term() != mState.term()) {
+    private void onAppendReply(AppendReply reply, Member sender) {
+        if (mRole != Role.LEADER || reply.term() != mState.term()) {
             return;
         }
+        // A replica that lost its disk answers at its address under an identity not known before.
+        PeerProgress peer = mPeers.computeIfAbsent(reply.from(), id -> new PeerProgress());
+        peer.mMember = sender;
         peer.mHeardNanos = mNowNanos;
         peer.mRound = Math.max(peer.mRound, reply.round());
         if (reply.durable().reaches(peer.mDurable)) {
