Refuse late in a planned stop; read prompts again rather than whole

(2) when prefill was slow, prompts were read whole by answering engines, which stalled all their streams. Change: after a third of the time for a stop idle connections are closed and what still comes is refused as not run; a prompt is read whole only while no prefill engine can be had, a prompt not taken is used or read again; a request that would wait too long for prefill is refused at once; slowness seen fades.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/EntryLife.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/EntryLife.java
@@ -15,16 +15,17 @@
 /**
  * The life of an instance that serves callers: when it calls itself ready, and its planned stop.
  *
- * <p>Invariant: a planned stop first calls the instance not ready, then goes on serving while the
- * balancer takes notice, then closes connections after their answers, and ends only when nothing is
- * being served or the time is over. Thread-safe.
+ * <p>Invariant: a planned stop first calls the instance not ready and closes connections after
+ * their answers; it goes on serving while the balancer takes notice; then it closes idle
+ * connections and refuses what still comes, and ends only when nothing is being served or the time
+ * is over. Thread-safe.
  */
 public final class EntryLife {
     private static final PartLog LOG = PartLog.of("stop");
     private static final Duration POLL = Duration.ofMillis(20);
 
     /** The part of the time for a stop in which the balancer takes notice. */
-    private static final double NOTICE_SHARE = 0.4;
+    private static final double NOTICE_SHARE = 0.35;
 
     /** The part of the time for a stop after which requests that still run are cut off. */
     private static final double LIMIT_SHARE = 0.95;
@@ -33,6 +34,7 @@
     private final MonotonicClock mClock;
     private final Duration mLongest;
     private final AtomicBoolean mStopping = new AtomicBoolean();
+    private volatile boolean mRefusing;
 
     /**
      * Creates a life.
@@ -56,6 +58,15 @@
         return !mStopping.get() && mKnowsTable.getAsBoolean();
     }
 
+    /**
+     * Tells whether new requests are to be refused, because they may not end in time.
+     *
+     * @return true late in a planned stop
+     */
+    public boolean isRefusing() {
+        return mRefusing;
+    }
+
     /**
      * Stops in order; returns when nothing is being served any more, or the time is over.
      *
@@ -74,7 +85,11 @@
         long limitNanos = (long) (mLongest.toNanos() * LIMIT_SHARE);
         while (true) {
             long tookNanos = mClock.nanoTime() - startNanos;
-            boolean idle = tookNanos > noticeNanos && server.active() == 0;
+            if (tookNanos > noticeNanos && !mRefusing) {
+                mRefusing = true;
+                server.closeIdle();
+            }
+            boolean idle = mRefusing && server.active() == 0;
             if (idle || tookNanos > limitNanos) {
                 LOG.info("stopped with %d requests", server.active());
                 return true;
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -9,12 +9,17 @@
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.server.handlers.HttpContinueReadHandler;
+import io.undertow.util.AttachmentKey;
 import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.orchidmount.internal.log.PartLog;
+import org.xnio.IoUtils;
 import org.xnio.Options;
 
 /**
@@ -30,10 +35,13 @@
     /** Each handler bounds bodies itself, by its own limit. */
     private static final long UNLIMITED = -1;
 
+    private static final AttachmentKey<Boolean> TRACKED = AttachmentKey.create(Boolean.class);
+
     private final ExecutorService mThreads = Executors.newVirtualThreadPerTaskExecutor();
     private final Undertow mUndertow;
     private final RequestHandler mHandler;
     private final AtomicInteger mActive = new AtomicInteger();
+    private final Set<ServerConnection> mIdle = ConcurrentHashMap.newKeySet();
     private volatile boolean mDraining;
 
     /**
@@ -77,6 +85,19 @@
     }
 
     private void dispatch(HttpServerExchange exchange) {
+        ServerConnection connection = exchange.getConnection();
+        mIdle.remove(connection);
+        if (connection.getAttachment(TRACKED) == null) {
+            connection.putAttachment(TRACKED, true);
+            connection.addCloseListener(mIdle::remove);
+        }
+        exchange.addExchangeCompleteListener(
+                (ended, next) -> {
+                    if (connection.isOpen()) {
+                        mIdle.add(connection);
+                    }
+                    next.proceed();
+                });
         if (mDraining) {
             exchange.setPersistent(false);
         }
@@ -102,6 +123,23 @@
         }
     }
 
+    /**
+     * Closes the kept connections on which no request is being served. A request that arrives at
+     * the same moment is not taken.
+     */
+    public void closeIdle() {
+        for (ServerConnection connection : mIdle) {
+            connection
+                    .getIoThread()
+                    .execute(
+                            () -> {
+                                if (mIdle.remove(connection)) {
+                                    IoUtils.safeClose(connection);
+                                }
+                            });
+        }
+    }
+
     /** From now on closes each connection after its answer, because the listener will close. */
     public void drain() {
         mDraining = true;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
@@ -41,14 +41,17 @@
     private static final Duration GIVE_BACK_TIMEOUT = Duration.ofMillis(500);
     private static final Duration POLL = Duration.ofMillis(45);
     private static final double PATIENCE_SHARE = 0.2;
-    private static final StagePolicy STAGES = new StagePolicy(400);
+    private static final long SOURCE_NANOS = Duration.ofMillis(250).toNanos();
+    private static final double PREFILL_PATIENCE = 2.5;
 
     private final RelayParts mParts;
     private final RelayRequest mRequest;
     private final RelayRequest.Prompt mPrompt;
     private final String mService;
     private final CancelSignal mCancel;
-    private boolean mPrefilled;
+    private int mPrefills;
+    private Optional<PromptSource> mSource = Optional.empty();
+    private long mReadNanos;
 
     /**
      * A place at an upstream.
@@ -77,7 +80,8 @@
                 mParts.clock().nanoTime()
                         + (long) (PATIENCE_SHARE * mRequest.route().target().toNanos());
         while (!mCancel.isCancelled()) {
-            Optional<Place> place = placeNow(avoided);
+            boolean read = choice() != StagePolicy.Choice.REFUSE;
+            Optional<Place> place = read ? placeNow(avoided) : Optional.empty();
             long nowNanos = mParts.clock().nanoTime();
             if (place.isPresent() || nowNanos - untilNanos > 0) {
                 return place;
@@ -152,30 +156,48 @@
         }
     }
 
-    /** Has the prompt read by a prefill engine if that is worth it; at most once for a request. */
+    private UpstreamBook.Need prefillNeed() {
+        double work = mPrompt.tokens() / StagePolicy.PREFILL_TOKENS_PER_MILLI;
+        return new UpstreamBook.Need(mService, Stage.PREFILL, work, ZONE_MILLIS, true);
+    }
+
+    private StagePolicy.Choice choice() {
+        return StagePolicy.choose(
+                mParts.book().estimate(prefillNeed()), mRequest.route().target().toMillis());
+    }
+
+    /**
+     * Has the prompt read by a prefill engine if there is one. What was read shortly before, and
+     * was not taken, is used again.
+     */
     Optional<PromptSource> prefill() {
-        if (mPrefilled) {
-            return Optional.empty();
+        if (mSource.isPresent() && mParts.clock().nanoTime() - mReadNanos < SOURCE_NANOS) {
+            return mSource;
         }
-        double work = mPrompt.tokens() / StagePolicy.PREFILL_TOKENS_PER_MILLI;
-        UpstreamBook.Need need =
-                new UpstreamBook.Need(mService, Stage.PREFILL, work, ZONE_MILLIS, false);
-        double wholeMillis = mParts.book().estimate(answerNeed(true)).orElse(0.0);
-        if (!STAGES.isSplit(wholeMillis, mParts.book().estimate(need))) {
+        mSource = Optional.empty();
+        boolean again = mPrefills > 0;
+        if (choice() == StagePolicy.Choice.WHOLE || again && !takeExtra()) {
             return Optional.empty();
         }
-        Optional<Lease> lease = mParts.book().lease(need, Set.of());
+        Optional<Lease> lease = mParts.book().lease(prefillNeed(), Set.of());
         if (lease.isEmpty()) {
             return Optional.empty();
         }
-        mPrefilled = true;
+        mPrefills++;
         try {
-            return readPrompt(lease.get());
+            mSource = readPrompt(lease.get());
+            mReadNanos = mParts.clock().nanoTime();
+            return mSource;
         } finally {
             mParts.book().release(lease.get());
         }
     }
 
+    private boolean takeExtra() {
+        return mParts.extras()
+                .take(mService, mParts.entries().getAsInt(), mParts.clock().nanoTime());
+    }
+
     private Optional<PromptSource> readPrompt(Lease lease) {
         Handover handover =
                 new Handover(
@@ -212,21 +234,31 @@
     }
 
     private Duration patience() {
-        Duration target = mRequest.route().target();
-        return target.compareTo(left()) < 0 ? target : left();
+        long nanos = (long) (PREFILL_PATIENCE * mRequest.route().target().toNanos());
+        return Duration.ofNanos(Math.min(nanos, left().toNanos()));
     }
 
-    /** Gives back what a request has that did not get its answer with it. */
-    void giveBack(Place place, Optional<PromptSource> source) {
+    /** Gives back the memory of a place that the request did not take. */
+    void giveBack(Place place) {
         place.reservation()
                 .ifPresent(name -> tell(place.lease().peer(), mParts.protocol().unreserve(name)));
-        source.ifPresent(
+    }
+
+    /** Gives back a prompt that was read and that no engine has taken. */
+    void end() {
+        mSource.ifPresent(
                 read -> {
                     HostPort address = HostPort.parse(read.address());
                     tell(
                             new Peer(read.address(), address.host(), address.port()),
                             mParts.protocol().freeHandle(read.handle()));
                 });
+        mSource = Optional.empty();
+    }
+
+    /** Notes that an engine has taken the prompt that was read. */
+    void taken() {
+        mSource = Optional.empty();
     }
 
     /** Makes a call whose answer does not matter, on a thread of its own. */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
@@ -48,7 +48,8 @@
     private static final double PATIENCE = 1.3;
     private static final Duration BODY_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration RETRY_SOON = Duration.ofMillis(200);
-    private static final long RETRY_ENGINE_MILLIS = 2_000;
+    private static final long RETRY_ENGINE_MILLIS = 3_000;
+    private static final long RETRY_SPREAD_MILLIS = 1_600;
 
     private final RelayParts mParts;
     private final long mArrivedNanos;
@@ -128,12 +129,13 @@
                 mRuns++;
             }
             if (mCancel.isCancelled()) {
-                return;
+                break;
             }
             LOG.debug(
                     "%s: try %d at %s: %s, %s",
                     mRequest.id(), mTries, lease.id(), attempted, mLastFailure);
         }
+        mEngines.ifPresent(EnginePath::end);
         giveUp();
     }
 
@@ -171,7 +173,7 @@
             return RETRY_SOON;
         }
         return Duration.ofMillis(
-                RETRY_ENGINE_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_ENGINE_MILLIS));
+                RETRY_ENGINE_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_SPREAD_MILLIS));
     }
 
     private long leftNanos() {
@@ -196,8 +198,10 @@
             throws IOException, TimeoutException, InterruptedException {
         Optional<PromptSource> source = mEngines.flatMap(EnginePath::prefill);
         Attempted attempted = call(place, source);
-        if (mEngines.isPresent() && attempted != Attempted.ENDED) {
-            mEngines.get().giveBack(place, source);
+        if (attempted != Attempted.NOT_RUN && attempted != Attempted.NOT_REACHED) {
+            mEngines.ifPresent(EnginePath::taken);
+        } else {
+            mEngines.ifPresent(engines -> engines.giveBack(place));
         }
         return attempted;
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/StagePolicy.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/StagePolicy.java
@@ -11,8 +11,8 @@
  * Decides whether a prompt is read by a prefill engine or by the engine that answers. Pure.
  *
  * <p>An engine that answers reads prompts at half pace and between the tokens of others, whose
- * streams then pause; a prompt read elsewhere has to be moved, which costs link time. So prompts
- * are read elsewhere unless that takes much longer.
+ * streams then pause too long. So prompts are read there only while no prefill engine can be had,
+ * and a request that would wait too long for one is refused at once.
  */
 final class StagePolicy {
     /** What a prefill engine reads in a millisecond, before its slowness is known. */
@@ -24,25 +24,33 @@
     /** The work of an answer besides its prompt. */
     static final double ANSWER_MILLIS = 40;
 
-    private final double mPauseMillis;
+    private static final double TARGET_SHARE = 0.9;
 
-    /**
-     * Creates a policy.
-     *
-     * @param pauseMillis what the pauses of other streams are counted as
-     */
-    StagePolicy(double pauseMillis) {
-        mPauseMillis = pauseMillis;
+    private StagePolicy() {}
+
+    /** What is to be done with a prompt. */
+    enum Choice {
+        /** A prefill engine reads it. */
+        SPLIT,
+        /** The engine that answers reads it. */
+        WHOLE,
+        /** It would be read too late. */
+        REFUSE
     }
 
     /**
      * Decides.
      *
-     * @param wholeMillis the time to the answer at the best answering engine
-     * @param prefillMillis the time to the read prompt at the best prefill engine, if there is one
-     * @return true if the prompt is to be read by a prefill engine
+     * @param prefillMillis the time to the read prompt at the best prefill engine, if one takes
+     *     work
+     * @param targetMillis the time within which an answer is of full use
+     * @return the choice
      */
-    boolean isSplit(double wholeMillis, Optional<Double> prefillMillis) {
-        return prefillMillis.isPresent() && prefillMillis.get() < wholeMillis + mPauseMillis;
+    static Choice choose(Optional<Double> prefillMillis, double targetMillis) {
+        boolean none = prefillMillis.isEmpty() || prefillMillis.get() >= Upstream.AVOIDED_MILLIS;
+        if (none) {
+            return Choice.WHOLE;
+        }
+        return prefillMillis.get() > TARGET_SHARE * targetMillis ? Choice.REFUSE : Choice.SPLIT;
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -15,8 +15,13 @@
     static final double TIE_SHARE = 0.1;
 
     private static final double WEIGHT = 0.15;
+    private static final double SLOWNESS_WEIGHT = 0.3;
     private static final double FAILURE_MILLIS = 600;
-    private static final double AVOIDED_MILLIS = 100_000;
+
+    /** What is added for an upstream that is avoided. */
+    static final double AVOIDED_MILLIS = 100_000;
+
+    private static final double SLOWNESS_HALF_LIFE_NANOS = 1.5e9;
     private static final double LEAST_SLOWNESS = 0.7;
     private static final double MOST_SLOWNESS = 10;
     private static final long FULL_NANOS = Duration.ofMillis(60).toNanos();
@@ -28,6 +33,7 @@
     private double mPendingMillis;
     private double mFailureShare;
     private double mSlowness = 1;
+    private long mSlownessNanos;
     private int mFailuresInRow;
     private long mAvoidUntilNanos;
     private boolean mAvoided;
@@ -66,17 +72,26 @@
         int slots = Math.max(1, mRegistration.slots());
         boolean serial = mRegistration.stage() != Registration.Stage.NONE;
         double queueMillis = serial ? mPendingMillis : mPendingMillis / slots;
-        double millis = (queueMillis + workMillis) * mSlowness + mFailureShare * FAILURE_MILLIS;
+        double slowness = slowness(nowNanos);
+        double millis = (queueMillis + workMillis) * slowness + mFailureShare * FAILURE_MILLIS;
         boolean avoided = mAvoided && nowNanos - mAvoidUntilNanos < 0;
         return avoided ? millis + AVOIDED_MILLIS : millis;
     }
 
-    void succeeded(double slowness) {
+    /** What was seen long ago counts less and less, or an upstream would never be tried again. */
+    private double slowness(long nowNanos) {
+        double age = Math.max(0, nowNanos - mSlownessNanos) / SLOWNESS_HALF_LIFE_NANOS;
+        return 1 + (mSlowness - 1) * Math.pow(0.5, age);
+    }
+
+    void succeeded(double slowness, long nowNanos) {
         mFailureShare *= 1 - WEIGHT;
         mFailuresInRow = 0;
         mAvoided = false;
         double clamped = Math.clamp(slowness, LEAST_SLOWNESS, MOST_SLOWNESS);
-        mSlowness += WEIGHT * (clamped - mSlowness);
+        double before = slowness(nowNanos);
+        mSlowness = before + SLOWNESS_WEIGHT * (clamped - before);
+        mSlownessNanos = nowNanos;
     }
 
     void failed(long nowNanos) {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamBook.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamBook.java
@@ -162,8 +162,9 @@
     /** Notes that an upstream did what it was given. */
     void succeeded(Lease lease) {
         try (OrderedLock.Held _ = mLock.hold()) {
-            double tookMillis = (mClock.nanoTime() - lease.sinceNanos()) / 1e6;
-            lease.upstream().succeeded(tookMillis / Math.max(1, lease.workMillis()));
+            long nowNanos = mClock.nanoTime();
+            double tookMillis = (nowNanos - lease.sinceNanos()) / 1e6;
+            lease.upstream().succeeded(tookMillis / Math.max(1, lease.workMillis()), nowNanos);
         }
     }
 
