Close connections of answers that end during a stop; let failures fade

Change: whether a connection closes is decided when the answer begins; the share of failures halves every 3 s.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -20,6 +20,7 @@
 import org.orchidmount.consensus.ReplicaMessage;
 import org.orchidmount.membership.Registration;
 
+/** Tests {@code ClusterCodec}. */
 final class ClusterCodecTest {
     private static final Member A = new Member("a/first", "10.0.0.1:1", "10.0.0.1:2");
     private static final EntryId ENTRY = new EntryId(4, 9);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StageControllerTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StageControllerTest.java
@@ -18,6 +18,7 @@
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
 
+/** Tests {@code StageController}. */
 final class StageControllerTest {
     private static final long MILLI = 1_000_000;
     private static final long TERM = 7;
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StagePlanTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StagePlanTest.java
@@ -14,6 +14,7 @@
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
 
+/** Tests {@code StagePlan}. */
 final class StagePlanTest {
     private final StagePlan mPlan = new StagePlan(0.33);
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StateFileTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StateFileTest.java
@@ -19,6 +19,7 @@
 import org.orchidmount.consensus.GroupState;
 import org.orchidmount.consensus.Member;
 
+/** Tests {@code StateFile}. */
 final class StateFileTest {
     @TempDir Path mFolder;
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/consensus/VoterPlanTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/consensus/VoterPlanTest.java
@@ -11,6 +11,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
+/** Tests {@code VoterPlan}. */
 final class VoterPlanTest {
     private static final Member SELF = member(0, "first");
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/membership/RegistrationTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/membership/RegistrationTest.java
@@ -15,6 +15,7 @@
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
 
+/** Tests {@code Registration}. */
 final class RegistrationTest {
     @Test
     void newerMessageCounts() {
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/EventFramerTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/EventFramerTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+/** Tests {@code EventFramer}. */
 final class EventFramerTest {
     private static final String STREAM =
             "id: 1\ndata: a\n\nid: 2\ndata: b\r\n\r\ndata: c\n\nid: 3\ndata: unfinished\n";
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/ExtraAttemptsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/ExtraAttemptsTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 
+/** Tests {@code ExtraAttempts}. */
 final class ExtraAttemptsTest {
     private static final long SECOND = 1_000_000_000L;
     private final ExtraAttempts mExtras =
--- /dev/null
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamBookTest.java
@@ -0,0 +1,106 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.membership.Registration;
+import org.orchidmount.membership.Registration.Stage;
+import org.orchidmount.membership.Registration.State;
+
+/** Tests {@code UpstreamBook}. */
+final class UpstreamBookTest {
+    private static final UpstreamBook.Need NEED =
+            new UpstreamBook.Need("s", Stage.NONE, 70, 15, true);
+
+    private long mNowNanos = 1;
+    private final UpstreamBook mBook =
+            new UpstreamBook(
+                    "a",
+                    new MonotonicClock() {
+                        @Override
+                        public long nanoTime() {
+                            return mNowNanos;
+                        }
+
+                        @Override
+                        public Instant instant() {
+                            return Instant.EPOCH;
+                        }
+                    },
+                    new SplittableRandom(3));
+
+    @Test
+    void theOwnZoneIsPreferredUntilItIsBusy() {
+        mBook.apply(ready("i-a", "a", 1));
+        mBook.apply(ready("i-b", "b", 2));
+        assertThat(mBook.lease(NEED, Set.of()).get().id()).isEqualTo("i-a");
+        Set<String> chosen = new HashSet<>();
+        for (int i = 0; i < 12; i++) {
+            chosen.add(mBook.lease(NEED, Set.of()).get().id());
+        }
+        assertThat(chosen).containsExactly("i-a", "i-b");
+    }
+
+    @Test
+    void whatLeavesGetsNoNewWork() {
+        mBook.apply(ready("i-a", "a", 1));
+        mBook.apply(ready("i-a", "a", 1).in(State.DRAINING));
+        mBook.apply(ready("i-a", "a", 1));
+        assertThat(mBook.lease(NEED, Set.of())).isEmpty();
+    }
+
+    @Test
+    void anAddressBelongsToTheLastThatRegisteredThere() {
+        mBook.apply(ready("i-old", "a", 1));
+        mBook.apply(ready("i-new", "a", 1));
+        for (int i = 0; i < 10; i++) {
+            assertThat(mBook.lease(NEED, Set.of()).get().id()).isEqualTo("i-new");
+        }
+    }
+
+    @Test
+    void whatCannotBeReachedComesLastForAWhile() {
+        mBook.apply(ready("i-a", "a", 1));
+        mBook.apply(ready("i-b", "b", 2));
+        Lease lease = mBook.lease(NEED, Set.of()).get();
+        mBook.unreachable(lease);
+        mBook.release(lease);
+        assertThat(mBook.lease(NEED, Set.of()).get().id()).isEqualTo("i-b");
+        mNowNanos += 10_000_000_000L;
+        assertThat(mBook.lease(NEED, Set.of()).get().id()).isEqualTo("i-a");
+    }
+
+    @Test
+    void anotherUpstreamAtTheAddressMeansThatThisOneIsGone() {
+        mBook.apply(ready("i-a", "a", 1));
+        Lease lease = mBook.lease(NEED, Set.of()).get();
+        mBook.misdirected(lease);
+        assertThat(mBook.lease(NEED, Set.of())).isEmpty();
+    }
+
+    @Test
+    void prefillIsRefusedOnlyWhereItWouldBeTooLate() {
+        assertThat(StagePolicy.choose(Optional.empty(), 900)).isEqualTo(StagePolicy.Choice.WHOLE);
+        assertThat(StagePolicy.choose(Optional.of(100.0), 900)).isEqualTo(StagePolicy.Choice.SPLIT);
+        assertThat(StagePolicy.choose(Optional.of(900.0), 900))
+                .isEqualTo(StagePolicy.Choice.REFUSE);
+        assertThat(StagePolicy.choose(Optional.of(Upstream.AVOIDED_MILLIS + 1), 900))
+                .isEqualTo(StagePolicy.Choice.WHOLE);
+    }
+
+    private static Registration ready(String id, String zone, int machine) {
+        return new Registration(
+                id, "s", "10.0.0." + machine + ":80", zone, 4, Stage.NONE, State.READY, 1);
+    }
+}
--- a/org.orchidmount.test/src/test/java/org/orchidmount/routes/RouteTableTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/routes/RouteTableTest.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
+/** Tests {@code RouteTable}. */
 final class RouteTableTest {
     private static final CallerLimits LIMITS =
             new CallerLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1));
--- a/org.orchidmount.test/src/test/java/org/orchidmount/settings/SiteSettingsReaderTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/settings/SiteSettingsReaderTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+/** Tests {@code SiteSettingsReader}. */
 final class SiteSettingsReaderTest {
     private static final String ENTRY =
             """
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -98,11 +98,8 @@
                     }
                     next.proceed();
                 });
-        if (mDraining) {
-            exchange.setPersistent(false);
-        }
         mActive.incrementAndGet();
-        ServerExchange request = new ServerExchange(exchange);
+        ServerExchange request = new ServerExchange(exchange, () -> mDraining);
         exchange.dispatch(mThreads, () -> serve(request));
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
@@ -38,6 +39,7 @@
  */
 public final class ServerExchange {
     private final HttpServerExchange mExchange;
+    private final BooleanSupplier mClosing;
     private final XnioIoThread mIoThread;
     private final ByteQueue mBody = new ByteQueue(this::resumeReading);
     private final List<Runnable> mGoneActions = new ArrayList<>();
@@ -50,8 +52,10 @@
      * Wraps an exchange on its I/O thread, before it is dispatched.
      *
      * @param exchange the exchange
+     * @param closing tells, when the answer begins, whether its connection is to be closed after it
      */
-    public ServerExchange(HttpServerExchange exchange) {
+    public ServerExchange(HttpServerExchange exchange, BooleanSupplier closing) {
+        mClosing = closing;
         mExchange = exchange;
         mIoThread = exchange.getIoThread();
         CurrentExchange.of(exchange.getConnection()).set(this);
@@ -376,6 +380,9 @@
 
     /** Sets the head of the answer; on the I/O thread. */
     private void begin(int status, HeaderMap headers) {
+        if (mClosing.getAsBoolean()) {
+            mExchange.setPersistent(false);
+        }
         mExchange.setStatusCode(status);
         mExchange.getResponseHeaders().putAll(headers);
         mWriter = new ChannelWriter(mIoThread, mExchange.getResponseChannel());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -22,6 +22,7 @@
     static final double AVOIDED_MILLIS = 100_000;
 
     private static final double SLOWNESS_HALF_LIFE_NANOS = 1.5e9;
+    private static final double FAILURE_HALF_LIFE_NANOS = 3e9;
     private static final double LEAST_SLOWNESS = 0.7;
     private static final double MOST_SLOWNESS = 10;
     private static final long FULL_NANOS = Duration.ofMillis(60).toNanos();
@@ -34,6 +35,7 @@
     private double mFailureShare;
     private double mSlowness = 1;
     private long mSlownessNanos;
+    private long mFailedNanos;
     private int mFailuresInRow;
     private long mAvoidUntilNanos;
     private boolean mAvoided;
@@ -73,15 +75,20 @@
         boolean serial = mRegistration.stage() != Registration.Stage.NONE;
         double queueMillis = serial ? mPendingMillis : mPendingMillis / slots;
         double slowness = slowness(nowNanos);
-        double millis = (queueMillis + workMillis) * slowness + mFailureShare * FAILURE_MILLIS;
+        double failures = mFailureShare * faded(nowNanos - mFailedNanos, FAILURE_HALF_LIFE_NANOS);
+        double millis = (queueMillis + workMillis) * slowness + failures * FAILURE_MILLIS;
         boolean avoided = mAvoided && nowNanos - mAvoidUntilNanos < 0;
         return avoided ? millis + AVOIDED_MILLIS : millis;
     }
 
     /** What was seen long ago counts less and less, or an upstream would never be tried again. */
     private double slowness(long nowNanos) {
-        double age = Math.max(0, nowNanos - mSlownessNanos) / SLOWNESS_HALF_LIFE_NANOS;
-        return 1 + (mSlowness - 1) * Math.pow(0.5, age);
+        double share = faded(nowNanos - mSlownessNanos, SLOWNESS_HALF_LIFE_NANOS);
+        return 1 + (mSlowness - 1) * share;
+    }
+
+    private static double faded(long ageNanos, double halfLifeNanos) {
+        return Math.pow(0.5, Math.max(0, ageNanos) / halfLifeNanos);
     }
 
     void succeeded(double slowness, long nowNanos) {
@@ -95,7 +102,9 @@
     }
 
     void failed(long nowNanos) {
+        mFailureShare *= faded(nowNanos - mFailedNanos, FAILURE_HALF_LIFE_NANOS);
         mFailureShare += WEIGHT * (1 - mFailureShare);
+        mFailedNanos = nowNanos;
         mFailuresInRow++;
         if (mFailuresInRow > 1) {
             int doublings = Math.min(MOST_DOUBLINGS, mFailuresInRow - 2);
