--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AnswerSizes.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AnswerSizes.java
@@ -15,7 +15,7 @@
  */
 final class AnswerSizes {
     private static final double EXPECTED_SHARE = 0.65;
-    private static final double SAFETY = 1.9;
+    private static final double SAFETY = 1.55;
     private static final double WEIGHT = 0.03;
     private static final double FIRST_MEAN = 3_500;
     private static final int LEAST_TOKENS = 64;
