Let large requests wait longer for memory; preset nothing about answers

Change: patience grows with the square of the size; the mean is that of the callers' own estimates. Maven's output goes to standard error, uncoloured, so that bin/demo prints its JSON line only.

--- a/bin/env.sh
+++ b/bin/env.sh
@@ -41,7 +41,8 @@
 
 maven() {
     require_maven
-    (cd "$ORCHIDMOUNT_ROOT" && mvn -B -q "$@")
+    # Standard output belongs to the program that is started afterwards.
+    (cd "$ORCHIDMOUNT_ROOT" && mvn -B -q -Dstyle.color=never "$@") >&2
 }
 
 # Builds the runnable jars when they are missing or older than a source file.
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
@@ -40,7 +40,6 @@
     private static final Duration RESERVE_TIMEOUT = Duration.ofMillis(300);
     private static final Duration GIVE_BACK_TIMEOUT = Duration.ofMillis(500);
     private static final Duration POLL = Duration.ofMillis(45);
-    private static final double PATIENCE_SHARE = 0.2;
     private static final long SOURCE_NANOS = Duration.ofMillis(250).toNanos();
     private static final double PREFILL_PATIENCE = 2.5;
 
@@ -49,6 +48,7 @@
     private final RelayRequest.Prompt mPrompt;
     private final String mService;
     private final CancelSignal mCancel;
+    private final int mNeededTokens;
     private int mPrefills;
     private Optional<PromptSource> mSource = Optional.empty();
     private long mReadNanos;
@@ -72,13 +72,16 @@
         mPrompt = prompt;
         mService = service;
         mCancel = cancel;
+        mNeededTokens = prompt.tokens() + parts.sizes().reserve(prompt);
     }
 
     /** Reserves memory at an engine, waiting shortly for one that has it. */
     Optional<Place> place(Set<String> avoided) throws InterruptedException {
         long untilNanos =
                 mParts.clock().nanoTime()
-                        + (long) (PATIENCE_SHARE * mRequest.route().target().toNanos());
+                        + (long)
+                                (mParts.sizes().patience(mNeededTokens)
+                                        * mRequest.route().target().toNanos());
         while (!mCancel.isCancelled()) {
             boolean read = choice() != StagePolicy.Choice.REFUSE;
             Optional<Place> place = read ? placeNow(avoided) : Optional.empty();
@@ -114,13 +117,9 @@
         return new UpstreamBook.Need(mService, Stage.DECODE, work, ZONE_MILLIS, again);
     }
 
-    private int neededTokens() {
-        return mPrompt.tokens() + mParts.sizes().reserve(mPrompt);
-    }
-
     private Optional<String> reserve(Lease lease) {
         HttpHead head = mParts.protocol().reserve(lease.id());
-        byte[] body = mParts.protocol().reservation(neededTokens(), RESERVATION_MILLIS);
+        byte[] body = mParts.protocol().reservation(mNeededTokens, RESERVATION_MILLIS);
         try (HttpCall call =
                         mParts.connections()
                                 .call(lease.peer(), Step.ADMIT, head, body, RESERVE_TIMEOUT);
@@ -131,7 +130,7 @@
             if (response.getResponseCode() != SUCCESS) {
                 LOG.debug(
                         "%s: %d tokens not reserved at %s: status %d",
-                        mRequest.id(), neededTokens(), lease.id(), response.getResponseCode());
+                        mRequest.id(), mNeededTokens, lease.id(), response.getResponseCode());
                 return Optional.empty();
             }
             return Optional.of(mParts.protocol().reserved(answer));
