Add a silent voter's successor before the voter is removed

Change: five voters become six, then five again; a voter replaced at its own address is still swapped in one step. Ruled out: swapping a silent voter in one step (old and new quorums of five need not meet if the voter comes back).

--- a/org.orchidmount/src/main/java/org/orchidmount/consensus/VoterPlan.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/consensus/VoterPlan.java
@@ -15,7 +15,8 @@
  *
  * <p>Invariants: one voter is added, removed or replaced at a time. A voter is replaced in one step
  * only by a replica at its own address: its identity went with its disk, so it never votes again. A
- * voter that is merely silent may come back, so it is removed first and its successor added next.
+ * voter that is merely silent may come back, so its successor is added first and it is removed
+ * next: were it removed first and the successor lost, the group would be left with too few disks.
  */
 final class VoterPlan {
     private final GroupState mState;
@@ -36,9 +37,6 @@
      * @return the next voters, if they are to change
      */
     Optional<List<Member>> next(List<PeerProgress> waiting, Predicate<Member> gone) {
-        if (waiting.isEmpty()) {
-            return Optional.empty();
-        }
         for (PeerProgress peer : waiting) {
             Optional<Member> wiped = voterAt(peer.mMember.address());
             if (wiped.isPresent()) {
@@ -46,17 +44,21 @@
             }
         }
         List<Member> members = new ArrayList<>(mState.members());
-        if (members.size() < mTargetVoters) {
-            members.add(waiting.getFirst().mMember);
-            return Optional.of(members);
-        }
         Optional<Member> silent =
                 members.stream()
                         .filter(member -> !member.id().equals(mSelf.id()))
                         .filter(gone)
                         .findFirst();
-        silent.ifPresent(members::remove);
-        return silent.map(_ -> members);
+        if (members.size() > mTargetVoters) {
+            silent.ifPresent(members::remove);
+            return silent.map(_ -> members);
+        }
+        boolean grow = members.size() < mTargetVoters || silent.isPresent();
+        if (!grow || waiting.isEmpty()) {
+            return Optional.empty();
+        }
+        members.add(waiting.getFirst().mMember);
+        return Optional.of(members);
     }
 
     private Optional<Member> voterAt(String address) {
