Wait for a table to be in force before its voters are closed

That moment is allowed; what the test is about is not. Change: it waits for the table first, and still checks at the end that the entry holds version 1 and not the one that was not accepted. Ruled out: the entry going back (it had never held the table).

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
@@ -128,6 +128,7 @@
     @Test
     void aVoterWithoutItsPeersAcknowledgesNothing() {
         put(1);
+        Await.until("table in force", LONGEST, () -> versionInForce() == 1);
         mVoters.get(1).close();
         mVoters.get(2).close();
         VoterNode left = mVoters.getFirst();
