Place answers by a forecast of engine memory that all entries share

Each answer reserved 1.7 times its expected length for its whole life, so an engine took 7 answers where its memory holds 11 to 12: answers begin at different moments and seldom are long together. In spite of it answers that outgrew their reservation were preempted, since what others had reserved and not used was not theirs to take. Change: entries tell each other, over the voters, what they place at engines (org.orchidmount.load). Only the prompt and 256 tokens are reserved. Near the limit an entry waits 15 ms until all have heard and gives way to those placed together with it. Entries that have not heard the others for 6 s reserve as before. News is told again each 1.5 s and forgotten after 5 s.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
@@ -15,11 +15,14 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Stream;
@@ -30,6 +33,7 @@
 import org.orchidmount.clock.SystemMonotonicClock;
 import org.orchidmount.consensus.Timing;
 import org.orchidmount.junit.Await;
+import org.orchidmount.load.EngineRun;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.routes.CallerLimits;
 import org.orchidmount.routes.RouteTable;
@@ -43,6 +47,7 @@
     private final List<HostPort> mAddresses = new ArrayList<>();
     private final List<VoterNode> mVoters = new ArrayList<>();
     private final Map<String, Registration> mSeen = new ConcurrentHashMap<>();
+    private final Queue<EngineRun> mTold = new ConcurrentLinkedQueue<>();
     private EntryNode mEntry;
 
     @BeforeEach
@@ -55,13 +60,29 @@
         for (int i = 0; i < VOTERS; i++) {
             mVoters.add(voter(i, true));
         }
-        mEntry =
-                new EntryNode(
-                        "entry",
-                        List.of(mAddresses.getFirst()),
-                        VoterNodeTest::parse,
-                        registration -> mSeen.put(registration.id(), registration),
-                        new SystemMonotonicClock());
+        mEntry = entry("entry", mTold);
+    }
+
+    private EntryNode entry(String name, Collection<EngineRun> told) {
+        return new EntryNode(
+                name,
+                List.of(mAddresses.getFirst()),
+                VoterNodeTest::parse,
+                new Listener(mSeen, told),
+                new SystemMonotonicClock());
+    }
+
+    private record Listener(Map<String, Registration> seen, Collection<EngineRun> told)
+            implements EntryNode.Listener {
+        @Override
+        public void changed(Registration registration) {
+            seen.put(registration.id(), registration);
+        }
+
+        @Override
+        public void told(EngineRun run) {
+            told.add(run);
+        }
     }
 
     @AfterEach
@@ -81,6 +102,20 @@
         assertThat(read()).isEqualTo("7");
     }
 
+    @Test
+    void whatOneEntryGivesToAnEngineIsToldToTheOthers() {
+        put(1);
+        Await.until("table in force", LONGEST, () -> versionInForce() == 1);
+        EngineRun run = new EngineRun("i-1", "r-1", 5_000, 4_000, 10_000, Duration.ZERO, false);
+        try (EntryNode other = entry("other", new ConcurrentLinkedQueue<>())) {
+            Await.until("table in force", LONGEST, () -> other.table().isPresent());
+            other.tell(run);
+            other.tell(run.end());
+            Await.until("told", LONGEST, () -> mTold.size() == 2);
+        }
+        assertThat(mTold).containsExactly(run, run.end()).inOrder();
+    }
+
     @Test
     void anotherTableUnderTheSameVersionIsAConflict() {
         put(5);
--- /dev/null
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/load/EngineLoadsTest.java
@@ -0,0 +1,125 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.load;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.orchidmount.junit.ManualClock;
+
+/** Tests {@code EngineLoads} and {@code MemoryForecast}. */
+final class EngineLoadsTest {
+    private static final int PROMPT = 5_000;
+    private static final int EXPECTED = 4_000;
+    private static final int MOST = 10_000;
+    private static final long MEMORY = 90_000;
+
+    private final ManualClock mClock = new ManualClock();
+    private final EngineLoads mLoads = new EngineLoads(mClock);
+
+    @Test
+    void runsThatBeganAtDifferentTimesLeaveRoomForMoreThanRunsThatBeganTogether() {
+        assertThat(admitted(Duration.ofMillis(300))).isGreaterThan(admitted(Duration.ZERO));
+    }
+
+    @Test
+    void anEngineTakesMoreThanTheSumOfLongestRunsButNotMoreThanItsMemory() {
+        int admitted = admitted(Duration.ofMillis(350));
+        assertThat(admitted).isGreaterThan((int) (MEMORY / (PROMPT + MOST)));
+        assertThat(admitted).isLessThan((int) (MEMORY / PROMPT));
+    }
+
+    @Test
+    void anEndedRunMakesRoomAgain() {
+        int admitted = admitted(Duration.ZERO);
+        assertThat(isCrowded("i-1")).isTrue();
+        mLoads.apply(run("i-1", "r-0").end());
+        assertThat(isCrowded("i-1")).isFalse();
+        assertThat(admitted).isAtLeast(1);
+    }
+
+    @Test
+    void anEngineOfWhichNothingIsKnownIsNotCrowded() {
+        admitted(Duration.ZERO);
+        assertThat(isCrowded("i-2")).isFalse();
+    }
+
+    @Test
+    void aRunThatIsNotToldOfAgainIsForgotten() {
+        admitted(Duration.ZERO);
+        mClock.advance(Duration.ofSeconds(4));
+        mLoads.apply(run("i-1", "r-0").aged(Duration.ofSeconds(4)));
+        mClock.advance(Duration.ofSeconds(4));
+        assertThat(isCrowded("i-1")).isFalse();
+    }
+
+    @Test
+    void lateNewsDoesNotBringBackAnEndedRun() {
+        int admitted = admitted(Duration.ZERO);
+        for (int i = 0; i < admitted; i++) {
+            mLoads.apply(run("i-1", "r-" + i).end());
+            mLoads.apply(run("i-1", "r-" + i));
+        }
+        assertThat(isCrowded("i-1")).isFalse();
+    }
+
+    @Test
+    void ofRunsThatWerePlacedTogetherAsManyStayAsTheEngineBears() {
+        int most = admitted(Duration.ZERO);
+        for (int i = most; i < most + 3; i++) {
+            mLoads.apply(run("i-1", "r-" + i));
+        }
+        long borne = 0;
+        for (int i = 0; i < most + 3; i++) {
+            borne += mLoads.bears(run("i-1", "r-" + i), MEMORY) ? 1 : 0;
+        }
+        assertThat(borne).isEqualTo(most);
+    }
+
+    @Test
+    void aRunThatBeganLaterGivesWay() {
+        admitted(Duration.ZERO);
+        mClock.advance(Duration.ofMillis(200));
+        mLoads.apply(run("i-1", "a-later"));
+        assertThat(mLoads.bears(run("i-1", "a-later"), MEMORY)).isFalse();
+        assertThat(mLoads.bears(run("i-1", "r-0"), MEMORY)).isTrue();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1000, 1.0", "2500, 1.0", "4000, 1.0", "7000, 1.0"})
+    void aRunNeverTakesMoreThanItCan(int made, double speed) {
+        List<MemoryForecast.Run> one =
+                List.of(new MemoryForecast.Run(PROMPT, made, EXPECTED, MOST));
+        double peak = MemoryForecast.peakTokens(one, speed);
+        assertThat(peak).isAtLeast((double) PROMPT + made);
+        assertThat(peak).isLessThan(1.6 * (PROMPT + MOST));
+    }
+
+    /** Lets runs begin one after another until the engine is full; returns how many it took. */
+    private int admitted(Duration apart) {
+        List<EngineRun> admitted = new ArrayList<>();
+        while (!isCrowded("i-1") && admitted.size() < 100) {
+            EngineRun run = run("i-1", "r-" + admitted.size());
+            mLoads.apply(run);
+            admitted.add(run);
+            mClock.advance(apart);
+        }
+        return admitted.size();
+    }
+
+    private boolean isCrowded(String upstreamId) {
+        return mLoads.crowded(run("", "candidate"), MEMORY).contains(upstreamId);
+    }
+
+    private static EngineRun run(String upstreamId, String requestId) {
+        return new EngineRun(upstreamId, requestId, PROMPT, EXPECTED, MOST, Duration.ZERO, false);
+    }
+}
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/AnswerSizesTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/AnswerSizesTest.java
@@ -22,9 +22,10 @@
 
     @Test
     void estimatesAreDrawnTowardsTheMeanOfAll() {
+        mSizes.observe(prompt(3_500, 100_000));
         int before = mSizes.reserve(prompt(3_500, 100_000));
         for (int i = 0; i < 200; i++) {
-            mSizes.reserve(prompt(200, 100_000));
+            mSizes.observe(prompt(200, 100_000));
         }
         assertThat(mSizes.reserve(prompt(3_500, 100_000))).isLessThan(before);
         assertThat(mSizes.reserve(prompt(200, 100_000))).isLessThan(400);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamBookTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamBookTest.java
@@ -7,13 +7,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.time.Instant;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.junit.ManualClock;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
@@ -21,24 +21,10 @@
 /** Tests {@code UpstreamBook}. */
 final class UpstreamBookTest {
     private static final UpstreamBook.Need NEED =
-            new UpstreamBook.Need("s", Stage.NONE, 70, 15, true);
+            new UpstreamBook.Need("s", Stage.NONE, 70, 15, true, Set.of());
 
-    private long mNowNanos = 1;
-    private final UpstreamBook mBook =
-            new UpstreamBook(
-                    "a",
-                    new MonotonicClock() {
-                        @Override
-                        public long nanoTime() {
-                            return mNowNanos;
-                        }
-
-                        @Override
-                        public Instant instant() {
-                            return Instant.EPOCH;
-                        }
-                    },
-                    new SplittableRandom(3));
+    private final ManualClock mClock = new ManualClock();
+    private final UpstreamBook mBook = new UpstreamBook("a", mClock, new SplittableRandom(3));
 
     @Test
     void theOwnZoneIsPreferredUntilItIsBusy() {
@@ -77,7 +63,7 @@
         mBook.unreachable(lease);
         mBook.release(lease);
         assertThat(mBook.lease(NEED, Set.of()).get().id()).isEqualTo("i-b");
-        mNowNanos += 10_000_000_000L;
+        mClock.advance(Duration.ofSeconds(10));
         assertThat(mBook.lease(NEED, Set.of()).get().id()).isEqualTo("i-a");
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -7,6 +7,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.DataFormatException;
@@ -16,6 +17,7 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.orchidmount.cluster.ClusterMessage.EngineRuns;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.KeepAlive;
 import org.orchidmount.cluster.ClusterMessage.Registrations;
@@ -35,6 +37,7 @@
 import org.orchidmount.consensus.ReplicaMessage.Hello;
 import org.orchidmount.consensus.ReplicaMessage.VoteReply;
 import org.orchidmount.consensus.ReplicaMessage.VoteRequest;
+import org.orchidmount.load.EngineRun;
 import org.orchidmount.membership.Registration;
 
 /**
@@ -54,6 +57,7 @@
     private static final int TABLE_DOCUMENT = 6;
     private static final int REGISTRATIONS = 7;
     private static final int REGISTRATIONS_HELD = 8;
+    private static final int ENGINE_RUNS = 9;
     private static final int VOTE_REQUEST = 20;
     private static final int VOTE_REPLY = 21;
     private static final int APPEND = 22;
@@ -110,6 +114,7 @@
                 }
             }
             case RegistrationsHeld held -> out.packInt(REGISTRATIONS_HELD).packLong(held.number());
+            case EngineRuns runs -> writeEngineRuns(out, runs.runs());
             case Replication replication -> writeReplication(out, replication);
         }
     }
@@ -176,6 +181,13 @@
                 yield new Registrations(number, registrations);
             }
             case REGISTRATIONS_HELD -> new RegistrationsHeld(in.unpackLong());
+            case ENGINE_RUNS -> {
+                List<EngineRun> runs = new ArrayList<>();
+                for (int left = readSize(in); left > 0; left--) {
+                    runs.add(readEngineRun(in));
+                }
+                yield new EngineRuns(runs);
+            }
             default -> readReplication(in, type);
         };
     }
@@ -290,6 +302,28 @@
                 in.unpackLong());
     }
 
+    private static void writeEngineRuns(MessageBufferPacker out, List<EngineRun> runs)
+            throws IOException {
+        out.packInt(ENGINE_RUNS).packArrayHeader(runs.size());
+        for (EngineRun run : runs) {
+            out.packString(run.upstreamId()).packString(run.requestId());
+            out.packInt(run.promptTokens()).packInt(run.expectedTokens());
+            out.packInt(run.mostTokens()).packLong(run.age().toMillis());
+            out.packBoolean(run.ended());
+        }
+    }
+
+    private static EngineRun readEngineRun(MessageUnpacker in) throws IOException {
+        return new EngineRun(
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackInt(),
+                in.unpackInt(),
+                in.unpackInt(),
+                Duration.ofMillis(in.unpackLong()),
+                in.unpackBoolean());
+    }
+
     private static <T> T constant(T[] values, int ordinal) throws IOException {
         if (ordinal < 0 || ordinal >= values.length) {
             throw new IOException("a frame holds the unknown constant " + ordinal);
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.orchidmount.consensus.Member;
 import org.orchidmount.consensus.ReplicaMessage;
+import org.orchidmount.load.EngineRun;
 import org.orchidmount.membership.Registration;
 
 /** What instances say to each other. */
@@ -66,6 +67,17 @@
         }
     }
 
+    /**
+     * Tells what instances have given to engines.
+     *
+     * @param runs the runs, in the order of the news
+     */
+    record EngineRuns(List<EngineRun> runs) implements ClusterMessage {
+        public EngineRuns {
+            runs = List.copyOf(runs);
+        }
+    }
+
     /** Answers {@link Registrations}. */
     record RegistrationsHeld(long number) implements ClusterMessage {}
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.cluster.ClusterMessage.EngineRuns;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.KeepAlive;
 import org.orchidmount.cluster.ClusterMessage.Registrations;
@@ -27,6 +28,8 @@
 import org.orchidmount.cluster.ClusterMessage.Voters;
 import org.orchidmount.consensus.Member;
 import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.load.EngineRun;
+import org.orchidmount.load.RunNews;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
 import org.orchidmount.routes.RouteTable;
@@ -39,9 +42,10 @@
  * never comes back. What is known stays in use while no voter can be reached. The state is confined
  * to one thread; the public methods are thread-safe.
  */
-public final class EntryNode implements AutoCloseable {
+public final class EntryNode implements RunNews, AutoCloseable {
     private static final PartLog LOG = PartLog.of("entry");
     private static final long TICK_MILLIS = 200;
+    private static final long TELL_AGAIN_MILLIS = 1_500;
     private static final long REQUEST_AGAIN_NANOS = Duration.ofMillis(250).toNanos();
     private static final long REMEMBER_NANOS = Duration.ofMinutes(10).toNanos();
     private static final long SILENT_NANOS = Duration.ofSeconds(30).toNanos();
@@ -49,12 +53,15 @@
     /** After this time a table of a voter without a quorum has to do. */
     private static final long WAIT_FOR_QUORUM_NANOS = Duration.ofSeconds(3).toNanos();
 
+    /** Nearly all runs are shorter than this, so after it all that go on were told of. */
+    private static final long HEAR_RUNS_NANOS = Duration.ofSeconds(6).toNanos();
+
     private final ScheduledThreadPoolExecutor mThread =
             new ScheduledThreadPoolExecutor(
                     1, Thread.ofPlatform().name("entry").daemon().factory());
     private final MonotonicClock mClock;
     private final RouteTableParser mParser;
-    private final RegistrationListener mListener;
+    private final Listener mListener;
     private final Greeting mGreeting;
     private final Set<HostPort> mSeeds;
     private final Link.Handler mHandler = new LinkEvents();
@@ -63,22 +70,38 @@
     private final Map<Link, TableNotice> mNotices = new HashMap<>();
     private final Map<Link, HostPort> mLinks = new HashMap<>();
     private final Registry mRegistry = new Registry(REMEMBER_NANOS);
+    private final Map<String, OwnRun> mOwnRuns = new HashMap<>();
     private final long mStartNanos;
     private long mRequestedNanos;
+    private volatile long mUnlinkedNanos;
     private boolean mConfirmed;
+    private Link mNewestLink;
     private volatile RouteTable mTable;
     private volatile boolean mReady;
     private volatile int mEntries = 1;
 
-    /** Learns what upstreams say; called on the node's thread. */
-    @FunctionalInterface
-    public interface RegistrationListener {
+    /** A run that this instance has placed. */
+    private record OwnRun(EngineRun run, long sinceNanos) {
+        EngineRun at(long nowNanos) {
+            return run.aged(Duration.ofNanos(nowNanos - sinceNanos));
+        }
+    }
+
+    /** Learns what the voters pass on; called on the node's thread. */
+    public interface Listener {
         /**
          * Takes a registration that says something new.
          *
          * @param registration the registration
          */
         void changed(Registration registration);
+
+        /**
+         * Takes what an instance, perhaps this one, has told of a run.
+         *
+         * @param run the run
+         */
+        void told(EngineRun run);
     }
 
     /**
@@ -87,14 +110,14 @@
      * @param node the instance's name
      * @param seeds cluster addresses of some voters
      * @param parser reads tables
-     * @param listener learns of upstreams
+     * @param listener learns of upstreams and of what others give them
      * @param clock the clock
      */
     public EntryNode(
             String node,
             List<HostPort> seeds,
             RouteTableParser parser,
-            RegistrationListener listener,
+            Listener listener,
             MonotonicClock clock) {
         mClock = clock;
         mParser = parser;
@@ -103,7 +126,13 @@
         mSeeds = Set.copyOf(seeds);
         mStartNanos = clock.nanoTime();
         mRequestedNanos = mStartNanos - REQUEST_AGAIN_NANOS;
+        mUnlinkedNanos = mStartNanos;
         post(() -> mSeeds.forEach(this::dial));
+        mThread.scheduleWithFixedDelay(
+                () -> guarded(this::tellAgain),
+                TELL_AGAIN_MILLIS,
+                TELL_AGAIN_MILLIS,
+                TimeUnit.MILLISECONDS);
         mThread.scheduleWithFixedDelay(
                 () -> guarded(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -144,6 +173,43 @@
         post(() -> seeds.forEach(this::dial));
     }
 
+    @Override
+    public void tell(EngineRun run) {
+        post(
+                () -> {
+                    if (run.ended()) {
+                        mOwnRuns.remove(run.requestId());
+                    } else {
+                        mOwnRuns.put(run.requestId(), new OwnRun(run, mClock.nanoTime()));
+                    }
+                    tell(List.of(run));
+                });
+    }
+
+    private void tell(List<EngineRun> runs) {
+        newestLink().ifPresent(link -> link.send(new EngineRuns(runs)));
+    }
+
+    /** Tells again of what goes on, so that the others forget what ended with its instance. */
+    private void tellAgain() {
+        long nowNanos = mClock.nanoTime();
+        List<EngineRun> runs = mOwnRuns.values().stream().map(own -> own.at(nowNanos)).toList();
+        runs.forEach(mListener::told);
+        if (!runs.isEmpty()) {
+            tell(runs);
+        }
+    }
+
+    /** Returns the link on which a notice arrived last: the voter there is most likely well. */
+    private Optional<Link> newestLink() {
+        return Optional.ofNullable(mNewestLink).filter(Link::isOpen);
+    }
+
+    @Override
+    public boolean isComplete() {
+        return mClock.nanoTime() - mUnlinkedNanos > HEAR_RUNS_NANOS;
+    }
+
     private void dial(HostPort address) {
         mDialers.computeIfAbsent(address, to -> new Dialer(to, mGreeting, mHandler));
     }
@@ -154,10 +220,12 @@
             case Voters voters -> voters.members().forEach(this::learn);
             case TableNotice notice -> {
                 mNotices.put(link, notice);
+                mNewestLink = link;
                 mEntries = Math.max(1, entriesTold());
                 follow();
             }
             case TableDocument document -> apply(document);
+            case EngineRuns runs -> runs.runs().forEach(mListener::told);
             case Registrations registrations -> {
                 for (Registration registration : registrations.registrations()) {
                     mRegistry.merge(registration, mClock.nanoTime()).ifPresent(mListener::changed);
@@ -245,6 +313,9 @@
             mDialers.remove(address).close();
         }
         mRegistry.forgetOld(nowNanos);
+        if (mLinks.isEmpty()) {
+            mUnlinkedNanos = nowNanos;
+        }
         follow();
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HexFormat;
@@ -21,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.cluster.ClusterMessage.EngineRuns;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.KeepAlive;
 import org.orchidmount.cluster.ClusterMessage.Registrations;
@@ -38,6 +40,7 @@
 import org.orchidmount.consensus.ReplicaEffects;
 import org.orchidmount.consensus.ReplicaMessage;
 import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.load.EngineRun;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
 
@@ -51,11 +54,15 @@
  */
 public final class VoterNode implements AutoCloseable {
     /** The version of the protocol between instances. */
-    static final int PROTOCOL = 1;
+    static final int PROTOCOL = 2;
 
     private static final PartLog LOG = PartLog.of("voter");
     private static final long TICK_MILLIS = 50;
     private static final long NOTICE_MILLIS = 1_000;
+
+    /** News of runs is gathered this long, so that many entries cost few frames. */
+    private static final long GATHER_MILLIS = 2;
+
     private static final long REMEMBER_NANOS = Duration.ofMinutes(10).toNanos();
     private static final int IDENTITY_BYTES = 8;
     private static final String FOUNDER = "/first";
@@ -76,6 +83,9 @@
     /** What upstreams said here since the other voters were last told. */
     private final Map<String, Registration> mHeard = new HashMap<>();
 
+    /** What entries said of runs and the others were not told yet. */
+    private final List<EngineRun> mRunNews = new ArrayList<>();
+
     private GroupState mCommitted = new GroupState(List.of(), 0, new byte[0]);
     private long mSpreadNumber;
     private boolean mWasInTouch;
@@ -368,6 +378,7 @@
                             new TableDocument(
                                     mCommitted.tableVersion(), mCommitted.tableDocument()));
             case Voters voters -> voters.members().forEach(this::learn);
+            case EngineRuns runs -> onRunNews(runs);
             case KeepAlive _, Greeting _, TableNotice _, TableDocument _ -> {}
         }
     }
@@ -421,6 +432,20 @@
         }
     }
 
+    /** Passes news of runs on to all entries; the one that it is from takes it as known. */
+    private void onRunNews(EngineRuns news) {
+        if (mRunNews.isEmpty()) {
+            mThread.schedule(
+                    () -> guarded(this::sendRunNews), GATHER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        mRunNews.addAll(news.runs());
+    }
+
+    private void sendRunNews() {
+        mLinks.sendToEntries(new EngineRuns(mRunNews));
+        mRunNews.clear();
+    }
+
     private TableNotice notice() {
         return new TableNotice(mCommitted.tableVersion(), mReplica.isInTouch(), mLinks.entries());
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/lock/LockRank.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/lock/LockRank.java
@@ -14,6 +14,8 @@
     TABLE,
     /** Upstream slots, reservations and the wait queue. */
     BOARD,
+    /** The answers that engines are making. */
+    LOADS,
     /** Counters of limits and the retry budget. */
     LIMITS,
     /** The registry of requests. */
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineRun.java
@@ -0,0 +1,67 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.load;
+
+import java.time.Duration;
+
+/**
+ * One answer that an engine makes, as the instance that placed it tells the others. Immutable.
+ *
+ * @param upstreamId the engine
+ * @param requestId the request and which of its placements this is
+ * @param promptTokens the tokens in memory before the first one is made
+ * @param expectedTokens the median of the tokens that will be made
+ * @param mostTokens the most tokens that can be made
+ * @param age how long ago the engine was given the request, when this was told
+ * @param ended true once the engine no longer works on it
+ */
+public record EngineRun(
+        String upstreamId,
+        String requestId,
+        int promptTokens,
+        int expectedTokens,
+        int mostTokens,
+        Duration age,
+        boolean ended) {
+    /**
+     * Returns the news that the engine no longer works on the request.
+     *
+     * @return the run, ended
+     */
+    public EngineRun end() {
+        return new EngineRun(
+                upstreamId, requestId, promptTokens, expectedTokens, mostTokens, age, true);
+    }
+
+    /**
+     * Returns the same run as it is told later.
+     *
+     * @param later how long ago the engine was given the request
+     * @return the run
+     */
+    public EngineRun aged(Duration later) {
+        return new EngineRun(
+                upstreamId, requestId, promptTokens, expectedTokens, mostTokens, later, ended);
+    }
+
+    /**
+     * Returns a placement of the request.
+     *
+     * @param engine the engine's identity
+     * @param placement the number of the placement
+     * @return the run there
+     */
+    public EngineRun at(String engine, int placement) {
+        return new EngineRun(
+                engine,
+                requestId + "/" + placement,
+                promptTokens,
+                expectedTokens,
+                mostTokens,
+                age,
+                ended);
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AnswerSizes.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AnswerSizes.java
@@ -36,17 +36,33 @@
         return Math.clamp(PATIENCE * size * size, LEAST_PATIENCE, MOST_PATIENCE);
     }
 
-    /** Returns the tokens of memory to reserve for an answer. */
-    synchronized int reserve(RelayRequest.Prompt prompt) {
-        double mean = mLogMean == 0 ? Math.log(UNSAID_TOKENS) : mLogMean;
-        double expected = mean;
+    /** Takes a new request into the mean of all. */
+    synchronized void observe(RelayRequest.Prompt prompt) {
         if (prompt.expectedTokens() > 0) {
-            expected = Math.log(prompt.expectedTokens());
-            mean = mLogMean == 0 ? expected : mean;
+            double expected = Math.log(prompt.expectedTokens());
+            double mean = mLogMean == 0 ? expected : mLogMean;
             mLogMean = mean + WEIGHT * (expected - mean);
         }
-        double blended = Math.exp(EXPECTED_SHARE * expected + (1 - EXPECTED_SHARE) * mean);
+    }
+
+    /** Returns the tokens of memory to reserve for an answer. */
+    int reserve(RelayRequest.Prompt prompt) {
+        return atMost(SAFETY * blended(prompt), prompt);
+    }
+
+    /** Returns the median of the tokens that an answer is expected to have. */
+    int expect(RelayRequest.Prompt prompt) {
+        return atMost(blended(prompt), prompt);
+    }
+
+    private static int atMost(double tokens, RelayRequest.Prompt prompt) {
         int most = prompt.answerTokens() > 0 ? prompt.answerTokens() : Integer.MAX_VALUE;
-        return (int) Math.clamp(SAFETY * blended, Math.min(LEAST_TOKENS, most), most);
+        return (int) Math.clamp(tokens, Math.min(LEAST_TOKENS, most), most);
+    }
+
+    private synchronized double blended(RelayRequest.Prompt prompt) {
+        double mean = mLogMean == 0 ? Math.log(UNSAID_TOKENS) : mLogMean;
+        double expected = prompt.expectedTokens() > 0 ? Math.log(prompt.expectedTokens()) : mean;
+        return Math.exp(EXPECTED_SHARE * expected + (1 - EXPECTED_SHARE) * mean);
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
@@ -19,9 +19,11 @@
 import org.orchidmount.internal.http.HttpHead;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.load.EngineRun;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.relay.Handover.Part;
 import org.orchidmount.relay.Handover.PromptSource;
+import org.orchidmount.routes.Service;
 import org.orchidmount.upstream.CancelSignal;
 
 /**
@@ -40,15 +42,26 @@
     private static final Duration RESERVE_TIMEOUT = Duration.ofMillis(300);
     private static final Duration GIVE_BACK_TIMEOUT = Duration.ofMillis(500);
     private static final Duration POLL = Duration.ofMillis(45);
+
+    /** How long news of a run takes to all instances. */
+    private static final Duration SPREAD = Duration.ofMillis(15);
+
     private static final long SOURCE_NANOS = Duration.ofMillis(250).toNanos();
     private static final double PREFILL_PATIENCE = 2.5;
 
+    /** What is reserved beyond the prompt where the runs of all instances are known. */
+    private static final int FIRST_TOKENS = 256;
+
+    /** A shorter stream does not tell how fast its engine is. */
+    private static final int FEWEST_EVENTS = 8;
+
     private final RelayParts mParts;
     private final RelayRequest mRequest;
     private final RelayRequest.Prompt mPrompt;
-    private final String mService;
+    private final Service mService;
     private final CancelSignal mCancel;
-    private final int mNeededTokens;
+    private final EngineRun mRun;
+    private int mPlacements;
     private int mPrefills;
     private Optional<PromptSource> mSource = Optional.empty();
     private long mReadNanos;
@@ -58,21 +71,32 @@
      *
      * @param lease the place in this instance's book
      * @param reservation the memory reserved at the upstream, if any
+     * @param run what the instances were told of it, if anything
      */
-    record Place(Lease lease, Optional<String> reservation) {}
+    record Place(Lease lease, Optional<String> reservation, Optional<EngineRun> run) {}
 
     EnginePath(
             RelayParts parts,
             RelayRequest request,
             RelayRequest.Prompt prompt,
-            String service,
+            Service service,
             CancelSignal cancel) {
         mParts = parts;
         mRequest = request;
         mPrompt = prompt;
         mService = service;
         mCancel = cancel;
-        mNeededTokens = prompt.tokens() + parts.sizes().reserve(prompt);
+        parts.sizes().observe(prompt);
+        int most = prompt.answerTokens() > 0 ? prompt.answerTokens() : Integer.MAX_VALUE;
+        mRun =
+                new EngineRun(
+                        "",
+                        request.id(),
+                        prompt.tokens(),
+                        parts.sizes().expect(prompt),
+                        most,
+                        Duration.ZERO,
+                        false);
     }
 
     /** Reserves memory at an engine, waiting shortly for one that has it. */
@@ -80,7 +104,9 @@
         long untilNanos =
                 mParts.clock().nanoTime()
                         + (long)
-                                (mParts.sizes().patience(mNeededTokens)
+                                (mParts.sizes()
+                                                .patience(
+                                                        mRun.promptTokens() + mRun.expectedTokens())
                                         * mRequest.route().target().toNanos());
         while (!mCancel.isCancelled()) {
             boolean read = choice() != StagePolicy.Choice.REFUSE;
@@ -94,32 +120,97 @@
         return Optional.empty();
     }
 
-    private Optional<Place> placeNow(Set<String> avoided) {
+    private Optional<Place> placeNow(Set<String> avoided) throws InterruptedException {
+        Set<String> crowded = crowded();
         Set<String> refused = new HashSet<>(avoided);
         while (true) {
             boolean first = refused.size() == avoided.size();
-            Optional<Lease> lease = mParts.book().lease(answerNeed(first), refused);
+            Optional<Lease> lease = mParts.book().lease(answerNeed(first, crowded), refused);
             if (lease.isEmpty() || !refused.add(lease.get().id()) && !first) {
                 lease.ifPresent(mParts.book()::release);
                 return Optional.empty();
             }
             Optional<String> reservation = reserve(lease.get());
             if (reservation.isPresent()) {
-                return Optional.of(new Place(lease.get(), reservation));
+                Place place = new Place(lease.get(), reservation, Optional.of(enter(lease.get())));
+                if (isBorne(place)) {
+                    return Optional.of(place);
+                }
+                leave(place);
+                giveBack(place);
             }
             mParts.book().release(lease.get());
         }
     }
 
-    private UpstreamBook.Need answerNeed(boolean again) {
+    /** Engines whose memory would run out with this answer. */
+    private Set<String> crowded() {
+        return mService.engine()
+                .map(engine -> mParts.loads().crowded(mRun, engine.memoryTokens()))
+                .orElseGet(Set::of);
+    }
+
+    /**
+     * Tells whether the engine still bears the answer once all have heard of it. Where the engine
+     * has room for another one besides, that need not be waited for.
+     */
+    private boolean isBorne(Place place) throws InterruptedException {
+        if (mService.engine().isEmpty() || !crowded().contains(place.lease().id())) {
+            return true;
+        }
+        Thread.sleep(SPREAD);
+        return mParts.loads().bears(place.run().get(), mService.engine().get().memoryTokens());
+    }
+
+    /** Tells all instances that this answer is made at an engine. */
+    private EngineRun enter(Lease lease) {
+        EngineRun run = mRun.at(lease.id(), ++mPlacements);
+        mParts.loads().apply(run);
+        mParts.news().tell(run);
+        return run;
+    }
+
+    /** Tells all instances that an engine no longer makes this answer. */
+    void leave(Place place) {
+        place.run()
+                .ifPresent(
+                        run -> {
+                            mParts.loads().apply(run.end());
+                            mParts.news().tell(run.end());
+                        });
+    }
+
+    /** Notes how fast a whole stream was made. */
+    void streamed(long events, StreamTiming timing) {
+        double millis = timing.lastedMillis();
+        if (events >= FEWEST_EVENTS && millis > 0) {
+            int eventTokens = mService.engine().map(Service.Engine::eventTokens).orElse(1);
+            mParts.loads().observeSpeed((events - 1) * eventTokens / millis);
+        }
+    }
+
+    /**
+     * Returns the memory to reserve: where the runs of all are known, as much as lets the answer
+     * begin, since a reservation keeps memory from the others that is not used yet; else all that
+     * the answer is likely to take.
+     */
+    private int reservedTokens() {
+        return mParts.news().isComplete()
+                ? mPrompt.tokens() + Math.min(FIRST_TOKENS, mRun.mostTokens())
+                : mPrompt.tokens() + mParts.sizes().reserve(mPrompt);
+    }
+
+    private UpstreamBook.Need answerNeed(boolean again, Set<String> crowded) {
         double work =
                 mPrompt.tokens() / StagePolicy.WHOLE_TOKENS_PER_MILLI + StagePolicy.ANSWER_MILLIS;
-        return new UpstreamBook.Need(mService, Stage.DECODE, work, ZONE_MILLIS, again);
+        return new UpstreamBook.Need(
+                mService.name(), Stage.DECODE, work, ZONE_MILLIS, again, crowded);
     }
 
     private Optional<String> reserve(Lease lease) {
         HttpHead head = mParts.protocol().reserve(lease.id());
-        byte[] body = mParts.protocol().reservation(mNeededTokens, RESERVATION_MILLIS);
+        int tokens = reservedTokens();
+        byte[] body = mParts.protocol().reservation(tokens, RESERVATION_MILLIS);
         try (HttpCall call =
                         mParts.connections()
                                 .call(lease.peer(), Step.ADMIT, head, body, RESERVE_TIMEOUT);
@@ -130,7 +221,7 @@
             if (response.getResponseCode() != SUCCESS) {
                 LOG.debug(
                         "%s: %d tokens not reserved at %s: status %d",
-                        mRequest.id(), mNeededTokens, lease.id(), response.getResponseCode());
+                        mRequest.id(), tokens, lease.id(), response.getResponseCode());
                 return Optional.empty();
             }
             return Optional.of(mParts.protocol().reserved(answer));
@@ -157,7 +248,8 @@
 
     private UpstreamBook.Need prefillNeed() {
         double work = mPrompt.tokens() / StagePolicy.PREFILL_TOKENS_PER_MILLI;
-        return new UpstreamBook.Need(mService, Stage.PREFILL, work, ZONE_MILLIS, true);
+        return new UpstreamBook.Need(
+                mService.name(), Stage.PREFILL, work, ZONE_MILLIS, true, Set.of());
     }
 
     private StagePolicy.Choice choice() {
@@ -194,7 +286,7 @@
 
     private boolean takeExtra() {
         return mParts.extras()
-                .take(mService, mParts.entries().getAsInt(), mParts.clock().nanoTime());
+                .take(mService.name(), mParts.entries().getAsInt(), mParts.clock().nanoTime());
     }
 
     private Optional<PromptSource> readPrompt(Lease lease) {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -11,6 +11,9 @@
 import java.util.function.IntSupplier;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.http.HttpConnections;
+import org.orchidmount.load.EngineLoads;
+import org.orchidmount.load.RunNews;
+import org.orchidmount.routes.Service;
 import org.orchidmount.upstream.CancelSignal;
 
 /** Carries requests to upstreams. Thread-safe. */
@@ -31,6 +34,8 @@
      *
      * @param book the upstreams
      * @param limit the limit on attempts
+     * @param loads the answers that engines are making
+     * @param news tells the other instances of them
      * @param entries how many instances share the limit
      * @param connections connections to upstreams
      * @param protocol what upstreams speak
@@ -39,6 +44,8 @@
     public Relay(
             UpstreamBook book,
             RetryLimit limit,
+            EngineLoads loads,
+            RunNews news,
             IntSupplier entries,
             HttpConnections connections,
             UpstreamProtocol protocol,
@@ -48,6 +55,8 @@
                         book,
                         new ExtraAttempts(limit),
                         new AnswerSizes(),
+                        loads,
+                        news,
                         entries,
                         connections,
                         protocol,
@@ -58,14 +67,15 @@
      * Serves a request to its end.
      *
      * @param request the request
-     * @param service the service chosen for it
+     * @param service the service chosen for it, one of the route's
      * @param answer the caller's side
      * @param cancel told when the caller goes
      * @throws IOException if the caller has gone
      * @throws TimeoutException if the caller reads too slowly
      * @throws InterruptedException if the thread is interrupted
      */
-    public void serve(RelayRequest request, String service, RelayAnswer answer, CancelSignal cancel)
+    public void serve(
+            RelayRequest request, Service service, RelayAnswer answer, CancelSignal cancel)
             throws IOException, TimeoutException, InterruptedException {
         new RelayRun(mParts, request, service, answer, cancel).run();
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayParts.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayParts.java
@@ -8,6 +8,8 @@
 import java.util.function.IntSupplier;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.http.HttpConnections;
+import org.orchidmount.load.EngineLoads;
+import org.orchidmount.load.RunNews;
 
 /**
  * What all requests share.
@@ -24,6 +26,8 @@
         UpstreamBook book,
         ExtraAttempts extras,
         AnswerSizes sizes,
+        EngineLoads loads,
+        RunNews news,
         IntSupplier entries,
         HttpConnections connections,
         UpstreamProtocol protocol,
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
@@ -26,6 +26,7 @@
 import org.orchidmount.relay.RelayAnswer.Ending;
 import org.orchidmount.routes.RequestKind;
 import org.orchidmount.routes.Route;
+import org.orchidmount.routes.Service;
 import org.orchidmount.upstream.CancelSignal;
 
 /**
@@ -86,14 +87,14 @@
     RelayRun(
             RelayParts parts,
             RelayRequest request,
-            String service,
+            Service service,
             RelayAnswer answer,
             CancelSignal cancel) {
         mParts = parts;
         mArrivedNanos = parts.clock().nanoTime();
         mRequest = request;
         mRoute = request.route();
-        mService = service;
+        mService = service.name();
         mAnswer = answer;
         mCancel = cancel;
         mEngines =
@@ -115,6 +116,7 @@
             try {
                 attempted = attempt(place.get());
             } finally {
+                mEngines.ifPresent(engines -> engines.leave(place.get()));
                 mParts.book().release(lease);
             }
             if (attempted == Attempted.ENDED) {
@@ -186,10 +188,11 @@
             return mEngines.get().place(mTried);
         }
         UpstreamBook.Need need =
-                new UpstreamBook.Need(mService, Stage.NONE, PLAIN_MILLIS, PLAIN_ZONE_MILLIS, true);
+                new UpstreamBook.Need(
+                        mService, Stage.NONE, PLAIN_MILLIS, PLAIN_ZONE_MILLIS, true, Set.of());
         return mParts.book()
                 .lease(need, mTried)
-                .map(lease -> new EnginePath.Place(lease, Optional.empty()));
+                .map(lease -> new EnginePath.Place(lease, Optional.empty(), Optional.empty()));
     }
 
     // ---- one attempt
@@ -325,21 +328,14 @@
             mStream = new StreamForward(mAnswer, status, headers);
         }
         mStream.upstreamBegins();
-        boolean first = true;
-        long firstMillis = 0;
-        long mostPauseMillis = 0;
-        long beforeNanos = mParts.clock().nanoTime();
+        long before = mStream.last();
+        StreamTiming timing = new StreamTiming(mParts.clock(), mArrivedNanos);
         for (byte[] part = call.read(bodyTimeout());
                 part != null;
                 part = call.read(bodyTimeout())) {
-            long nowNanos = mParts.clock().nanoTime();
-            mostPauseMillis =
-                    Math.max(mostPauseMillis, first ? 0 : (nowNanos - beforeNanos) / 1_000_000);
-            beforeNanos = nowNanos;
+            boolean first = timing.part();
             mStream.part(part);
             if (first) {
-                first = false;
-                firstMillis = (nowNanos - mArrivedNanos) / 1_000_000;
                 mParts.book().answered(lease);
                 mParts.book().succeeded(lease);
             }
@@ -350,17 +346,18 @@
             return Attempted.MAY_HAVE_RUN;
         }
         mStream.end();
+        long events = mStream.last() - before;
+        mEngines.ifPresent(engines -> engines.streamed(events, timing));
         LOG.debug(
-                "%s: %s, first after %d ms, longest pause %d ms, %d events from %s, prompt %s, took"
-                        + " %d ms",
+                "%s: first after %d ms, longest pause %d ms, %d events from %s in %.0f ms, prompt"
+                        + " %s",
                 mRequest.id(),
-                firstMillis > 880 || mostPauseMillis > 290 ? "LATE" : "in time",
-                firstMillis,
-                mostPauseMillis,
+                timing.firstMillis(),
+                timing.mostPauseMillis(),
                 mStream.last(),
                 lease.id(),
-                mRequest.prompt(),
-                (mParts.clock().nanoTime() - lease.sinceNanos()) / 1_000_000);
+                timing.lastedMillis(),
+                mRequest.prompt());
         return Attempted.ENDED;
     }
 }
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/StreamTiming.java
@@ -0,0 +1,58 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.relay;
+
+import org.orchidmount.clock.MonotonicClock;
+
+/** When the parts of one stream came. Used by one thread. */
+final class StreamTiming {
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final MonotonicClock mClock;
+    private final long mArrivedNanos;
+    private long mFirstNanos;
+    private long mNewestNanos;
+    private long mMostPauseNanos;
+    private int mParts;
+
+    /**
+     * Starts to measure.
+     *
+     * @param clock the clock
+     * @param arrivedNanos when the request arrived
+     */
+    StreamTiming(MonotonicClock clock, long arrivedNanos) {
+        mClock = clock;
+        mArrivedNanos = arrivedNanos;
+    }
+
+    /** Notes a part; returns true if it is the first. */
+    boolean part() {
+        long nowNanos = mClock.nanoTime();
+        boolean first = mParts == 0;
+        if (first) {
+            mFirstNanos = nowNanos;
+        } else {
+            mMostPauseNanos = Math.max(mMostPauseNanos, nowNanos - mNewestNanos);
+        }
+        mNewestNanos = nowNanos;
+        mParts++;
+        return first;
+    }
+
+    long firstMillis() {
+        return Math.round((mFirstNanos - mArrivedNanos) / NANOS_PER_MILLI);
+    }
+
+    long mostPauseMillis() {
+        return Math.round(mMostPauseNanos / NANOS_PER_MILLI);
+    }
+
+    /** Returns the time between the first part and the newest. */
+    double lastedMillis() {
+        return (mNewestNanos - mFirstNanos) / NANOS_PER_MILLI;
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamBook.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamBook.java
@@ -112,6 +112,7 @@
             boolean holdsAddress =
                     registration.id().equals(mIdByAddress.get(registration.address()));
             if (upstream.isReady()
+                    && !need.excluded().contains(registration.id())
                     && holdsAddress
                     && registration.service().equals(need.service())
                     && registration.stage() == need.stage()) {
@@ -197,11 +198,13 @@
      * @param workMillis the work expected of it
      * @param zonePenaltyMillis what another zone is counted as
      * @param again whether an avoided upstream may be taken
+     * @param excluded identities that are never taken
      */
     record Need(
             String service,
             Stage stage,
             double workMillis,
             double zonePenaltyMillis,
-            boolean again) {}
+            boolean again,
+            Set<String> excluded) {}
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/routes/Service.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routes/Service.java
@@ -22,6 +22,7 @@
      * @param slots the requests that run at once
      * @param memoryTokens the tokens that fit into memory
      * @param handleLife how long the result of a prefill is kept
+     * @param eventTokens the tokens that one event of a stream holds
      */
-    public record Engine(int slots, long memoryTokens, Duration handleLife) {}
+    public record Engine(int slots, long memoryTokens, Duration handleLife, int eventTokens) {}
 }
