Share what prefill engines have to read, and keep engines with the answers

Now the share (0.22 by the work of both parts) is rounded down. Cause 2: each entry knew only its own prompts at a prefill engine, an eighth of them; and a prefill engine that was full a moment ago was taken for lost, so prompts were read whole by answering engines, whose streams then paused. Now readings are told like answers, and a full engine counts as slow for 60 ms. Cause 3: a request that came back after a refusal was refused again as early as a new one. It is told by the caller's shorter wait and waits 0.7 of its target.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StagePlanTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StagePlanTest.java
@@ -37,6 +37,13 @@
         assertThat(mPlan.next(engines(1, 1))).isEmpty();
     }
 
+    @Test
+    void theLossOfAnEngineDoesNotTakeAnotherOneFromTheAnswers() {
+        assertThat(mPlan.next(engines(1, 4))).isEmpty();
+        assertThat(mPlan.next(engines(1, 3))).isEmpty();
+        assertThat(mPlan.next(engines(0, 5)).get().stage()).isEqualTo(Stage.PREFILL);
+    }
+
     @Test
     void plainServicesAreNoEngines() {
         List<Registration> plain = new ArrayList<>();
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamBookTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamBookTest.java
@@ -21,7 +21,7 @@
 /** Tests {@code UpstreamBook}. */
 final class UpstreamBookTest {
     private static final UpstreamBook.Need NEED =
-            new UpstreamBook.Need("s", Stage.NONE, 70, 15, true, Set.of());
+            new UpstreamBook.Need("s", Stage.NONE, 70, 15, true, Set.of(), UpstreamBook.Queue.OWN);
 
     private final ManualClock mClock = new ManualClock();
     private final UpstreamBook mBook = new UpstreamBook("a", mClock, new SplittableRandom(3));
@@ -67,6 +67,29 @@
         assertThat(mBook.lease(NEED, Set.of()).get().id()).isEqualTo("i-a");
     }
 
+    @Test
+    void aFullEngineIsWaitedForAndNotTakenForLost() {
+        mBook.apply(ready("i-a", "a", 1));
+        Lease lease = mBook.lease(NEED, Set.of()).get();
+        mBook.full(lease);
+        mBook.release(lease);
+        assertThat(StagePolicy.choose(mBook.estimate(NEED), 900))
+                .isEqualTo(StagePolicy.Choice.REFUSE);
+        mClock.advance(Duration.ofSeconds(1));
+        assertThat(StagePolicy.choose(mBook.estimate(NEED), 900))
+                .isEqualTo(StagePolicy.Choice.SPLIT);
+    }
+
+    @Test
+    void whatOthersHaveGivenToAnUpstreamCounts() {
+        mBook.apply(ready("i-a", "a", 1));
+        mBook.apply(ready("i-b", "b", 2));
+        UpstreamBook.Queue queue = (id, ownMillis) -> id.equals("i-a") ? 400 : ownMillis;
+        UpstreamBook.Need need =
+                new UpstreamBook.Need("s", Stage.NONE, 70, 15, true, Set.of(), queue);
+        assertThat(mBook.lease(need, Set.of()).get().id()).isEqualTo("i-b");
+    }
+
     @Test
     void anotherUpstreamAtTheAddressMeansThatThisOneIsGone() {
         mBook.apply(ready("i-a", "a", 1));
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/StagePlan.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/StagePlan.java
@@ -26,6 +26,9 @@
     private static final int FEWEST_ENGINES = 3;
     private static final int ENGINES_FOR_SPARE = 6;
 
+    /** Rounds down, but for a share that is nearly whole: answers run out of engines first. */
+    private static final double ROUNDING = 0.25;
+
     private final double mPrefillShare;
 
     /**
@@ -86,7 +89,8 @@
 
     private long target(int engines) {
         int least = engines >= ENGINES_FOR_SPARE ? 2 : 1;
-        return Math.clamp(Math.round(engines * mPrefillShare), least, Math.max(1, engines - 1));
+        long share = (long) (engines * mPrefillShare + ROUNDING);
+        return Math.clamp(share, least, Math.max(1, engines - 1));
     }
 
     /** Prefers zones that have few engines of the new stage. */
--- a/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.lock.LockRank;
 import org.orchidmount.internal.lock.OrderedLock;
@@ -107,6 +108,41 @@
         }
     }
 
+    /**
+     * Tells how much an engine has yet to read.
+     *
+     * @param upstreamId its identity
+     * @return the tokens of all prompts that it was given to read and has not
+     */
+    public int queuedTokens(String upstreamId) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            return running(upstreamId)
+                    .filter(held -> held.run().isReading())
+                    .mapToInt(held -> held.run().promptTokens())
+                    .sum();
+        }
+    }
+
+    /**
+     * Estimates how much memory the answers of an engine take now.
+     *
+     * @param upstreamId its identity
+     * @return tokens
+     */
+    public double heldTokens(String upstreamId) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            long nowNanos = mClock.nanoTime();
+            return running(upstreamId)
+                    .mapToDouble(held -> held.run().promptTokens() + madeTokens(held, nowNanos))
+                    .sum();
+        }
+    }
+
+    private Stream<Held> running(String upstreamId) {
+        return mRuns.getOrDefault(upstreamId, Map.of()).values().stream()
+                .filter(held -> !held.run().ended());
+    }
+
     /**
      * Tells whether an engine bears a run that was just told of, where several instances may have
      * chosen the engine at the same moment: of those that began together the ones with the lower
--- a/org.orchidmount/src/main/java/org/orchidmount/load/EngineRun.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineRun.java
@@ -8,7 +8,8 @@
 import java.time.Duration;
 
 /**
- * One answer that an engine makes, as the instance that placed it tells the others. Immutable.
+ * One answer that an engine makes, or one prompt that it reads, as the instance that placed it
+ * tells the others. Immutable.
  *
  * @param upstreamId the engine
  * @param requestId the request and which of its placements this is
@@ -26,6 +27,26 @@
         int mostTokens,
         Duration age,
         boolean ended) {
+    /**
+     * Describes the reading of a prompt.
+     *
+     * @param requestId the request
+     * @param promptTokens its tokens
+     * @return the run, not yet placed
+     */
+    public static EngineRun reading(String requestId, int promptTokens) {
+        return new EngineRun("", requestId, promptTokens, 0, 0, Duration.ZERO, false);
+    }
+
+    /**
+     * Tells whether only the prompt is read.
+     *
+     * @return true if nothing is made
+     */
+    public boolean isReading() {
+        return mostTokens == 0;
+    }
+
     /**
      * Returns the news that the engine no longer works on the request.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
@@ -38,9 +38,14 @@
     private static final int SUCCESS = 200;
     private static final int MOST_BODY_BYTES = 64 * 1024;
     private static final double ZONE_MILLIS = 30;
+
+    /** What a full engine is counted as. */
+    private static final double FULL_MILLIS = 300;
+
     private static final long RESERVATION_MILLIS = 1_800;
     private static final Duration RESERVE_TIMEOUT = Duration.ofMillis(300);
     private static final Duration GIVE_BACK_TIMEOUT = Duration.ofMillis(500);
+    private static final int RETURNING_PERCENT = 70;
     private static final Duration POLL = Duration.ofMillis(45);
 
     /** How long news of a run takes to all instances. */
@@ -61,6 +66,7 @@
     private final Service mService;
     private final CancelSignal mCancel;
     private final EngineRun mRun;
+    private final Duration mPatience;
     private int mPlacements;
     private int mPrefills;
     private Optional<PromptSource> mSource = Optional.empty();
@@ -97,17 +103,25 @@
                         most,
                         Duration.ZERO,
                         false);
+        mPatience = waitsForMemory();
+    }
+
+    /**
+     * Returns how long to wait for memory. A new request is refused early enough to be in time when
+     * it comes back; one that has come back is not sent away again while there is hope.
+     */
+    private Duration waitsForMemory() {
+        Duration waits = Duration.ofNanos(mRequest.callerEndNanos() - mParts.clock().nanoTime());
+        if (mParts.returning().isReturning(mRequest.route().name(), waits)) {
+            return mRequest.route().target().multipliedBy(RETURNING_PERCENT).dividedBy(100);
+        }
+        double share = mParts.sizes().patience(mRun.promptTokens() + mRun.expectedTokens());
+        return Duration.ofNanos((long) (share * mRequest.route().target().toNanos()));
     }
 
     /** Reserves memory at an engine, waiting shortly for one that has it. */
     Optional<Place> place(Set<String> avoided) throws InterruptedException {
-        long untilNanos =
-                mParts.clock().nanoTime()
-                        + (long)
-                                (mParts.sizes()
-                                                .patience(
-                                                        mRun.promptTokens() + mRun.expectedTokens())
-                                        * mRequest.route().target().toNanos());
+        long untilNanos = mParts.clock().nanoTime() + mPatience.toNanos();
         while (!mCancel.isCancelled()) {
             boolean read = choice() != StagePolicy.Choice.REFUSE;
             Optional<Place> place = read ? placeNow(avoided) : Optional.empty();
@@ -132,7 +146,8 @@
             }
             Optional<String> reservation = reserve(lease.get());
             if (reservation.isPresent()) {
-                Place place = new Place(lease.get(), reservation, Optional.of(enter(lease.get())));
+                Place place =
+                        new Place(lease.get(), reservation, Optional.of(enter(mRun, lease.get())));
                 if (isBorne(place)) {
                     return Optional.of(place);
                 }
@@ -162,9 +177,9 @@
         return mParts.loads().bears(place.run().get(), mService.engine().get().memoryTokens());
     }
 
-    /** Tells all instances that this answer is made at an engine. */
-    private EngineRun enter(Lease lease) {
-        EngineRun run = mRun.at(lease.id(), ++mPlacements);
+    /** Tells all instances what an engine works on for this request. */
+    private EngineRun enter(EngineRun unplaced, Lease lease) {
+        EngineRun run = unplaced.at(lease.id(), ++mPlacements);
         mParts.loads().apply(run);
         mParts.news().tell(run);
         return run;
@@ -172,12 +187,12 @@
 
     /** Tells all instances that an engine no longer makes this answer. */
     void leave(Place place) {
-        place.run()
-                .ifPresent(
-                        run -> {
-                            mParts.loads().apply(run.end());
-                            mParts.news().tell(run.end());
-                        });
+        place.run().ifPresent(this::leave);
+    }
+
+    private void leave(EngineRun run) {
+        mParts.loads().apply(run.end());
+        mParts.news().tell(run.end());
     }
 
     /** Notes how fast a whole stream was made. */
@@ -204,7 +219,7 @@
         double work =
                 mPrompt.tokens() / StagePolicy.WHOLE_TOKENS_PER_MILLI + StagePolicy.ANSWER_MILLIS;
         return new UpstreamBook.Need(
-                mService.name(), Stage.DECODE, work, ZONE_MILLIS, again, crowded);
+                mService.name(), Stage.DECODE, work, ZONE_MILLIS, again, crowded, this::balance);
     }
 
     private Optional<String> reserve(Lease lease) {
@@ -249,7 +264,27 @@
     private UpstreamBook.Need prefillNeed() {
         double work = mPrompt.tokens() / StagePolicy.PREFILL_TOKENS_PER_MILLI;
         return new UpstreamBook.Need(
-                mService.name(), Stage.PREFILL, work, ZONE_MILLIS, true, Set.of());
+                mService.name(),
+                Stage.PREFILL,
+                work,
+                ZONE_MILLIS,
+                true,
+                Set.of(),
+                this::readingMillis);
+    }
+
+    /** Counts what all instances have given an engine to read. */
+    private double readingMillis(String upstreamId, double ownMillis) {
+        double allMillis =
+                mParts.loads().queuedTokens(upstreamId) / StagePolicy.PREFILL_TOKENS_PER_MILLI;
+        return Math.max(ownMillis, allMillis);
+    }
+
+    /** Prefers engines whose memory is less full. */
+    private double balance(String upstreamId, double ownMillis) {
+        double memory = mService.engine().map(Service.Engine::memoryTokens).orElse(0L);
+        double fill = memory > 0 ? mParts.loads().heldTokens(upstreamId) / memory : 0;
+        return ownMillis + FULL_MILLIS * fill;
     }
 
     private StagePolicy.Choice choice() {
@@ -275,11 +310,14 @@
             return Optional.empty();
         }
         mPrefills++;
+        EngineRun reading = EngineRun.reading(mRequest.id(), mPrompt.tokens());
+        EngineRun run = enter(reading, lease.get());
         try {
             mSource = readPrompt(lease.get());
             mReadNanos = mParts.clock().nanoTime();
             return mSource;
         } finally {
+            leave(run);
             mParts.book().release(lease.get());
         }
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -55,6 +55,7 @@
                         book,
                         new ExtraAttempts(limit),
                         new AnswerSizes(),
+                        new ReturningRequests(),
                         loads,
                         news,
                         entries,
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayParts.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayParts.java
@@ -26,6 +26,7 @@
         UpstreamBook book,
         ExtraAttempts extras,
         AnswerSizes sizes,
+        ReturningRequests returning,
         EngineLoads loads,
         RunNews news,
         IntSupplier entries,
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
@@ -189,7 +189,13 @@
         }
         UpstreamBook.Need need =
                 new UpstreamBook.Need(
-                        mService, Stage.NONE, PLAIN_MILLIS, PLAIN_ZONE_MILLIS, true, Set.of());
+                        mService,
+                        Stage.NONE,
+                        PLAIN_MILLIS,
+                        PLAIN_ZONE_MILLIS,
+                        true,
+                        Set.of(),
+                        UpstreamBook.Queue.OWN);
         return mParts.book()
                 .lease(need, mTried)
                 .map(lease -> new EnginePath.Place(lease, Optional.empty(), Optional.empty()));
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -18,6 +18,9 @@
     private static final double SLOWNESS_WEIGHT = 0.3;
     private static final double FAILURE_MILLIS = 600;
 
+    /** What is added for an upstream that was full a moment ago. */
+    private static final double FULL_MILLIS = 1_000;
+
     /** What is added for an upstream that is avoided. */
     static final double AVOIDED_MILLIS = 100_000;
 
@@ -39,6 +42,8 @@
     private int mFailuresInRow;
     private long mAvoidUntilNanos;
     private boolean mAvoided;
+    private boolean mFull;
+    private long mFullUntilNanos;
 
     Upstream(Registration registration) {
         mRegistration = registration;
@@ -70,13 +75,17 @@
     }
 
     /** Estimates when a piece of work would be done; an avoided upstream comes last. */
-    double expectedMillis(double workMillis, long nowNanos) {
+    double expectedMillis(double workMillis, UpstreamBook.Queue queue, long nowNanos) {
         int slots = Math.max(1, mRegistration.slots());
         boolean serial = mRegistration.stage() != Registration.Stage.NONE;
-        double queueMillis = serial ? mPendingMillis : mPendingMillis / slots;
+        double pendingMillis = queue.millis(mRegistration.id(), mPendingMillis);
+        double queueMillis = serial ? pendingMillis : pendingMillis / slots;
         double slowness = slowness(nowNanos);
         double failures = mFailureShare * faded(nowNanos - mFailedNanos, FAILURE_HALF_LIFE_NANOS);
         double millis = (queueMillis + workMillis) * slowness + failures * FAILURE_MILLIS;
+        if (mFull && nowNanos - mFullUntilNanos < 0) {
+            millis += FULL_MILLIS;
+        }
         boolean avoided = mAvoided && nowNanos - mAvoidUntilNanos < 0;
         return avoided ? millis + AVOIDED_MILLIS : millis;
     }
@@ -118,8 +127,10 @@
         failed(nowNanos);
     }
 
+    /** Notes that the upstream has no room: it is well, and has room again before long. */
     void full(long nowNanos) {
-        avoid(nowNanos, FULL_NANOS);
+        mFull = true;
+        mFullUntilNanos = nowNanos + FULL_NANOS;
     }
 
     private void avoid(long nowNanos, long nanos) {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamBook.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamBook.java
@@ -125,7 +125,7 @@
     private double expectedMillis(Upstream upstream, Need need, long nowNanos) {
         boolean sameZone = upstream.registration().zone().equals(mZone);
         double spread = mRandom.nextDouble() * need.workMillis() * Upstream.TIE_SHARE;
-        return upstream.expectedMillis(need.workMillis(), nowNanos)
+        return upstream.expectedMillis(need.workMillis(), need.queue(), nowNanos)
                 + (sameZone ? 0 : need.zonePenaltyMillis())
                 + spread;
     }
@@ -140,7 +140,10 @@
         try (OrderedLock.Held _ = mLock.hold()) {
             long nowNanos = mClock.nanoTime();
             return candidates(need, Set.of()).stream()
-                    .map(upstream -> upstream.expectedMillis(need.workMillis(), nowNanos))
+                    .map(
+                            upstream ->
+                                    upstream.expectedMillis(
+                                            need.workMillis(), need.queue(), nowNanos))
                     .min(Double::compare);
         }
     }
@@ -199,6 +202,7 @@
      * @param zonePenaltyMillis what another zone is counted as
      * @param again whether an avoided upstream may be taken
      * @param excluded identities that are never taken
+     * @param queue what else an upstream has to do
      */
     record Need(
             String service,
@@ -206,5 +210,22 @@
             double workMillis,
             double zonePenaltyMillis,
             boolean again,
-            Set<String> excluded) {}
+            Set<String> excluded,
+            Queue queue) {}
+
+    /** Tells what an upstream has to do before it begins with more. Thread-safe. */
+    @FunctionalInterface
+    interface Queue {
+        /** Knows no more than this instance's own work. */
+        Queue OWN = (upstreamId, ownMillis) -> ownMillis;
+
+        /**
+         * Estimates the work.
+         *
+         * @param upstreamId the upstream
+         * @param ownMillis the work that this instance has given it
+         * @return milliseconds
+         */
+        double millis(String upstreamId, double ownMillis);
+    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -17,7 +17,7 @@
  */
 public final class SiteSettingsReader {
     private static final double MILLIS = 1_000;
-    private static final double DEFAULT_PREFILL_SHARE = 0.33;
+    private static final double DEFAULT_PREFILL_SHARE = 0.22;
     private static final double LONGEST_STOP_SECONDS = 3_600;
 
     private SiteSettingsReader() {}
