Read prompts whole at idle engines while prefill engines are busy

Change: where the prefill engines have more to read than 0.6 of the target, an answering engine reads the prompt if less than half of its memory is taken, it reads nothing else and the reading is shorter than the longest harmless pause.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/routes/RouteTableTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/routes/RouteTableTest.java
@@ -50,6 +50,7 @@
                         false,
                         Duration.ofSeconds(1),
                         Duration.ofSeconds(1),
+                        Duration.ofSeconds(1),
                         0,
                         1,
                         List.of(
@@ -81,6 +82,7 @@
                 false,
                 Duration.ofMillis(timeoutMillis),
                 Duration.ofMillis(timeoutMillis),
+                Duration.ofMillis(timeoutMillis),
                 0,
                 1,
                 List.of(new Route.Destination(service, weight)));
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
@@ -78,8 +78,18 @@
      * @param lease the place in this instance's book
      * @param reservation the memory reserved at the upstream, if any
      * @param run what the instances were told of it, if anything
+     * @param reading that the engine also reads the prompt, if it does
      */
-    record Place(Lease lease, Optional<String> reservation, Optional<EngineRun> run) {}
+    record Place(
+            Lease lease,
+            Optional<String> reservation,
+            Optional<EngineRun> run,
+            Optional<EngineRun> reading) {
+        /** Returns a place at an upstream of which nothing is reserved or told. */
+        static Place ofPlainService(Lease lease) {
+            return new Place(lease, Optional.empty(), Optional.empty(), Optional.empty());
+        }
+    }
 
     EnginePath(
             RelayParts parts,
@@ -123,8 +133,7 @@
     Optional<Place> place(Set<String> avoided) throws InterruptedException {
         long untilNanos = mParts.clock().nanoTime() + mPatience.toNanos();
         while (!mCancel.isCancelled()) {
-            boolean read = choice() != StagePolicy.Choice.REFUSE;
-            Optional<Place> place = read ? placeNow(avoided) : Optional.empty();
+            Optional<Place> place = placeNow(avoided, choice());
             long nowNanos = mParts.clock().nanoTime();
             if (place.isPresent() || nowNanos - untilNanos > 0) {
                 return place;
@@ -134,8 +143,12 @@
         return Optional.empty();
     }
 
-    private Optional<Place> placeNow(Set<String> avoided) throws InterruptedException {
+    private Optional<Place> placeNow(Set<String> avoided, StagePolicy.Choice choice)
+            throws InterruptedException {
         Set<String> crowded = crowded();
+        if (choice == StagePolicy.Choice.WHOLE_IF_IDLE) {
+            crowded.addAll(mParts.book().others(mService.name(), Stage.DECODE, this::isIdle));
+        }
         Set<String> refused = new HashSet<>(avoided);
         while (true) {
             boolean first = refused.size() == avoided.size();
@@ -146,8 +159,7 @@
             }
             Optional<String> reservation = reserve(lease.get());
             if (reservation.isPresent()) {
-                Place place =
-                        new Place(lease.get(), reservation, Optional.of(enter(mRun, lease.get())));
+                Place place = placed(lease.get(), reservation, choice);
                 if (isBorne(place)) {
                     return Optional.of(place);
                 }
@@ -158,11 +170,28 @@
         }
     }
 
+    private Place placed(Lease lease, Optional<String> reservation, StagePolicy.Choice choice) {
+        Optional<EngineRun> reading = Optional.empty();
+        if (choice != StagePolicy.Choice.SPLIT) {
+            EngineRun prompt = EngineRun.reading(mRequest.id(), mPrompt.tokens());
+            reading = Optional.of(enter(prompt, lease));
+        }
+        return new Place(lease, reservation, Optional.of(enter(mRun, lease)), reading);
+    }
+
+    private boolean isIdle(String upstreamId) {
+        return StagePolicy.isIdle(
+                mPrompt.tokens(),
+                memoryShare(upstreamId),
+                mParts.loads().queuedTokens(upstreamId),
+                mRequest.route().longestPause().toMillis());
+    }
+
     /** Engines whose memory would run out with this answer. */
     private Set<String> crowded() {
         return mService.engine()
                 .map(engine -> mParts.loads().crowded(mRun, engine.memoryTokens()))
-                .orElseGet(Set::of);
+                .orElseGet(HashSet::new);
     }
 
     /**
@@ -188,6 +217,12 @@
     /** Tells all instances that an engine no longer makes this answer. */
     void leave(Place place) {
         place.run().ifPresent(this::leave);
+        began(place);
+    }
+
+    /** Notes that the engine has read the prompt, if it had to. */
+    void began(Place place) {
+        place.reading().ifPresent(this::leave);
     }
 
     private void leave(EngineRun run) {
@@ -280,11 +315,16 @@
         return Math.max(ownMillis, allMillis);
     }
 
-    /** Prefers engines whose memory is less full. */
+    /** Prefers engines whose memory is less full and that have less to read. */
     private double balance(String upstreamId, double ownMillis) {
+        double readMillis =
+                mParts.loads().queuedTokens(upstreamId) / StagePolicy.WHOLE_TOKENS_PER_MILLI;
+        return ownMillis + readMillis + FULL_MILLIS * memoryShare(upstreamId);
+    }
+
+    private double memoryShare(String upstreamId) {
         double memory = mService.engine().map(Service.Engine::memoryTokens).orElse(0L);
-        double fill = memory > 0 ? mParts.loads().heldTokens(upstreamId) / memory : 0;
-        return ownMillis + FULL_MILLIS * fill;
+        return memory > 0 ? mParts.loads().heldTokens(upstreamId) / memory : 0;
     }
 
     private StagePolicy.Choice choice() {
@@ -296,13 +336,13 @@
      * Has the prompt read by a prefill engine if there is one. What was read shortly before, and
      * was not taken, is used again.
      */
-    Optional<PromptSource> prefill() {
+    Optional<PromptSource> prefill(Place place) {
         if (mSource.isPresent() && mParts.clock().nanoTime() - mReadNanos < SOURCE_NANOS) {
             return mSource;
         }
         mSource = Optional.empty();
         boolean again = mPrefills > 0;
-        if (choice() == StagePolicy.Choice.WHOLE || again && !takeExtra()) {
+        if (place.reading().isPresent() || again && !takeExtra()) {
             return Optional.empty();
         }
         Optional<Lease> lease = mParts.book().lease(prefillNeed(), Set.of());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
@@ -196,16 +196,14 @@
                         true,
                         Set.of(),
                         UpstreamBook.Queue.OWN);
-        return mParts.book()
-                .lease(need, mTried)
-                .map(lease -> new EnginePath.Place(lease, Optional.empty(), Optional.empty()));
+        return mParts.book().lease(need, mTried).map(EnginePath.Place::ofPlainService);
     }
 
     // ---- one attempt
 
     private Attempted attempt(EnginePath.Place place)
             throws IOException, TimeoutException, InterruptedException {
-        Optional<PromptSource> source = mEngines.flatMap(EnginePath::prefill);
+        Optional<PromptSource> source = mEngines.flatMap(engines -> engines.prefill(place));
         Attempted attempted = call(place, source);
         if (attempted != Attempted.NOT_RUN && attempted != Attempted.NOT_REACHED) {
             mEngines.ifPresent(EnginePath::taken);
@@ -249,7 +247,7 @@
                     call.abort();
                     yield Attempted.MAY_HAVE_RUN;
                 }
-                case ANSWER -> answer(lease, call, response);
+                case ANSWER -> answer(place, call, response);
             };
         } catch (CallFailedException e) {
             return failed(lease, e.failure());
@@ -300,13 +298,14 @@
         return Attempted.MAY_HAVE_RUN;
     }
 
-    private Attempted answer(Lease lease, HttpCall call, ClientResponse response)
+    private Attempted answer(EnginePath.Place place, HttpCall call, ClientResponse response)
             throws CallFailedException, IOException, TimeoutException, InterruptedException {
+        Lease lease = place.lease();
         int status = response.getResponseCode();
         boolean success = status >= SUCCESS && status < REDIRECT;
         HeaderMap headers = mParts.protocol().answerHeaders(response);
         if (mRoute.kind() == RequestKind.STREAM && success) {
-            return stream(lease, call, status, headers);
+            return stream(place, call, status, headers);
         }
         byte[] body = call.readAll(bodyTimeout(), MOST_HELD_BYTES);
         if (status >= SERVER_ERROR) {
@@ -328,11 +327,12 @@
         return Duration.ofNanos(Math.max(1, leftNanos()));
     }
 
-    private Attempted stream(Lease lease, HttpCall call, int status, HeaderMap headers)
+    private Attempted stream(EnginePath.Place place, HttpCall call, int status, HeaderMap headers)
             throws CallFailedException, IOException, TimeoutException, InterruptedException {
         if (mStream == null) {
             mStream = new StreamForward(mAnswer, status, headers);
         }
+        Lease lease = place.lease();
         mStream.upstreamBegins();
         long before = mStream.last();
         StreamTiming timing = new StreamTiming(mParts.clock(), mArrivedNanos);
@@ -343,6 +343,7 @@
             mStream.part(part);
             if (first) {
                 mParts.book().answered(lease);
+                mEngines.ifPresent(engines -> engines.began(place));
                 mParts.book().succeeded(lease);
             }
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/StagePolicy.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/StagePolicy.java
@@ -12,7 +12,7 @@
  *
  * <p>An engine that answers reads prompts at half pace and between the tokens of others, whose
  * streams then pause too long. So prompts are read there only while no prefill engine can be had,
- * and a request that would wait too long for one is refused at once.
+ * or where those have too much to do and an answering engine has little.
  */
 final class StagePolicy {
     /** What a prefill engine reads in a millisecond, before its slowness is known. */
@@ -24,7 +24,13 @@
     /** The work of an answer besides its prompt. */
     static final double ANSWER_MILLIS = 40;
 
-    private static final double TARGET_SHARE = 0.9;
+    private static final double TARGET_SHARE = 0.6;
+
+    /** An engine with less of its memory taken has few streams that a reading holds up. */
+    private static final double IDLE_SHARE = 0.5;
+
+    /** The share of the longest pause of a stream that the reading of a prompt may take. */
+    private static final double PAUSE_SHARE = 0.8;
 
     private StagePolicy() {}
 
@@ -34,8 +40,8 @@
         SPLIT,
         /** The engine that answers reads it. */
         WHOLE,
-        /** It would be read too late. */
-        REFUSE
+        /** An engine that answers reads it if one has little to do; else it would be too late. */
+        WHOLE_IF_IDLE
     }
 
     /**
@@ -51,6 +57,25 @@
         if (none) {
             return Choice.WHOLE;
         }
-        return prefillMillis.get() > TARGET_SHARE * targetMillis ? Choice.REFUSE : Choice.SPLIT;
+        return prefillMillis.get() > TARGET_SHARE * targetMillis
+                ? Choice.WHOLE_IF_IDLE
+                : Choice.SPLIT;
+    }
+
+    /**
+     * Tells whether an answering engine may read a prompt while the prefill engines are busy.
+     *
+     * @param promptTokens the tokens of the prompt
+     * @param memoryShare the share of the engine's memory that answers take
+     * @param readingTokens what it is reading already
+     * @param longestPauseMillis the longest pause of a stream that does no harm
+     * @return true if it holds up few streams, and those not for too long
+     */
+    static boolean isIdle(
+            int promptTokens, double memoryShare, int readingTokens, double longestPauseMillis) {
+        double readMillis = promptTokens / WHOLE_TOKENS_PER_MILLI;
+        return memoryShare < IDLE_SHARE
+                && readingTokens == 0
+                && readMillis < PAUSE_SHARE * longestPauseMillis;
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamBook.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamBook.java
@@ -11,7 +11,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.lock.LockRank;
 import org.orchidmount.internal.lock.OrderedLock;
@@ -104,6 +106,26 @@
         }
     }
 
+    /**
+     * Names the upstreams of a service that are not fit for something.
+     *
+     * @param service the service
+     * @param stage their stage
+     * @param isFit tells which are
+     * @return the identities of the others
+     */
+    Set<String> others(String service, Stage stage, Predicate<String> isFit) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            return mUpstreams.values().stream()
+                    .map(Upstream::registration)
+                    .filter(registration -> registration.service().equals(service))
+                    .filter(registration -> registration.stage() == stage)
+                    .map(Registration::id)
+                    .filter(isFit.negate())
+                    .collect(Collectors.toSet());
+        }
+    }
+
     private List<Upstream> candidates(Need need, Set<String> avoided) {
         List<Upstream> fresh = new ArrayList<>();
         List<Upstream> tried = new ArrayList<>();
--- a/org.orchidmount/src/main/java/org/orchidmount/routes/Route.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routes/Route.java
@@ -18,6 +18,7 @@
  * @param resumable whether a stream may be taken up at another upstream
  * @param timeout the longest time that a request is held
  * @param target the time within which an answer is of full use
+ * @param longestPause the longest pause between events that does no harm
  * @param priority the rank, 0 being the most urgent
  * @param maxAttempts the most upstreams that one request is handed to
  * @param destinations the services that take the requests, by weight
@@ -30,6 +31,7 @@
         boolean resumable,
         Duration timeout,
         Duration target,
+        Duration longestPause,
         int priority,
         int maxAttempts,
         List<Destination> destinations) {
