Do not take waiting behind others for slowness

An engine's slowness was the time a call took against its own work; now that the queue of all is known and added, waiting counted twice, the prefill engine looked ever slower, and requests were refused while it had little to do. Change: a lease keeps when an engine of ordinary speed would be done with all that is queued, and slowness is measured against that. Tests that failed first: UpstreamBookTest.waitingBehindOthersIsNotSlowness, PathTest (4 calls instead of 1).

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamBookTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamBookTest.java
@@ -82,6 +82,22 @@
                 .isEqualTo(StagePolicy.Choice.SPLIT);
     }
 
+    @Test
+    void waitingBehindOthersIsNotSlowness() {
+        mBook.apply(ready("i-a", "a", 1));
+        UpstreamBook.Queue queue = (id, ownMillis) -> 630;
+        UpstreamBook.Need queued =
+                new UpstreamBook.Need("s", Stage.PREFILL, 70, 15, true, Set.of(), queue);
+        mBook.apply(engine("i-p"));
+        for (int i = 0; i < 20; i++) {
+            Lease lease = mBook.lease(queued, Set.of()).get();
+            mClock.advance(Duration.ofMillis(700));
+            mBook.succeeded(lease);
+            mBook.release(lease);
+        }
+        assertThat(mBook.estimate(queued).get()).isWithin(1).of(700);
+    }
+
     @Test
     void whatOthersHaveGivenToAnUpstreamCounts() {
         mBook.apply(ready("i-a", "a", 1));
@@ -123,6 +139,10 @@
         assertThat(StagePolicy.isIdle(prompt, memoryShare, reading, pauseMillis)).isEqualTo(idle);
     }
 
+    private static Registration engine(String id) {
+        return new Registration(id, "s", "10.0.0.9:80", "a", 4, Stage.PREFILL, State.READY, 1);
+    }
+
     private static Registration ready(String id, String zone, int machine) {
         return new Registration(
                 id, "s", "10.0.0." + machine + ":80", zone, 4, Stage.NONE, State.READY, 1);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Lease.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Lease.java
@@ -15,15 +15,17 @@
 final class Lease {
     private final Upstream mUpstream;
     private final double mWorkMillis;
+    private final double mDoneMillis;
     private final long mSinceNanos;
     private final String mId;
     private final Peer mPeer;
     private boolean mWorking = true;
     private boolean mHeld = true;
 
-    Lease(Upstream upstream, double workMillis, long sinceNanos) {
+    Lease(Upstream upstream, double workMillis, double doneMillis, long sinceNanos) {
         mUpstream = upstream;
         mWorkMillis = workMillis;
+        mDoneMillis = doneMillis;
         mSinceNanos = sinceNanos;
         mId = upstream.registration().id();
         HostPort address = HostPort.parse(upstream.registration().address());
@@ -46,6 +48,11 @@
         return mWorkMillis;
     }
 
+    /** Returns after what time an upstream of ordinary speed would have done the work. */
+    double doneMillis() {
+        return mDoneMillis;
+    }
+
     long sinceNanos() {
         return mSinceNanos;
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
@@ -65,6 +65,7 @@
     private int mArrivals;
     private int mRuns;
     private boolean mMayHaveRun;
+    private boolean mLastWasFull;
     private HeldAnswer mHeld;
     private StreamForward mStream;
     private String mLastFailure = "no upstream takes work";
@@ -123,6 +124,7 @@
                 return;
             }
             mTried.add(lease.id());
+            mLastWasFull = attempted == Attempted.NOT_RUN;
             if (attempted != Attempted.NOT_REACHED) {
                 mArrivals++;
             }
@@ -193,7 +195,7 @@
                         Stage.NONE,
                         PLAIN_MILLIS,
                         PLAIN_ZONE_MILLIS,
-                        true,
+                        !mLastWasFull,
                         Set.of(),
                         UpstreamBook.Queue.OWN);
         return mParts.book().lease(need, mTried).map(EnginePath.Place::ofPlainService);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -74,15 +74,20 @@
         mRunning--;
     }
 
-    /** Estimates when a piece of work would be done; an avoided upstream comes last. */
-    double expectedMillis(double workMillis, UpstreamBook.Queue queue, long nowNanos) {
+    /** Estimates when a piece of work would be done at ordinary speed, after what is queued. */
+    double ordinaryMillis(double workMillis, UpstreamBook.Queue queue) {
         int slots = Math.max(1, mRegistration.slots());
         boolean serial = mRegistration.stage() != Registration.Stage.NONE;
         double pendingMillis = queue.millis(mRegistration.id(), mPendingMillis);
         double queueMillis = serial ? pendingMillis : pendingMillis / slots;
+        return queueMillis + workMillis;
+    }
+
+    /** Estimates when a piece of work would be done; an avoided upstream comes last. */
+    double expectedMillis(double workMillis, UpstreamBook.Queue queue, long nowNanos) {
         double slowness = slowness(nowNanos);
         double failures = mFailureShare * faded(nowNanos - mFailedNanos, FAILURE_HALF_LIFE_NANOS);
-        double millis = (queueMillis + workMillis) * slowness + failures * FAILURE_MILLIS;
+        double millis = ordinaryMillis(workMillis, queue) * slowness + failures * FAILURE_MILLIS;
         if (mFull && nowNanos - mFullUntilNanos < 0) {
             millis += FULL_MILLIS;
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamBook.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamBook.java
@@ -101,8 +101,9 @@
             if (best == null) {
                 return Optional.empty();
             }
+            double doneMillis = best.ordinaryMillis(need.workMillis(), need.queue());
             best.begin(need.workMillis());
-            return Optional.of(new Lease(best, need.workMillis(), nowNanos));
+            return Optional.of(new Lease(best, need.workMillis(), doneMillis, nowNanos));
         }
     }
 
@@ -190,7 +191,7 @@
         try (OrderedLock.Held _ = mLock.hold()) {
             long nowNanos = mClock.nanoTime();
             double tookMillis = (nowNanos - lease.sinceNanos()) / 1e6;
-            lease.upstream().succeeded(tookMillis / Math.max(1, lease.workMillis()), nowNanos);
+            lease.upstream().succeeded(tookMillis / Math.max(1, lease.doneMillis()), nowNanos);
         }
     }
 
