Tell how far answers have come, and tell two voters

Cause: the forecast took each answer to grow at the mean speed since it was placed; at an engine that had turned slow the others thought its answers nearly over. And news went by one voter only, so the loss of a voter hid what was placed in the 1.5 s after it. Change: an entry tells again each 1.5 s how many tokens its answers have, and tells the two voters that it heard of last. Test that failed first: EngineLoadsTest.aSlowEngineKeepsItsRunsInSight could not be written against the old interface; VoterNodeTest tells again.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -9,7 +9,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
-import java.time.Duration;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -51,9 +50,7 @@
                                         7))),
                 new ClusterMessage.RegistrationsHeld(3),
                 new ClusterMessage.EngineRuns(
-                        List.of(
-                                new EngineRun(
-                                        "i-1", "r-1", 5, 70, 99, Duration.ofMillis(12), true))),
+                        List.of(new EngineRun("i-1", "r-1", 5, 70, 99, 12, true))),
                 replication(new ReplicaMessage.VoteRequest(5, "a/first", ENTRY, true)),
                 replication(new ReplicaMessage.VoteReply(5, "a/first", true, false)),
                 replication(new ReplicaMessage.Append(5, A, ENTRY, STATE, ENTRY, 8)),
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
@@ -106,14 +106,15 @@
     void whatOneEntryGivesToAnEngineIsToldToTheOthers() {
         put(1);
         Await.until("table in force", LONGEST, () -> versionInForce() == 1);
-        EngineRun run = new EngineRun("i-1", "r-1", 5_000, 4_000, 10_000, Duration.ZERO, false);
+        EngineRun run = new EngineRun("i-1", "r-1", 5_000, 4_000, 10_000, 0, false);
         try (EntryNode other = entry("other", new ConcurrentLinkedQueue<>())) {
             Await.until("table in force", LONGEST, () -> other.table().isPresent());
-            other.tell(run);
-            other.tell(run.end());
-            Await.until("told", LONGEST, () -> mTold.size() == 2);
+            other.begin(run, () -> 700);
+            Await.until("told again", LONGEST, () -> mTold.contains(run.withMade(700)));
+            other.end(run.end());
+            Await.until("told its end", LONGEST, () -> mTold.contains(run.end()));
         }
-        assertThat(mTold).containsExactly(run, run.end()).inOrder();
+        assertThat(mTold).containsAtLeast(run, run.withMade(700), run.end()).inOrder();
     }
 
     @Test
--- a/org.orchidmount.test/src/test/java/org/orchidmount/load/EngineLoadsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/load/EngineLoadsTest.java
@@ -56,11 +56,24 @@
     void aRunThatIsNotToldOfAgainIsForgotten() {
         admitted(Duration.ZERO);
         mClock.advance(Duration.ofSeconds(4));
-        mLoads.apply(run("i-1", "r-0").aged(Duration.ofSeconds(4)));
+        mLoads.apply(run("i-1", "r-0").withMade(4_000));
         mClock.advance(Duration.ofSeconds(4));
         assertThat(isCrowded("i-1")).isFalse();
     }
 
+    @Test
+    void aSlowEngineKeepsItsRunsInSight() {
+        admitted(Duration.ZERO);
+        double before = mLoads.heldTokens("i-1");
+        mClock.advance(Duration.ofSeconds(2));
+        mLoads.apply(run("i-1", "r-0").withMade(100));
+        mLoads.apply(run("i-1", "r-0"));
+        assertThat(mLoads.heldTokens("i-1")).isGreaterThan(before);
+        double others = mLoads.heldTokens("i-1");
+        mLoads.apply(run("i-1", "r-0").end());
+        assertThat(others - mLoads.heldTokens("i-1")).isWithin(1).of(PROMPT + 100);
+    }
+
     @Test
     void lateNewsDoesNotBringBackAnEndedRun() {
         int admitted = admitted(Duration.ZERO);
@@ -120,6 +133,6 @@
     }
 
     private static EngineRun run(String upstreamId, String requestId) {
-        return new EngineRun(upstreamId, requestId, PROMPT, EXPECTED, MOST, Duration.ZERO, false);
+        return new EngineRun(upstreamId, requestId, PROMPT, EXPECTED, MOST, 0, false);
     }
 }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamBookTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamBookTest.java
@@ -120,6 +120,8 @@
     void promptsAreReadWholeOnlyWithoutPrefillEnginesOrWhereThatIsIdle() {
         assertThat(StagePolicy.choose(Optional.empty(), 900)).isEqualTo(StagePolicy.Choice.WHOLE);
         assertThat(StagePolicy.choose(Optional.of(100.0), 900)).isEqualTo(StagePolicy.Choice.SPLIT);
+        assertThat(StagePolicy.choose(Optional.of(600.0), 900))
+                .isEqualTo(StagePolicy.Choice.WHOLE_IF_IDLE_ELSE_SPLIT);
         assertThat(StagePolicy.choose(Optional.of(900.0), 900))
                 .isEqualTo(StagePolicy.Choice.WHOLE_IF_IDLE);
         assertThat(StagePolicy.choose(Optional.of(Upstream.AVOIDED_MILLIS + 1), 900))
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -7,7 +7,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.DataFormatException;
@@ -308,7 +307,7 @@
         for (EngineRun run : runs) {
             out.packString(run.upstreamId()).packString(run.requestId());
             out.packInt(run.promptTokens()).packInt(run.expectedTokens());
-            out.packInt(run.mostTokens()).packLong(run.age().toMillis());
+            out.packInt(run.mostTokens()).packInt(run.madeTokens());
             out.packBoolean(run.ended());
         }
     }
@@ -320,7 +319,7 @@
                 in.unpackInt(),
                 in.unpackInt(),
                 in.unpackInt(),
-                Duration.ofMillis(in.unpackLong()),
+                in.unpackInt(),
                 in.unpackBoolean());
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +17,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.cluster.ClusterMessage.EngineRuns;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
@@ -46,6 +48,10 @@
     private static final PartLog LOG = PartLog.of("entry");
     private static final long TICK_MILLIS = 200;
     private static final long TELL_AGAIN_MILLIS = 1_500;
+
+    /** News goes to two voters, because one of them may have just been lost. */
+    private static final int TOLD_VOTERS = 2;
+
     private static final long REQUEST_AGAIN_NANOS = Duration.ofMillis(250).toNanos();
     private static final long REMEMBER_NANOS = Duration.ofMinutes(10).toNanos();
     private static final long SILENT_NANOS = Duration.ofSeconds(30).toNanos();
@@ -67,7 +73,10 @@
     private final Link.Handler mHandler = new LinkEvents();
     private final Map<HostPort, Dialer> mDialers = new HashMap<>();
     private final Map<HostPort, Long> mSeenNanos = new HashMap<>();
-    private final Map<Link, TableNotice> mNotices = new HashMap<>();
+
+    /** What voters told last, those heard of last at the end. */
+    private final LinkedHashMap<Link, TableNotice> mNotices = new LinkedHashMap<>();
+
     private final Map<Link, HostPort> mLinks = new HashMap<>();
     private final Registry mRegistry = new Registry(REMEMBER_NANOS);
     private final Map<String, OwnRun> mOwnRuns = new HashMap<>();
@@ -75,15 +84,14 @@
     private long mRequestedNanos;
     private volatile long mUnlinkedNanos;
     private boolean mConfirmed;
-    private Link mNewestLink;
     private volatile RouteTable mTable;
     private volatile boolean mReady;
     private volatile int mEntries = 1;
 
     /** A run that this instance has placed. */
-    private record OwnRun(EngineRun run, long sinceNanos) {
-        EngineRun at(long nowNanos) {
-            return run.aged(Duration.ofNanos(nowNanos - sinceNanos));
+    private record OwnRun(EngineRun run, IntSupplier madeTokens) {
+        EngineRun now() {
+            return run.withMade(madeTokens.getAsInt());
         }
     }
 
@@ -174,37 +182,40 @@
     }
 
     @Override
-    public void tell(EngineRun run) {
+    public void begin(EngineRun run, IntSupplier madeTokens) {
         post(
                 () -> {
-                    if (run.ended()) {
-                        mOwnRuns.remove(run.requestId());
-                    } else {
-                        mOwnRuns.put(run.requestId(), new OwnRun(run, mClock.nanoTime()));
-                    }
+                    mOwnRuns.put(run.requestId(), new OwnRun(run, madeTokens));
                     tell(List.of(run));
                 });
     }
 
+    @Override
+    public void end(EngineRun run) {
+        post(
+                () -> {
+                    mOwnRuns.remove(run.requestId());
+                    tell(List.of(run));
+                });
+    }
+
+    /** Sends news to the voters that were heard of last, which are most likely well. */
     private void tell(List<EngineRun> runs) {
-        newestLink().ifPresent(link -> link.send(new EngineRuns(runs)));
+        mNotices.sequencedKeySet().reversed().stream()
+                .filter(Link::isOpen)
+                .limit(TOLD_VOTERS)
+                .forEach(link -> link.send(new EngineRuns(runs)));
     }
 
     /** Tells again of what goes on, so that the others forget what ended with its instance. */
     private void tellAgain() {
-        long nowNanos = mClock.nanoTime();
-        List<EngineRun> runs = mOwnRuns.values().stream().map(own -> own.at(nowNanos)).toList();
+        List<EngineRun> runs = mOwnRuns.values().stream().map(OwnRun::now).toList();
         runs.forEach(mListener::told);
         if (!runs.isEmpty()) {
             tell(runs);
         }
     }
 
-    /** Returns the link on which a notice arrived last: the voter there is most likely well. */
-    private Optional<Link> newestLink() {
-        return Optional.ofNullable(mNewestLink).filter(Link::isOpen);
-    }
-
     @Override
     public boolean isComplete() {
         return mClock.nanoTime() - mUnlinkedNanos > HEAR_RUNS_NANOS;
@@ -219,8 +230,7 @@
             case Greeting greeting -> onGreeting(link, greeting);
             case Voters voters -> voters.members().forEach(this::learn);
             case TableNotice notice -> {
-                mNotices.put(link, notice);
-                mNewestLink = link;
+                mNotices.putLast(link, notice);
                 mEntries = Math.max(1, entriesTold());
                 follow();
             }
--- a/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
@@ -48,7 +48,17 @@
     private final Map<String, Map<String, Held>> mRuns = new HashMap<>();
     private double mTokensPerMilli = FIRST_TOKENS_PER_MILLI;
 
-    private record Held(EngineRun run, long sinceNanos, long toldNanos) {}
+    /** A run, when it was first told of, and when what is known of it was told. */
+    private record Held(EngineRun run, long sinceNanos, long toldNanos) {
+        boolean isFollowedBy(Held news) {
+            boolean older = news.run.madeTokens() < run.madeTokens() && !news.run.ended();
+            return !run.ended() && !older;
+        }
+
+        Held after(Held before) {
+            return new Held(run, before.sinceNanos, toldNanos);
+        }
+    }
 
     /**
      * Creates an empty view.
@@ -70,8 +80,9 @@
             mRuns.computeIfAbsent(run.upstreamId(), id -> new HashMap<>())
                     .merge(
                             run.requestId(),
-                            new Held(run, nowNanos - run.age().toNanos(), nowNanos),
-                            (before, news) -> before.run().ended() ? before : news);
+                            new Held(run, nowNanos, nowNanos),
+                            (before, news) ->
+                                    before.isFollowedBy(news) ? news.after(before) : before);
         }
     }
 
@@ -184,8 +195,10 @@
     }
 
     private double madeTokens(Held held, long nowNanos) {
-        double ageMillis = (nowNanos - held.sinceNanos()) / NANOS_PER_MILLI;
-        return Math.max(0, ageMillis - PROMPT_MILLIS) * mTokensPerMilli;
+        double toldMillis = (nowNanos - held.toldNanos()) / NANOS_PER_MILLI;
+        boolean begun = held.run().madeTokens() > 0;
+        double grownMillis = begun ? toldMillis : Math.max(0, toldMillis - PROMPT_MILLIS);
+        return held.run().madeTokens() + grownMillis * mTokensPerMilli;
     }
 
     private static MemoryForecast.Run forecastRun(EngineRun run, double madeTokens) {
--- a/org.orchidmount/src/main/java/org/orchidmount/load/EngineRun.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineRun.java
@@ -5,8 +5,6 @@
  */
 package org.orchidmount.load;
 
-import java.time.Duration;
-
 /**
  * One answer that an engine makes, or one prompt that it reads, as the instance that placed it
  * tells the others. Immutable.
@@ -16,7 +14,7 @@
  * @param promptTokens the tokens in memory before the first one is made
  * @param expectedTokens the median of the tokens that will be made
  * @param mostTokens the most tokens that can be made
- * @param age how long ago the engine was given the request, when this was told
+ * @param madeTokens the tokens made when this was told
  * @param ended true once the engine no longer works on it
  */
 public record EngineRun(
@@ -25,7 +23,7 @@
         int promptTokens,
         int expectedTokens,
         int mostTokens,
-        Duration age,
+        int madeTokens,
         boolean ended) {
     /**
      * Describes the reading of a prompt.
@@ -35,7 +33,7 @@
      * @return the run, not yet placed
      */
     public static EngineRun reading(String requestId, int promptTokens) {
-        return new EngineRun("", requestId, promptTokens, 0, 0, Duration.ZERO, false);
+        return new EngineRun("", requestId, promptTokens, 0, 0, 0, false);
     }
 
     /**
@@ -54,18 +52,18 @@
      */
     public EngineRun end() {
         return new EngineRun(
-                upstreamId, requestId, promptTokens, expectedTokens, mostTokens, age, true);
+                upstreamId, requestId, promptTokens, expectedTokens, mostTokens, madeTokens, true);
     }
 
     /**
      * Returns the same run as it is told later.
      *
-     * @param later how long ago the engine was given the request
+     * @param made the tokens made by then
      * @return the run
      */
-    public EngineRun aged(Duration later) {
+    public EngineRun withMade(int made) {
         return new EngineRun(
-                upstreamId, requestId, promptTokens, expectedTokens, mostTokens, later, ended);
+                upstreamId, requestId, promptTokens, expectedTokens, mostTokens, made, ended);
     }
 
     /**
@@ -82,7 +80,7 @@
                 promptTokens,
                 expectedTokens,
                 mostTokens,
-                age,
+                madeTokens,
                 ended);
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.orchidmount.cluster.HostPort;
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
@@ -67,6 +68,7 @@
     private final CancelSignal mCancel;
     private final EngineRun mRun;
     private final Duration mPatience;
+    private final AtomicInteger mMadeTokens = new AtomicInteger();
     private int mPlacements;
     private int mPrefills;
     private Optional<PromptSource> mSource = Optional.empty();
@@ -111,7 +113,7 @@
                         prompt.tokens(),
                         parts.sizes().expect(prompt),
                         most,
-                        Duration.ZERO,
+                        0,
                         false);
         mPatience = waitsForMemory();
     }
@@ -133,7 +135,7 @@
     Optional<Place> place(Set<String> avoided) throws InterruptedException {
         long untilNanos = mParts.clock().nanoTime() + mPatience.toNanos();
         while (!mCancel.isCancelled()) {
-            Optional<Place> place = placeNow(avoided, choice());
+            Optional<Place> place = placeByChoice(avoided);
             long nowNanos = mParts.clock().nanoTime();
             if (place.isPresent() || nowNanos - untilNanos > 0) {
                 return place;
@@ -143,6 +145,15 @@
         return Optional.empty();
     }
 
+    private Optional<Place> placeByChoice(Set<String> avoided) throws InterruptedException {
+        StagePolicy.Choice choice = choice();
+        if (choice != StagePolicy.Choice.WHOLE_IF_IDLE_ELSE_SPLIT) {
+            return placeNow(avoided, choice);
+        }
+        Optional<Place> idle = placeNow(avoided, StagePolicy.Choice.WHOLE_IF_IDLE);
+        return idle.isPresent() ? idle : placeNow(avoided, StagePolicy.Choice.SPLIT);
+    }
+
     private Optional<Place> placeNow(Set<String> avoided, StagePolicy.Choice choice)
             throws InterruptedException {
         Set<String> crowded = crowded();
@@ -208,9 +219,10 @@
 
     /** Tells all instances what an engine works on for this request. */
     private EngineRun enter(EngineRun unplaced, Lease lease) {
+        mMadeTokens.set(0);
         EngineRun run = unplaced.at(lease.id(), ++mPlacements);
         mParts.loads().apply(run);
-        mParts.news().tell(run);
+        mParts.news().begin(run, mMadeTokens::get);
         return run;
     }
 
@@ -227,15 +239,23 @@
 
     private void leave(EngineRun run) {
         mParts.loads().apply(run.end());
-        mParts.news().tell(run.end());
+        mParts.news().end(run.end());
+    }
+
+    /** Notes how far the answer has come at its engine. */
+    void made(long events) {
+        mMadeTokens.set((int) Math.min(mRun.mostTokens(), events * eventTokens()));
+    }
+
+    private int eventTokens() {
+        return mService.engine().map(Service.Engine::eventTokens).orElse(1);
     }
 
     /** Notes how fast a whole stream was made. */
     void streamed(long events, StreamTiming timing) {
         double millis = timing.lastedMillis();
         if (events >= FEWEST_EVENTS && millis > 0) {
-            int eventTokens = mService.engine().map(Service.Engine::eventTokens).orElse(1);
-            mParts.loads().observeSpeed((events - 1) * eventTokens / millis);
+            mParts.loads().observeSpeed((events - 1) * eventTokens() / millis);
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
@@ -343,6 +343,8 @@
                 part = call.read(bodyTimeout())) {
             boolean first = timing.part();
             mStream.part(part);
+            long made = mStream.last() - before;
+            mEngines.ifPresent(engines -> engines.made(made));
             if (first) {
                 mParts.book().answered(lease);
                 mEngines.ifPresent(engines -> engines.began(place));
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/StagePolicy.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/StagePolicy.java
@@ -24,7 +24,11 @@
     /** The work of an answer besides its prompt. */
     static final double ANSWER_MILLIS = 40;
 
-    private static final double TARGET_SHARE = 0.6;
+    /** Beyond this share of the target an idle engine is the better one. */
+    private static final double BUSY_SHARE = 0.6;
+
+    /** Beyond this share of the target the first event would come too late. */
+    private static final double LATE_SHARE = 0.85;
 
     /** An engine with less of its memory taken has few streams that a reading holds up. */
     private static final double IDLE_SHARE = 0.5;
@@ -40,6 +44,8 @@
         SPLIT,
         /** The engine that answers reads it. */
         WHOLE,
+        /** An engine that answers reads it if one has little to do, else a prefill engine. */
+        WHOLE_IF_IDLE_ELSE_SPLIT,
         /** An engine that answers reads it if one has little to do; else it would be too late. */
         WHOLE_IF_IDLE
     }
@@ -57,9 +63,11 @@
         if (none) {
             return Choice.WHOLE;
         }
-        return prefillMillis.get() > TARGET_SHARE * targetMillis
-                ? Choice.WHOLE_IF_IDLE
-                : Choice.SPLIT;
+        if (prefillMillis.get() > LATE_SHARE * targetMillis) {
+            return Choice.WHOLE_IF_IDLE;
+        }
+        boolean busy = prefillMillis.get() > BUSY_SHARE * targetMillis;
+        return busy ? Choice.WHOLE_IF_IDLE_ELSE_SPLIT : Choice.SPLIT;
     }
 
     /**
