Give up a silent prefill engine early and ask another one

Change: it is given up after twice the time that it should need and 0.4 s, and one other engine is asked, within the limit of extra attempts. Test that failed first: PathTest.aPrefillEngineThatSaysNothingIsLeftForAnother (the prompt was read whole).

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
@@ -53,7 +53,12 @@
     private static final Duration SPREAD = Duration.ofMillis(15);
 
     private static final long SOURCE_NANOS = Duration.ofMillis(250).toNanos();
-    private static final double PREFILL_PATIENCE = 2.5;
+    private static final double PREFILL_PATIENCE = 2;
+    private static final Duration PREFILL_MARGIN = Duration.ofMillis(400);
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    /** How many engines are asked in turn to read a prompt. */
+    private static final int MOST_PREFILLS = 2;
 
     /** What is reserved beyond the prompt where the runs of all instances are known. */
     private static final int FIRST_TOKENS = 256;
@@ -323,7 +328,7 @@
                 Stage.PREFILL,
                 work,
                 ZONE_MILLIS,
-                true,
+                false,
                 Set.of(),
                 this::readingMillis);
     }
@@ -361,24 +366,33 @@
             return mSource;
         }
         mSource = Optional.empty();
-        boolean again = mPrefills > 0;
-        if (place.reading().isPresent() || again && !takeExtra()) {
-            return Optional.empty();
-        }
-        Optional<Lease> lease = mParts.book().lease(prefillNeed(), Set.of());
-        if (lease.isEmpty()) {
-            return Optional.empty();
+        Set<String> asked = new HashSet<>();
+        while (mSource.isEmpty() && place.reading().isEmpty() && mayPrefill(asked)) {
+            Optional<Lease> lease = mParts.book().lease(prefillNeed(), asked);
+            if (lease.isEmpty()) {
+                break;
+            }
+            asked.add(lease.get().id());
+            mSource = prefillAt(lease.get());
         }
+        return mSource;
+    }
+
+    private boolean mayPrefill(Set<String> asked) {
+        boolean first = mPrefills == 0;
+        return !mCancel.isCancelled() && asked.size() < MOST_PREFILLS && (first || takeExtra());
+    }
+
+    private Optional<PromptSource> prefillAt(Lease lease) {
         mPrefills++;
-        EngineRun reading = EngineRun.reading(mRequest.id(), mPrompt.tokens());
-        EngineRun run = enter(reading, lease.get());
+        EngineRun run = enter(EngineRun.reading(mRequest.id(), mPrompt.tokens()), lease);
         try {
-            mSource = readPrompt(lease.get());
+            Optional<PromptSource> source = readPrompt(lease);
             mReadNanos = mParts.clock().nanoTime();
-            return mSource;
+            return source;
         } finally {
             leave(run);
-            mParts.book().release(lease.get());
+            mParts.book().release(lease);
         }
     }
 
@@ -396,7 +410,7 @@
                         mParts.connections()
                                 .call(lease.peer(), Step.PREFILL, head, mRequest.body(), left());
                 CancelSignal.Registration _ = mCancel.onCancel(call::abort)) {
-            ClientResponse response = call.awaitResponse(patience());
+            ClientResponse response = call.awaitResponse(patience(lease));
             call.limitIdle(Duration.ofMillis(mParts.protocol().idleMillis(response)));
             byte[] body = call.readAll(GIVE_BACK_TIMEOUT, MOST_BODY_BYTES);
             if (response.getResponseCode() != SUCCESS) {
@@ -422,9 +436,11 @@
         return Duration.ofNanos(Math.max(1, mRequest.endNanos() - mParts.clock().nanoTime()));
     }
 
-    private Duration patience() {
-        long nanos = (long) (PREFILL_PATIENCE * mRequest.route().target().toNanos());
-        return Duration.ofNanos(Math.min(nanos, left().toNanos()));
+    /** A prefill engine that says nothing for much longer than it should need is given up. */
+    private Duration patience(Lease lease) {
+        double nanos = PREFILL_PATIENCE * lease.doneMillis() * NANOS_PER_MILLI;
+        long most = (long) nanos + PREFILL_MARGIN.toNanos();
+        return Duration.ofNanos(Math.min(most, left().toNanos()));
     }
 
     /** Gives back the memory of a place that the request did not take. */
