Check placements again at engines more than half full

An entry waited for the others' news only where the engine had no room for one more besides its own, so none of the ten did; preemptions followed and paused 71 streams. The news takes more than 15 ms over two hops. Change: it waits 30 ms wherever more than half of the memory would be taken, and runs count as placed together within 80 ms.

--- a/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
@@ -39,7 +39,7 @@
     private static final long FORGET_NANOS = Duration.ofSeconds(5).toNanos();
 
     /** Runs that began this close to each other may have been placed without knowing. */
-    private static final long TOGETHER_NANOS = Duration.ofMillis(50).toNanos();
+    private static final long TOGETHER_NANOS = Duration.ofMillis(80).toNanos();
 
     private static final double NANOS_PER_MILLI = 1e6;
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
@@ -50,7 +50,10 @@
     private static final Duration POLL = Duration.ofMillis(45);
 
     /** How long news of a run takes to all instances. */
-    private static final Duration SPREAD = Duration.ofMillis(15);
+    private static final Duration SPREAD = Duration.ofMillis(30);
+
+    /** Below this fill several may be placed at an engine at the same moment without harm. */
+    private static final int ROOMY_PERCENT = 50;
 
     private static final long SOURCE_NANOS = Duration.ofMillis(250).toNanos();
     private static final double PREFILL_PATIENCE = 2;
@@ -212,14 +215,21 @@
 
     /**
      * Tells whether the engine still bears the answer once all have heard of it. Where the engine
-     * has room for another one besides, that need not be waited for.
+     * has much room, that need not be waited for; but many may have waited for the same room.
      */
     private boolean isBorne(Place place) throws InterruptedException {
-        if (mService.engine().isEmpty() || !crowded().contains(place.lease().id())) {
+        Optional<Service.Engine> engine = mService.engine();
+        if (engine.isEmpty()) {
+            return true;
+        }
+        long memoryTokens = engine.get().memoryTokens();
+        long roomyTokens = memoryTokens * ROOMY_PERCENT / 100;
+        boolean roomy = !mParts.loads().crowded(mRun, roomyTokens).contains(place.lease().id());
+        if (roomy) {
             return true;
         }
         Thread.sleep(SPREAD);
-        return mParts.loads().bears(place.run().get(), mService.engine().get().memoryTokens());
+        return mParts.loads().bears(place.run().get(), memoryTokens);
     }
 
     /** Tells all instances what an engine works on for this request. */
