Split the path to engines into places, reading and what is told

PromptReader reads prompts, EngineWork tells the instances what engines work on, RelayParts judges failed calls and gives back, which EnginePath and the reading shared.

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePath.java
@@ -11,18 +11,13 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicInteger;
-import org.orchidmount.cluster.HostPort;
 import org.orchidmount.errors.CallFailedException;
-import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
 import org.orchidmount.internal.http.HttpCall;
 import org.orchidmount.internal.http.HttpHead;
-import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.load.EngineRun;
 import org.orchidmount.membership.Registration.Stage;
-import org.orchidmount.relay.Handover.Part;
 import org.orchidmount.relay.Handover.PromptSource;
 import org.orchidmount.routes.Service;
 import org.orchidmount.upstream.CancelSignal;
@@ -45,7 +40,6 @@
 
     private static final long RESERVATION_MILLIS = 1_800;
     private static final Duration RESERVE_TIMEOUT = Duration.ofMillis(300);
-    private static final Duration GIVE_BACK_TIMEOUT = Duration.ofMillis(500);
     private static final int RETURNING_PERCENT = 70;
     private static final Duration POLL = Duration.ofMillis(45);
 
@@ -55,20 +49,9 @@
     /** Below this fill several may be placed at an engine at the same moment without harm. */
     private static final int ROOMY_PERCENT = 50;
 
-    private static final long SOURCE_NANOS = Duration.ofMillis(250).toNanos();
-    private static final double PREFILL_PATIENCE = 2;
-    private static final Duration PREFILL_MARGIN = Duration.ofMillis(400);
-    private static final double NANOS_PER_MILLI = 1e6;
-
-    /** How many engines are asked in turn to read a prompt. */
-    private static final int MOST_PREFILLS = 2;
-
     /** What is reserved beyond the prompt where the runs of all instances are known. */
     private static final int FIRST_TOKENS = 256;
 
-    /** A shorter stream does not tell how fast its engine is. */
-    private static final int FEWEST_EVENTS = 8;
-
     private final RelayParts mParts;
     private final RelayRequest mRequest;
     private final RelayRequest.Prompt mPrompt;
@@ -76,11 +59,8 @@
     private final CancelSignal mCancel;
     private final EngineRun mRun;
     private final Duration mPatience;
-    private final AtomicInteger mMadeTokens = new AtomicInteger();
-    private int mPlacements;
-    private int mPrefills;
-    private Optional<PromptSource> mSource = Optional.empty();
-    private long mReadNanos;
+    private final EngineWork mWork;
+    private final PromptReader mReader;
 
     /**
      * A place at an upstream.
@@ -124,6 +104,23 @@
                         0,
                         false);
         mPatience = waitsForMemory();
+        mWork = new EngineWork(parts, service);
+        mReader = new PromptReader(parts, request, prompt, service, mWork, cancel);
+    }
+
+    /** Returns what reads the prompt. */
+    PromptReader reader() {
+        return mReader;
+    }
+
+    /** Returns what is told of the work on this request. */
+    EngineWork work() {
+        return mWork;
+    }
+
+    /** Has the prompt read, unless the engine of the place does it. */
+    Optional<PromptSource> prefill(Place place) {
+        return place.reading().isPresent() ? Optional.empty() : mReader.read();
     }
 
     /**
@@ -154,7 +151,7 @@
     }
 
     private Optional<Place> placeByChoice(Set<String> avoided) throws InterruptedException {
-        StagePolicy.Choice choice = choice();
+        StagePolicy.Choice choice = mReader.choice();
         if (choice != StagePolicy.Choice.WHOLE_IF_IDLE_ELSE_SPLIT) {
             return placeNow(avoided, choice);
         }
@@ -193,9 +190,9 @@
         Optional<EngineRun> reading = Optional.empty();
         if (choice != StagePolicy.Choice.SPLIT) {
             EngineRun prompt = EngineRun.reading(mRequest.id(), mPrompt.tokens());
-            reading = Optional.of(enter(prompt, lease));
+            reading = Optional.of(mWork.begin(prompt, lease));
         }
-        return new Place(lease, reservation, Optional.of(enter(mRun, lease)), reading);
+        return new Place(lease, reservation, Optional.of(mWork.begin(mRun, lease)), reading);
     }
 
     private boolean isIdle(String upstreamId) {
@@ -232,46 +229,15 @@
         return mParts.loads().bears(place.run().get(), memoryTokens);
     }
 
-    /** Tells all instances what an engine works on for this request. */
-    private EngineRun enter(EngineRun unplaced, Lease lease) {
-        mMadeTokens.set(0);
-        EngineRun run = unplaced.at(lease.id(), ++mPlacements);
-        mParts.loads().apply(run);
-        mParts.news().begin(run, mMadeTokens::get);
-        return run;
-    }
-
     /** Tells all instances that an engine no longer makes this answer. */
     void leave(Place place) {
-        place.run().ifPresent(this::leave);
+        place.run().ifPresent(mWork::end);
         began(place);
     }
 
     /** Notes that the engine has read the prompt, if it had to. */
     void began(Place place) {
-        place.reading().ifPresent(this::leave);
-    }
-
-    private void leave(EngineRun run) {
-        mParts.loads().apply(run.end());
-        mParts.news().end(run.end());
-    }
-
-    /** Notes how far the answer has come at its engine. */
-    void made(long events) {
-        mMadeTokens.set((int) Math.min(mRun.mostTokens(), events * eventTokens()));
-    }
-
-    private int eventTokens() {
-        return mService.engine().map(Service.Engine::eventTokens).orElse(1);
-    }
-
-    /** Notes how fast a whole stream was made. */
-    void streamed(long events, StreamTiming timing) {
-        double millis = timing.lastedMillis();
-        if (events >= FEWEST_EVENTS && millis > 0) {
-            mParts.loads().observeSpeed((events - 1) * eventTokens() / millis);
-        }
+        place.reading().ifPresent(mWork::end);
     }
 
     /**
@@ -311,7 +277,7 @@
             }
             return Optional.of(mParts.protocol().reserved(answer));
         } catch (CallFailedException e) {
-            failed(lease, e.failure());
+            mParts.failed(lease, e.failure(), mCancel);
         } catch (IOException e) {
             LOG.info("%s: not reserved: %s", mRequest.id(), e.getMessage());
             mParts.book().failed(lease);
@@ -319,37 +285,6 @@
         return Optional.empty();
     }
 
-    private void failed(Lease lease, Failure failure) {
-        LOG.debug("%s: %s", mRequest.id(), failure.describe());
-        if (mCancel.isCancelled()) {
-            return;
-        }
-        if (failure.mayHaveRun()) {
-            mParts.book().failed(lease);
-        } else {
-            mParts.book().unreachable(lease);
-        }
-    }
-
-    private UpstreamBook.Need prefillNeed() {
-        double work = mPrompt.tokens() / StagePolicy.PREFILL_TOKENS_PER_MILLI;
-        return new UpstreamBook.Need(
-                mService.name(),
-                Stage.PREFILL,
-                work,
-                ZONE_MILLIS,
-                false,
-                Set.of(),
-                this::readingMillis);
-    }
-
-    /** Counts what all instances have given an engine to read. */
-    private double readingMillis(String upstreamId, double ownMillis) {
-        double allMillis =
-                mParts.loads().queuedTokens(upstreamId) / StagePolicy.PREFILL_TOKENS_PER_MILLI;
-        return Math.max(ownMillis, allMillis);
-    }
-
     /** Prefers engines whose memory is less full and that have less to read. */
     private double balance(String upstreamId, double ownMillis) {
         double readMillis =
@@ -362,133 +297,12 @@
         return memory > 0 ? mParts.loads().heldTokens(upstreamId) / memory : 0;
     }
 
-    private StagePolicy.Choice choice() {
-        return StagePolicy.choose(
-                mParts.book().estimate(prefillNeed()), mRequest.route().target().toMillis());
-    }
-
-    /**
-     * Has the prompt read by a prefill engine if there is one. What was read shortly before, and
-     * was not taken, is used again.
-     */
-    Optional<PromptSource> prefill(Place place) {
-        if (mSource.isPresent() && mParts.clock().nanoTime() - mReadNanos < SOURCE_NANOS) {
-            return mSource;
-        }
-        mSource = Optional.empty();
-        Set<String> asked = new HashSet<>();
-        while (mSource.isEmpty() && place.reading().isEmpty() && mayPrefill(asked)) {
-            Optional<Lease> lease = mParts.book().lease(prefillNeed(), asked);
-            if (lease.isEmpty()) {
-                break;
-            }
-            asked.add(lease.get().id());
-            mSource = prefillAt(lease.get());
-        }
-        return mSource;
-    }
-
-    private boolean mayPrefill(Set<String> asked) {
-        boolean first = mPrefills == 0;
-        return !mCancel.isCancelled() && asked.size() < MOST_PREFILLS && (first || takeExtra());
-    }
-
-    private Optional<PromptSource> prefillAt(Lease lease) {
-        mPrefills++;
-        EngineRun run = enter(EngineRun.reading(mRequest.id(), mPrompt.tokens()), lease);
-        try {
-            Optional<PromptSource> source = readPrompt(lease);
-            mReadNanos = mParts.clock().nanoTime();
-            return source;
-        } finally {
-            leave(run);
-            mParts.book().release(lease);
-        }
-    }
-
-    private boolean takeExtra() {
-        return mParts.extras()
-                .take(mService.name(), mParts.entries().getAsInt(), mParts.clock().nanoTime());
-    }
-
-    private Optional<PromptSource> readPrompt(Lease lease) {
-        Handover handover =
-                new Handover(
-                        lease.id(), left(), Part.PREFILL, Optional.empty(), Optional.empty(), 0);
-        HttpHead head = mParts.protocol().head(mRequest, handover);
-        try (HttpCall call =
-                        mParts.connections()
-                                .call(lease.peer(), Step.PREFILL, head, mRequest.body(), left());
-                CancelSignal.Registration _ = mCancel.onCancel(call::abort)) {
-            ClientResponse response = call.awaitResponse(patience(lease));
-            call.limitIdle(Duration.ofMillis(mParts.protocol().idleMillis(response)));
-            byte[] body = call.readAll(GIVE_BACK_TIMEOUT, MOST_BODY_BYTES);
-            if (response.getResponseCode() != SUCCESS) {
-                LOG.debug(
-                        "%s: prompt not read at %s: status %d",
-                        mRequest.id(), lease.id(), response.getResponseCode());
-                mParts.book().full(lease);
-                return Optional.empty();
-            }
-            mParts.book().succeeded(lease);
-            String address = lease.peer().host() + ":" + lease.peer().port();
-            return Optional.of(new PromptSource(address, mParts.protocol().handle(body)));
-        } catch (CallFailedException e) {
-            failed(lease, e.failure());
-        } catch (IOException e) {
-            LOG.info("%s: prompt not read: %s", mRequest.id(), e.getMessage());
-            mParts.book().failed(lease);
-        }
-        return Optional.empty();
-    }
-
-    private Duration left() {
-        return Duration.ofNanos(Math.max(1, mRequest.endNanos() - mParts.clock().nanoTime()));
-    }
-
-    /** A prefill engine that says nothing for much longer than it should need is given up. */
-    private Duration patience(Lease lease) {
-        double nanos = PREFILL_PATIENCE * lease.doneMillis() * NANOS_PER_MILLI;
-        long most = (long) nanos + PREFILL_MARGIN.toNanos();
-        return Duration.ofNanos(Math.min(most, left().toNanos()));
-    }
-
     /** Gives back the memory of a place that the request did not take. */
     void giveBack(Place place) {
         place.reservation()
-                .ifPresent(name -> tell(place.lease().peer(), mParts.protocol().unreserve(name)));
-    }
-
-    /** Gives back a prompt that was read and that no engine has taken. */
-    void end() {
-        mSource.ifPresent(
-                read -> {
-                    HostPort address = HostPort.parse(read.address());
-                    tell(
-                            new Peer(read.address(), address.host(), address.port()),
-                            mParts.protocol().freeHandle(read.handle()));
-                });
-        mSource = Optional.empty();
-    }
-
-    /** Notes that an engine has taken the prompt that was read. */
-    void taken() {
-        mSource = Optional.empty();
-    }
-
-    /** Makes a call whose answer does not matter, on a thread of its own. */
-    private void tell(Peer peer, HttpHead head) {
-        Thread.ofVirtual()
-                .name("give-back")
-                .start(
-                        () -> {
-                            try (HttpCall call =
-                                    mParts.connections().call(peer, Step.CANCEL, head)) {
-                                call.awaitResponse(GIVE_BACK_TIMEOUT);
-                                call.readAll(GIVE_BACK_TIMEOUT, MOST_BODY_BYTES);
-                            } catch (CallFailedException e) {
-                                LOG.debug("not given back: %s", e.failure().describe());
-                            }
-                        });
+                .ifPresent(
+                        name ->
+                                mParts.giveBack(
+                                        place.lease().peer(), mParts.protocol().unreserve(name)));
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRun.java
@@ -139,7 +139,7 @@
                     "%s: try %d at %s: %s, %s",
                     mRequest.id(), mTries, lease.id(), attempted, mLastFailure);
         }
-        mEngines.ifPresent(EnginePath::end);
+        mEngines.ifPresent(engines -> engines.reader().end());
         giveUp();
     }
 
@@ -208,7 +208,7 @@
         Optional<PromptSource> source = mEngines.flatMap(engines -> engines.prefill(place));
         Attempted attempted = call(place, source);
         if (attempted != Attempted.NOT_RUN && attempted != Attempted.NOT_REACHED) {
-            mEngines.ifPresent(EnginePath::taken);
+            mEngines.ifPresent(engines -> engines.reader().taken());
         } else {
             mEngines.ifPresent(engines -> engines.giveBack(place));
         }
@@ -344,7 +344,7 @@
             boolean first = timing.part();
             mStream.part(part);
             long made = mStream.last() - before;
-            mEngines.ifPresent(engines -> engines.made(made));
+            mEngines.ifPresent(engines -> engines.work().made(made));
             if (first) {
                 mParts.book().answered(lease);
                 mEngines.ifPresent(engines -> engines.began(place));
@@ -358,7 +358,7 @@
         }
         mStream.end();
         long events = mStream.last() - before;
-        mEngines.ifPresent(engines -> engines.streamed(events, timing));
+        mEngines.ifPresent(engines -> engines.work().streamed(events, timing));
         LOG.debug(
                 "%s: first after %d ms, longest pause %d ms, %d events from %s in %.0f ms, prompt"
                         + " %s",
