--- a/org.orchidmount.test/src/test/java/org/orchidmount/blackboard/BlackboardTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/blackboard/BlackboardTest.java
@@ -7,7 +7,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.time.Instant;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -18,7 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.junit.ManualClock;
 import org.orchidmount.routing.Candidate;
 import org.orchidmount.routing.Decision;
 import org.orchidmount.routing.PromptBlocks;
@@ -42,24 +42,12 @@
     private static final ModelRow OTHER = new ModelRow("o", "p", "d", 100, 50, 10, 9999, 9999, 0);
     private static final Decision WAIT = new Decision.Wait(Decision.WaitReason.NO_DECODE);
 
-    private long mNowNanos;
+    private final ManualClock mClock = new ManualClock();
     private Blackboard mBoard;
 
     @BeforeEach
     void fill() {
-        MonotonicClock clock =
-                new MonotonicClock() {
-                    @Override
-                    public Instant instant() {
-                        return Instant.EPOCH;
-                    }
-
-                    @Override
-                    public long nanoTime() {
-                        return mNowNanos;
-                    }
-                };
-        mBoard = new Blackboard(clock, "z");
+        mBoard = new Blackboard(mClock, "z");
         List<Edit> edits = new ArrayList<>();
         edits.add(new Edit.Put(new PoolRow("p", PoolRole.PREFILL, 0), 0));
         edits.add(new Edit.Put(new PoolRow("d", PoolRole.DECODE, 0), 0));
@@ -149,7 +137,7 @@
             mBoard.failed("d-1");
         }
         assertThat(view("d-1").available()).isFalse();
-        mNowNanos += 2_000_000_000L;
+        mClock.advance(Duration.ofSeconds(2));
         assertThat(view("d-1").available()).isTrue();
         mBoard.failed("d-1");
         assertThat(view("d-1").available()).isFalse();
@@ -219,7 +207,7 @@
         mBoard.observeReport("p-1", evicted);
         assertThat(hint("p-1")).isEqualTo(64);
         assertThat(hint("p-2")).isEqualTo(0);
-        mNowNanos += 121_000_000_000L;
+        mClock.advance(Duration.ofSeconds(121));
         assertThat(hint("p-1")).isEqualTo(0);
     }
 
