Log what is under way when a caller leaves, and how long it goes on

Change: RequestProgress keeps what a request waits for; two lines a departure say what was broken off and when the request's handling ended. No change of logic.

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -17,6 +17,7 @@
 import org.orchidmount.internal.http.HttpCall;
 import org.orchidmount.internal.http.HttpHead;
 import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.relay.UpstreamCall.Phase;
 import org.orchidmount.routes.RequestKind;
 import org.orchidmount.routes.Route;
@@ -45,6 +46,7 @@
     private final Route mRoute;
     private final CallerResponse mCaller;
     private final CancelSignal mCancel;
+    private final RequestProgress mProgress;
     private final Optional<SequenceTracker> mTracker;
     private final long mArrivedNanos;
     private Optional<StreamForward> mStream = Optional.empty();
@@ -65,12 +67,14 @@
             RelayRequest request,
             CallerResponse caller,
             CancelSignal cancel,
+            RequestProgress progress,
             Optional<SequenceTracker> tracker) {
         mContext = context;
         mRequest = request;
         mRoute = request.route();
         mCaller = caller;
         mCancel = cancel;
+        mProgress = progress;
         mTracker = tracker;
         mArrivedNanos = context.clock().nanoTime();
     }
@@ -113,13 +117,16 @@
                         placement.reservation(),
                         mStream.map(StreamForward::last).orElse(0L));
         HttpHead head = mContext.protocol().head(mRequest, upstreamCall);
+        mProgress.waitsFor(Activity.SENDING, assignment.id());
         try (HttpCall call = open(assignment, head);
                 CancelSignal.Registration _ = mCancel.onCancel(call::abort)) {
+            mProgress.waitsFor(Activity.RESPONSE, assignment.id());
             Duration silenceLimit =
                     AttemptRule.silenceLimit(
                             history, mRoute.attemptLimits(), mRoute.target(), left());
             ClientResponse response = call.awaitResponse(silenceLimit);
             call.limitIdle(mContext.protocol().idleTimeout(response));
+            mProgress.waitsFor(Activity.BODY, assignment.id());
             return onHead(placement, call, response);
         } catch (CallFailedException e) {
             return failed(assignment, e.failure());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -12,6 +12,7 @@
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration.Stage;
+import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.MemoryRule;
 import org.orchidmount.routing.MemoryWaitRule;
@@ -40,6 +41,7 @@
     private final RelayRequest.Prompt mPrompt;
     private final Service mService;
     private final CancelSignal mCancel;
+    private final RequestProgress mProgress;
     private final OutputLengthEstimator.Stated mStated;
     private final InFlightSequence mOutput;
     private final Duration mLongestWait;
@@ -52,12 +54,14 @@
             RelayRequest request,
             RelayRequest.Prompt prompt,
             Service service,
-            CancelSignal cancel) {
+            CancelSignal cancel,
+            RequestProgress progress) {
         mContext = context;
         mRequest = request;
         mPrompt = prompt;
         mService = service;
         mCancel = cancel;
+        mProgress = progress;
         mStated =
                 new OutputLengthEstimator.Stated(
                         prompt.expectedOutputTokens(), prompt.maxOutputTokens());
@@ -72,8 +76,8 @@
                                 : Integer.MAX_VALUE);
         mLongestWait = longestWait();
         mTracker = new SequenceTracker(context, service);
-        mPrefiller = new Prefiller(context, request, prompt, service, mTracker, cancel);
-        mReservations = new MemoryReservations(context, request.id(), cancel);
+        mPrefiller = new Prefiller(context, request, prompt, service, mTracker, cancel, progress);
+        mReservations = new MemoryReservations(context, request.id(), cancel, progress);
     }
 
     Prefiller prefiller() {
@@ -114,6 +118,7 @@
                 logNoPlace();
                 return Optional.empty();
             }
+            mProgress.waitsFor(Activity.PLACEMENT);
             Thread.sleep(POLL);
         }
         return Optional.empty();
@@ -224,6 +229,7 @@
         if (!mContext.loads().saturatedEngines(mOutput, roomyTokens).contains(engine)) {
             return true;
         }
+        mProgress.waitsFor(Activity.PLACEMENT, engine);
         Thread.sleep(ANNOUNCED_AFTER);
         return mContext.loads().keepsPlace(placement.output().orElseThrow(), memoryTokens);
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
@@ -14,6 +14,7 @@
 import org.orchidmount.internal.http.HttpCall;
 import org.orchidmount.internal.http.HttpHead;
 import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.upstream.CancelSignal;
 
 /** Reserves memory at engines for one request, and releases it. Used by one virtual thread. */
@@ -29,11 +30,14 @@
     private final RelayContext mContext;
     private final String mRequestId;
     private final CancelSignal mCancel;
+    private final RequestProgress mProgress;
 
-    MemoryReservations(RelayContext context, String requestId, CancelSignal cancel) {
+    MemoryReservations(
+            RelayContext context, String requestId, CancelSignal cancel, RequestProgress progress) {
         mContext = context;
         mRequestId = requestId;
         mCancel = cancel;
+        mProgress = progress;
     }
 
     /**
@@ -47,6 +51,7 @@
         UpstreamProtocol protocol = mContext.protocol();
         HttpHead head = protocol.reserve(assignment.id());
         byte[] body = protocol.reservation(tokens, LIFE);
+        mProgress.waitsFor(Activity.RESERVATION, assignment.id());
         try (HttpCall call =
                         mContext.connections()
                                 .call(assignment.peer(), Step.ADMIT, head, body, TIMEOUT);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
@@ -20,6 +20,7 @@
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration.Stage;
+import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.relay.UpstreamCall.Phase;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.PrefillRule;
@@ -50,6 +51,7 @@
     private final Service mService;
     private final SequenceTracker mTracker;
     private final CancelSignal mCancel;
+    private final RequestProgress mProgress;
     private int mCalls;
     private Optional<KvCacheRef> mUnused = Optional.empty();
     private long mPrefilledNanos;
@@ -60,13 +62,15 @@
             RelayRequest.Prompt prompt,
             Service service,
             SequenceTracker tracker,
-            CancelSignal cancel) {
+            CancelSignal cancel,
+            RequestProgress progress) {
         mContext = context;
         mRequest = request;
         mPrompt = prompt;
         mService = service;
         mTracker = tracker;
         mCancel = cancel;
+        mProgress = progress;
     }
 
     /** Chooses by the load of the prefill engines where the prompt is prefilled. */
@@ -148,6 +152,7 @@
                         Optional.empty(),
                         0);
         HttpHead head = protocol.head(mRequest, prefill);
+        mProgress.waitsFor(Activity.PREFILL, assignment.id());
         try (HttpCall call =
                         mContext.connections()
                                 .call(
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -16,6 +16,7 @@
 import org.orchidmount.limits.RetryBudget;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.relay.AttemptRunner.HeldResponse;
+import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.AttemptOutcome;
 import org.orchidmount.routing.AttemptRule;
@@ -41,6 +42,7 @@
     private final RetryBudget mBudget;
     private final CallerResponse mCaller;
     private final CancelSignal mCancel;
+    private final RequestProgress mProgress;
     private final Optional<EnginePlacer> mEngines;
     private final AttemptRunner mAttempts;
     private final Set<String> mTried = new HashSet<>();
@@ -59,16 +61,34 @@
         mBudget = context.retryBudget(service.name());
         mCaller = caller;
         mCancel = cancel;
+        mProgress = new RequestProgress(context.clock(), request.id());
         mEngines =
                 request.prompt()
-                        .map(prompt -> new EnginePlacer(context, request, prompt, service, cancel));
+                        .map(
+                                prompt ->
+                                        new EnginePlacer(
+                                                context, request, prompt, service, cancel,
+                                                mProgress));
         mAttempts =
                 new AttemptRunner(
-                        context, request, caller, cancel, mEngines.map(EnginePlacer::tracker));
+                        context,
+                        request,
+                        caller,
+                        cancel,
+                        mProgress,
+                        mEngines.map(EnginePlacer::tracker));
     }
 
     /** Serves the request to its end. */
     void run() throws IOException, TimeoutException, InterruptedException {
+        try (CancelSignal.Registration _ = mCancel.onCancel(mProgress::callerLeft)) {
+            serve();
+        } finally {
+            mProgress.ended();
+        }
+    }
+
+    private void serve() throws IOException, TimeoutException, InterruptedException {
         mBudget.countRequest();
         while (mayTry()) {
             Optional<Placement> placement = place();
@@ -107,6 +127,7 @@
 
     /** Finds a place at an upstream, with memory reserved where that is needed. */
     private Optional<Placement> place() throws InterruptedException {
+        mProgress.waitsFor(Activity.PLACEMENT);
         if (mEngines.isPresent()) {
             return mEngines.get().place(mTried);
         }
