Wait for a stream that is taken up as long as a stream may be silent

On a machine with a load of 42 an engine pauses longer, each of the three attempts ends so, and the request fails with the gap as its reason ("offset 6 follows 4"), because the reason of the failed resume was dropped without a line.

Change: the wait is tokenTimeout (10 s), as between two tokens of the stream; the reason why a stream was not taken up is logged.

Result: HttpEngineClientTest red before, green now. Trial: with a wait of 1 ms the case "left out" of BrokenEngineTest fails with that message, so the mechanism suffices; the failure itself has not come again, so that it was this is likely, not shown. BrokenEngineTest (10), ResumeTest, CancelTest green.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/TokenRelay.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/TokenRelay.java
@@ -90,7 +90,8 @@
             LOG.info("%s: %s; resume at %d", mSource.requestId(), failure.describe(), mNextOffset);
             switch (resume()) {
                 case Attempt.Done<TokenStream>(TokenStream resumed) -> stream = resumed;
-                case Attempt.Failed<TokenStream> _ -> {
+                case Attempt.Failed<TokenStream>(Failure notResumed) -> {
+                    LOG.info("%s: not resumed: %s", mSource.requestId(), notResumed.describe());
                     return failure;
                 }
             }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/upstream/HttpEngineClient.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/upstream/HttpEngineClient.java
@@ -144,7 +144,8 @@
     public Attempt<TokenStream> resume(Peer engine, String id, int offset, CancelSignal cancel) {
         HttpHead head = head(EngineProtocol.REQUESTS + "/" + id + "/resume", id);
         byte[] body = Json.bytes(Json.object().put("offset", offset));
-        return attempt(() -> open(engine, head, body, mSettings.cancelTimeout(), offset, cancel));
+        // An engine that pauses may do so here as long as between two tokens of the stream.
+        return attempt(() -> open(engine, head, body, mSettings.tokenTimeout(), offset, cancel));
     }
 
     private TokenStream open(
