Give limits of rows, and the step from nanoseconds to milliseconds, one place

Cause: the largest values of fields stood in six rows (MAX_RUNNING five times, MAX_WEIGHT and MAX_MILLIS three times), NANOS_PER_MILLI in six classes, most without unit or origin.

Change: table.RowLimits and clock.Millis; units and origins for the constants of settings, dialling, operators' calls, record files and the adapter's defaults. No value changed.

Ruled out: giving the frame types of ClusterCodec and the exit codes a comment each; it would say no more than their names.

The pins of rules, files, frames and help, TableTest, PolicyTest, SettingsReaderTest and the parsers' tests green (177 tests).

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
@@ -60,9 +60,10 @@
     /** Pause between two looks at what still runs. Chosen, not measured. */
     private static final Duration POLL = Duration.ofMillis(20);
 
-    /** Pauses between tries to cancel double from the first to the longest. Chosen. */
+    /** The first pause between tries to cancel; it doubles with each. Chosen, not measured. */
     private static final Duration CLEAN_FIRST_PAUSE = Duration.ofMillis(100);
 
+    /** The longest pause between tries to cancel. Chosen, not measured. */
     private static final Duration CLEAN_LONGEST_PAUSE = Duration.ofSeconds(5);
 
     /** How long broken-off requests may take to tell their callers. */
--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Changes.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Changes.java
@@ -27,6 +27,8 @@
 /** Sends changes and reads single rows. Stateless and thread-safe. */
 public final class Changes {
     private static final SecureRandom RANDOM = new SecureRandom();
+
+    /** Bytes of a change id: 48 bits, so that two of a site do not meet. Chosen. */
     private static final int RANDOM_BYTES = 6;
 
     private Changes() {}
--- a/org.orchidmount/src/main/java/org/orchidmount/api/OperatorCommand.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/api/OperatorCommand.java
@@ -24,8 +24,13 @@
  * @param <T> what it yields
  */
 public abstract class OperatorCommand<T> {
+    /** For each step of a call. Chosen, not measured. */
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+    /** Far more than a table has. Chosen, not measured. */
     private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+    /** HTTP: 400 and above are errors. */
     private static final int FIRST_ERROR_STATUS = 400;
 
     private final Orchidmount mInstance;
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/Dialer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/Dialer.java
@@ -25,9 +25,10 @@
     /** Far more than a round trip between the regions of a site. Chosen, not measured. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
-    /** Pauses between tries double from the first to the longest. Chosen, not measured. */
+    /** The first pause between tries; it doubles with each. Chosen, not measured. */
     private static final long FIRST_PAUSE_MILLIS = 80;
 
+    /** The longest pause between tries, so that a healed link is used soon. Chosen. */
     private static final long LONGEST_PAUSE_MILLIS = 800;
 
     private final HostPort mAddress;
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/file/RecordLog.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/file/RecordLog.java
@@ -26,7 +26,11 @@
  */
 public final class RecordLog implements AutoCloseable {
     private static final PartLog LOG = PartLog.of("file");
+
+    /** Hexadecimal digits of a checksum of 32 bits. */
     private static final int CRC_DIGITS = 8;
+
+    /** Characters between checksum and record. */
     private static final int SEPARATOR_LENGTH = 1;
 
     private final Path mPath;
--- a/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.orchidmount.clock.Millis;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.lock.LockRank;
 import org.orchidmount.internal.lock.OrderedLock;
@@ -39,8 +40,6 @@
     /** Three announcements missed: a sequence so silent has ended with its instance. */
     private static final Duration FORGET_AFTER = Duration.ofSeconds(5);
 
-    private static final double NANOS_PER_MILLI = Duration.ofMillis(1).toNanos();
-
     private final OrderedLock mLock = new OrderedLock(LockRank.LOADS);
     private final MonotonicClock mClock;
     private final Map<String, Map<String, Known>> mSequences = new HashMap<>();
@@ -208,7 +207,7 @@
 
     /** Extrapolates what a sequence has generated since it was last announced. */
     private double generatedTokens(Known known, long nowNanos) {
-        double sinceMillis = (nowNanos - known.updatedNanos()) / NANOS_PER_MILLI;
+        double sinceMillis = Millis.ofNanos(nowNanos - known.updatedNanos());
         boolean begun = known.sequence().generatedTokens() > 0;
         double growingMillis = begun ? sinceMillis : Math.max(0, sinceMillis - FIRST_TOKEN_MILLIS);
         return known.sequence().generatedTokens() + growingMillis * mTokensPerMilli;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/StreamTiming.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/StreamTiming.java
@@ -5,11 +5,11 @@
  */
 package org.orchidmount.relay;
 
+import org.orchidmount.clock.Millis;
 import org.orchidmount.clock.MonotonicClock;
 
 /** When the parts of one stream were received. Used by one thread. */
 final class StreamTiming {
-    private static final double NANOS_PER_MILLI = 1e6;
 
     private final MonotonicClock mClock;
     private final long mArrivedNanos;
@@ -44,15 +44,15 @@
     }
 
     long firstMillis() {
-        return Math.round((mFirstNanos - mArrivedNanos) / NANOS_PER_MILLI);
+        return Math.round(Millis.ofNanos(mFirstNanos - mArrivedNanos));
     }
 
     long longestPauseMillis() {
-        return Math.round(mLongestPauseNanos / NANOS_PER_MILLI);
+        return Math.round(Millis.ofNanos(mLongestPauseNanos));
     }
 
     /** Returns the time between the first part and the newest. */
     double durationMillis() {
-        return (mNewestNanos - mFirstNanos) / NANOS_PER_MILLI;
+        return Millis.ofNanos(mNewestNanos - mFirstNanos);
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -5,7 +5,6 @@
  */
 package org.orchidmount.relay;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -16,6 +15,7 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.orchidmount.clock.Millis;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.lock.LockRank;
 import org.orchidmount.internal.lock.OrderedLock;
@@ -43,8 +43,6 @@
     /** An expected time below this says little about speed. Chosen, not measured. */
     private static final double MIN_ORDINARY_MILLIS = 1;
 
-    private static final double NANOS_PER_MILLI = Duration.ofMillis(1).toNanos();
-
     private final OrderedLock mLock = new OrderedLock(LockRank.BOARD);
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
     private final Map<String, String> mIdByAddress = new HashMap<>();
@@ -202,7 +200,7 @@
         learn(
                 assignment,
                 (health, nowNanos) -> {
-                    double tookMillis = (nowNanos - assignment.sinceNanos()) / NANOS_PER_MILLI;
+                    double tookMillis = Millis.ofNanos(nowNanos - assignment.sinceNanos());
                     double ordinaryMillis =
                             Math.max(MIN_ORDINARY_MILLIS, assignment.ordinaryMillis());
                     return health.afterAnswer(tookMillis / ordinaryMillis, nowNanos);
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/JointPolicy.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/JointPolicy.java
@@ -7,6 +7,7 @@
 
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.orchidmount.clock.Millis;
 
 /**
  * The product's policy: chooses decode engine, link and prefill engine together.
@@ -22,7 +23,6 @@
     /** The policy's name. */
     public static final String NAME = "orchidmount";
 
-    private static final double NANOS_PER_MILLI = 1e6;
     private static final double MILLIS_PER_SECOND = 1e3;
 
     /** What a full decode engine costs against an empty one, in milliseconds. */
@@ -47,7 +47,7 @@
         }
         Scored decode = best(input.decode(), c -> decodeMillis(input, c), random);
         Scored prefill = best(input.prefill(), c -> prefillMillis(input, c), random);
-        double waitedMillis = (input.nowNanos() - request.arrivedNanos()) / NANOS_PER_MILLI;
+        double waitedMillis = Millis.ofNanos(input.nowNanos() - request.arrivedNanos());
         if (prefill == null) {
             return waitOrRefuse(request, waitedMillis, Decision.WaitReason.NO_PREFILL);
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/PrefillTimeoutRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/PrefillTimeoutRule.java
@@ -6,6 +6,7 @@
 package org.orchidmount.routing;
 
 import java.time.Duration;
+import org.orchidmount.clock.Millis;
 
 /**
  * Why a silent prefill engine is given up: it has taken much longer than its backlog explains.
@@ -19,8 +20,6 @@
     /** Added for short prompts and for pauses of the engine. Chosen, not measured. */
     private static final Duration MARGIN = Duration.ofMillis(400);
 
-    private static final double NANOS_PER_MILLI = Duration.ofMillis(1).toNanos();
-
     private PrefillTimeoutRule() {}
 
     /**
@@ -31,7 +30,7 @@
      * @return the longest silence, at most {@code left}
      */
     public static Duration silenceLimit(double ordinaryMillis, Duration left) {
-        long nanos = (long) (SILENCE_FACTOR * ordinaryMillis * NANOS_PER_MILLI);
+        long nanos = (long) Millis.toNanos(SILENCE_FACTOR * ordinaryMillis);
         Duration limit = Duration.ofNanos(nanos + MARGIN.toNanos());
         return limit.compareTo(left) < 0 ? limit : left;
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/table/AccountRow.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/table/AccountRow.java
@@ -26,8 +26,6 @@
         int requestsPerSecond)
         implements Row {
     private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
-    private static final int MAX_WEIGHT = 1000;
-    private static final int MAX_RUNNING = 1_000_000;
 
     /** Checks the fields. */
     public AccountRow {
@@ -38,9 +36,9 @@
                             + " account's key");
         }
         Fields.name("requestClass", requestClass);
-        Fields.range("weight", weight, 1, MAX_WEIGHT);
-        Fields.range("maxRunning", maxRunning, 0, MAX_RUNNING);
-        Fields.range("requestsPerSecond", requestsPerSecond, 0, MAX_RUNNING);
+        Fields.range("weight", weight, 1, RowLimits.MAX_WEIGHT);
+        Fields.range("maxRunning", maxRunning, 0, RowLimits.MAX_REQUESTS);
+        Fields.range("requestsPerSecond", requestsPerSecond, 0, RowLimits.MAX_REQUESTS);
     }
 
     @Override
--- a/org.orchidmount/src/main/java/org/orchidmount/table/ClassRow.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/table/ClassRow.java
@@ -26,20 +26,15 @@
         int maxRunning,
         int maxQueued)
         implements Row {
-    private static final int MAX_WEIGHT = 1000;
-    private static final int MAX_PRIORITY = 9;
-    private static final long MAX_MILLIS = 3_600_000;
-    private static final int MAX_RUNNING = 1_000_000;
-
     /** Checks the fields. */
     public ClassRow {
         Fields.name("name", name);
-        Fields.range("weight", weight, 1, MAX_WEIGHT);
-        Fields.range("priority", priority, 0, MAX_PRIORITY);
-        Fields.range("maxWaitMillis", maxWaitMillis, 1, MAX_MILLIS);
-        Fields.range("maxFirstTokenMillis", maxFirstTokenMillis, 0, MAX_MILLIS);
-        Fields.range("maxRunning", maxRunning, 0, MAX_RUNNING);
-        Fields.range("maxQueued", maxQueued, 0, MAX_RUNNING);
+        Fields.range("weight", weight, 1, RowLimits.MAX_WEIGHT);
+        Fields.range("priority", priority, 0, RowLimits.MAX_PRIORITY);
+        Fields.range("maxWaitMillis", maxWaitMillis, 1, RowLimits.MAX_MILLIS);
+        Fields.range("maxFirstTokenMillis", maxFirstTokenMillis, 0, RowLimits.MAX_MILLIS);
+        Fields.range("maxRunning", maxRunning, 0, RowLimits.MAX_REQUESTS);
+        Fields.range("maxQueued", maxQueued, 0, RowLimits.MAX_REQUESTS);
     }
 
     @Override
--- a/org.orchidmount/src/main/java/org/orchidmount/table/ModelRow.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/table/ModelRow.java
@@ -29,22 +29,17 @@
         int maxOutputTokens,
         int maxRunning)
         implements Row {
-    private static final long MAX_MILLIS = 3_600_000;
-    private static final long MAX_KV_BYTES = 1L << 30;
-    private static final int MAX_TOKENS = 10_000_000;
-    private static final int MAX_RUNNING = 1_000_000;
-
     /** Checks the fields. */
     public ModelRow {
         Fields.name("name", name);
         Fields.name("prefillPool", prefillPool);
         Fields.name("decodePool", decodePool);
-        Fields.range("firstTokenTargetMillis", firstTokenTargetMillis, 1, MAX_MILLIS);
-        Fields.range("tokenGapTargetMillis", tokenGapTargetMillis, 1, MAX_MILLIS);
-        Fields.range("kvBytesPerToken", kvBytesPerToken, 1, MAX_KV_BYTES);
-        Fields.range("maxPromptTokens", maxPromptTokens, 1, MAX_TOKENS);
-        Fields.range("maxOutputTokens", maxOutputTokens, 1, MAX_TOKENS);
-        Fields.range("maxRunning", maxRunning, 0, MAX_RUNNING);
+        Fields.range("firstTokenTargetMillis", firstTokenTargetMillis, 1, RowLimits.MAX_MILLIS);
+        Fields.range("tokenGapTargetMillis", tokenGapTargetMillis, 1, RowLimits.MAX_MILLIS);
+        Fields.range("kvBytesPerToken", kvBytesPerToken, 1, RowLimits.MAX_KV_BYTES_PER_TOKEN);
+        Fields.range("maxPromptTokens", maxPromptTokens, 1, RowLimits.MAX_TOKENS);
+        Fields.range("maxOutputTokens", maxOutputTokens, 1, RowLimits.MAX_TOKENS);
+        Fields.range("maxRunning", maxRunning, 0, RowLimits.MAX_REQUESTS);
     }
 
     @Override
--- a/org.orchidmount/src/main/java/org/orchidmount/table/PoolRow.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/table/PoolRow.java
@@ -13,13 +13,11 @@
  * @param maxRunning the most requests running in the whole pool, 0 for no limit
  */
 public record PoolRow(String name, PoolRole role, int maxRunning) implements Row {
-    private static final int MAX_RUNNING = 1_000_000;
-
     /** Checks the fields. */
     public PoolRow {
         Fields.name("name", name);
         Fields.present("role", role, "give prefill, decode or plain");
-        Fields.range("maxRunning", maxRunning, 0, MAX_RUNNING);
+        Fields.range("maxRunning", maxRunning, 0, RowLimits.MAX_REQUESTS);
     }
 
     @Override
--- a/org.orchidmount/src/main/java/org/orchidmount/table/RouteRow.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/table/RouteRow.java
@@ -30,19 +30,16 @@
         long maxBodyBytes)
         implements Row {
     private static final Pattern METHOD = Pattern.compile("[A-Z]{3,10}");
-    private static final int MAX_PATH_LENGTH = 200;
-    private static final long MAX_MILLIS = 3_600_000;
-    private static final long MAX_BODY_BYTES = 1L << 30;
 
     /** Checks the fields. */
     public RouteRow {
         Fields.name("name", name);
         if (pathPrefix == null
                 || !pathPrefix.startsWith("/")
-                || pathPrefix.length() > MAX_PATH_LENGTH) {
+                || pathPrefix.length() > RowLimits.MAX_PATH_LENGTH) {
             throw new IllegalArgumentException(
                     "pathPrefix must begin with a slash and have at most "
-                            + MAX_PATH_LENGTH
+                            + RowLimits.MAX_PATH_LENGTH
                             + " characters");
         }
         methods = methods == null ? List.of() : List.copyOf(methods);
@@ -53,8 +50,8 @@
             }
         }
         Fields.name("pool", pool);
-        Fields.range("timeoutMillis", timeoutMillis, 1, MAX_MILLIS);
-        Fields.range("maxBodyBytes", maxBodyBytes, 0, MAX_BODY_BYTES);
+        Fields.range("timeoutMillis", timeoutMillis, 1, RowLimits.MAX_MILLIS);
+        Fields.range("maxBodyBytes", maxBodyBytes, 0, RowLimits.MAX_BODY_BYTES);
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/table/UpstreamRow.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/table/UpstreamRow.java
@@ -33,25 +33,23 @@
         int prefillTokensPerSecond,
         long linkBytesPerSecond)
         implements Row {
-    private static final int MAX_PORT = 65_535;
-    private static final int MAX_WEIGHT = 1000;
-    private static final int MAX_RUNNING = 1_000_000;
-    private static final long MAX_BYTES = 1L << 50;
-    private static final int MAX_RATE = 100_000_000;
-
     /** Checks the fields. */
     public UpstreamRow {
         Fields.name("name", name);
         Fields.name("pool", pool);
         Fields.name("host", host);
-        Fields.range("port", port, 1, MAX_PORT);
+        Fields.range("port", port, 1, RowLimits.MAX_PORT);
         Fields.name("zone", zone);
         Fields.present("mode", mode, "give active or draining");
-        Fields.range("weight", weight, 1, MAX_WEIGHT);
-        Fields.range("maxRunning", maxRunning, 0, MAX_RUNNING);
-        Fields.range("kvBytes", kvBytes, 0, MAX_BYTES);
-        Fields.range("prefillTokensPerSecond", prefillTokensPerSecond, 0, MAX_RATE);
-        Fields.range("linkBytesPerSecond", linkBytesPerSecond, 0, MAX_BYTES);
+        Fields.range("weight", weight, 1, RowLimits.MAX_WEIGHT);
+        Fields.range("maxRunning", maxRunning, 0, RowLimits.MAX_REQUESTS);
+        Fields.range("kvBytes", kvBytes, 0, RowLimits.MAX_ENGINE_BYTES);
+        Fields.range(
+                "prefillTokensPerSecond",
+                prefillTokensPerSecond,
+                0,
+                RowLimits.MAX_TOKENS_PER_SECOND);
+        Fields.range("linkBytesPerSecond", linkBytesPerSecond, 0, RowLimits.MAX_ENGINE_BYTES);
     }
 
     /**
