Show that a plain service of the table notices a departure as well

Cause: the product's own path closed its connections by the same library call, and CancelTest could not see it, because engines there are told by a call of their own.

Change: the stand-in of a plain service ends its work when its caller closes the connection, and counts that; PlainCallTest waits for it.

--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakePlainService.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakePlainService.java
@@ -17,14 +17,18 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.orchidmount.internal.http.HttpLimits;
 import org.orchidmount.internal.http.HttpServer;
 import org.orchidmount.internal.http.ServerExchange;
 import org.orchidmount.internal.json.Json;
 
 /**
- * A stand-in for a plain service. It counts every execution by the caller's key and by request id.
+ * A stand-in for a plain service. It counts every execution by the caller's key and by request id,
+ * and the callers that left while it worked for them, which ends that work.
  *
  * <p>{@code GET /big?bytes=N} sends a large body; other calls answer with what they received. The
  * paths under {@code /test} are for tests. Thread-safe.
@@ -39,6 +43,7 @@
     private final SplittableRandom mRandom;
     private final Map<String, Integer> mByKey = new HashMap<>();
     private final Map<String, Integer> mById = new HashMap<>();
+    private final AtomicInteger mCallersGone = new AtomicInteger();
     private final HttpServer mServer;
     private volatile PlainFaults mFaults = PlainFaults.none();
 
@@ -82,6 +87,7 @@
         ObjectNode json = Json.object();
         json.set("byKey", Json.MAPPER.valueToTree(mByKey));
         json.set("byId", Json.MAPPER.valueToTree(mById));
+        json.put("callersGone", mCallersGone.get());
         return json;
     }
 
@@ -96,8 +102,9 @@
         }
         PlainFaults faults = mFaults;
         execute(id, key);
-        if (faults.delayMillis() > 0) {
-            Thread.sleep(faults.delayMillis());
+        if (faults.delayMillis() > 0 && callerLeaves(exchange, faults.delayMillis())) {
+            mCallersGone.incrementAndGet();
+            return;
         }
         if (happens(faults.dropPercent())) {
             exchange.abort();
@@ -114,6 +121,14 @@
         answer(exchange, json, echoed);
     }
 
+    /** Works for a while; returns true as soon as the caller closes its connection. */
+    private static boolean callerLeaves(ServerExchange exchange, long workMillis)
+            throws InterruptedException {
+        CountDownLatch gone = new CountDownLatch(1);
+        exchange.onGone(gone::countDown);
+        return gone.await(workMillis, TimeUnit.MILLISECONDS);
+    }
+
     private synchronized void execute(String id, String key) {
         mById.merge(id, 1, Integer::sum);
         if (key != null) {
--- a/org.orchidmount.test/src/test/java/org/orchidmount/test/PlainCallTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/test/PlainCallTest.java
@@ -7,6 +7,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.hash.Hashing;
 import java.io.IOException;
 import java.net.URI;
@@ -14,8 +15,10 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.function.ToIntFunction;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
@@ -33,6 +36,9 @@
 
 /** Calls to plain services: passed on whole, retried if harmless, run at most once if not. */
 class PlainCallTest {
+    /** Half of the 10 s for which the HTTP library waits for an answer before it closes. */
+    private static final Duration NOTICED_WITHIN = Duration.ofSeconds(5);
+
     @TempDir static Path sFolder;
 
     private static Cluster sCluster;
@@ -86,6 +92,27 @@
         }
     }
 
+    /** A service whose caller has left learns it at once, not when it answers. */
+    @Test
+    void aServiceNoticesThatItsCallerHasLeft() throws Exception {
+        setFaults(new PlainFaults(Await.LONG.toMillis(), 0, 0));
+        int before = sum(json -> json.path("byId").size());
+        try (RawCaller caller = new RawCaller(sCluster.callerUrl(0))) {
+            caller.send(
+                    "GET /lookup/left HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                            + Cluster.MILL_KEY
+                            + "\r\n\r\n");
+            Await.until(
+                    "the service works",
+                    Await.LONG,
+                    () -> sum(json -> json.path("byId").size()) > before);
+        }
+        Await.until(
+                "the service stops",
+                NOTICED_WITHIN,
+                () -> sum(json -> json.path("callersGone").asInt()) == 1);
+    }
+
     @Test
     void answerOfAnotherRequestIsNotPassedOn() {
         setFaults(new PlainFaults(0, 0, 100));
@@ -155,16 +182,15 @@
     }
 
     private static int executions(String key) {
-        int sum = 0;
-        for (String plain : sCluster.upstreamNames()) {
-            sum +=
-                    new Caller(sCluster.upstreamUrl(plain), "")
-                            .getJson("/test/executions")
-                            .path("byKey")
-                            .path(key)
-                            .asInt();
-        }
-        return sum;
+        return sum(json -> json.path("byKey").path(key).asInt());
+    }
+
+    /** Adds a figure of all services. */
+    private static int sum(ToIntFunction<JsonNode> figure) {
+        return sCluster.upstreamNames().stream()
+                .map(name -> new Caller(sCluster.upstreamUrl(name), ""))
+                .mapToInt(caller -> figure.applyAsInt(caller.getJson("/test/executions")))
+                .sum();
     }
 
     private static String outcome(HttpResponse<String> response) {
