Give tests and stand-ins their connections from one class

Cause: an I/O thread with its HttpConnections was set up and ended in the same dozen lines in four tests and in the stand-in of an engine.

Change: junit.TestConnections. No assertion changed.

--- /dev/null
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/TestConnections.java
@@ -0,0 +1,58 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.junit;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import org.orchidmount.clock.SystemMonotonicClock;
+import org.orchidmount.internal.http.HttpConnections;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Connections with an I/O thread of their own, which ends with them. Thread-safe. */
+public final class TestConnections implements AutoCloseable {
+    private final XnioWorker mWorker;
+    private final HttpConnections mConnections;
+
+    /**
+     * Starts the I/O thread.
+     *
+     * @param connectTimeout the longest wait for a new connection
+     */
+    public TestConnections(Duration connectTimeout) {
+        try {
+            mWorker =
+                    Xnio.getInstance()
+                            .createWorker(
+                                    OptionMap.create(
+                                            Options.WORKER_IO_THREADS,
+                                            1,
+                                            Options.THREAD_DAEMON,
+                                            true));
+        } catch (IOException e) {
+            throw new UncheckedIOException("no I/O thread for connections", e);
+        }
+        mConnections = new HttpConnections(mWorker, new SystemMonotonicClock(), connectTimeout);
+    }
+
+    /**
+     * Returns the connections.
+     *
+     * @return the connections, until {@link #close}
+     */
+    public HttpConnections get() {
+        return mConnections;
+    }
+
+    @Override
+    public void close() {
+        mConnections.close();
+        mWorker.shutdownNow();
+    }
+}
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/EngineService.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/EngineService.java
@@ -14,11 +14,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import org.orchidmount.clock.SystemMonotonicClock;
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Step;
 import org.orchidmount.internal.http.HttpCall;
-import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.http.HttpHead;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.json.Json;
@@ -26,12 +24,9 @@
 import org.orchidmount.junit.EngineConfig;
 import org.orchidmount.junit.EngineFaults;
 import org.orchidmount.junit.FakeModel;
+import org.orchidmount.junit.TestConnections;
 import org.orchidmount.junit.internal.EngineSequence.Turn;
 import org.orchidmount.routing.PromptBlocks;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 /** The engine protocol in front of {@link EngineCore}. Thread-safe. */
 public final class EngineService implements AutoCloseable {
@@ -39,9 +34,11 @@
     private static final int MAX_ANSWER_BYTES = 64 * 1024;
     private static final int HEX = 16;
 
+    /** Engines are on one machine, so a connection takes no time. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
     private final EngineCore mCore;
-    private final XnioWorker mWorker;
-    private final HttpConnections mConnections;
+    private final TestConnections mConnections;
     private volatile String mHost;
     private volatile int mPort;
     private volatile String mPreviousId = "none";
@@ -55,20 +52,7 @@
      */
     public EngineService(EngineConfig config, long seed) {
         mCore = new EngineCore(config, seed);
-        try {
-            mWorker =
-                    Xnio.getInstance()
-                            .createWorker(
-                                    OptionMap.create(
-                                            Options.WORKER_IO_THREADS,
-                                            1,
-                                            Options.THREAD_DAEMON,
-                                            true));
-        } catch (IOException e) {
-            throw new IllegalStateException("no I/O thread for the engine's link", e);
-        }
-        mConnections =
-                new HttpConnections(mWorker, new SystemMonotonicClock(), Duration.ofSeconds(1));
+        mConnections = new TestConnections(CONNECT_TIMEOUT);
     }
 
     /**
@@ -212,7 +196,9 @@
         question.put("imported", imported);
         HttpHead head = HttpHead.of(Methods.POST, "/v1/exports");
         try (HttpCall call =
-                mConnections.call(peer, Step.PREFILL, head, Json.bytes(question), TAKE_TIMEOUT)) {
+                mConnections
+                        .get()
+                        .call(peer, Step.PREFILL, head, Json.bytes(question), TAKE_TIMEOUT)) {
             int status = call.awaitResponse(TAKE_TIMEOUT).getResponseCode();
             byte[] answer = call.readAll(TAKE_TIMEOUT, MAX_ANSWER_BYTES);
             return status == StatusCodes.OK ? Json.parse(answer).path("kv_bytes").asLong() : -1;
@@ -406,7 +392,6 @@
     public void close() {
         mCore.close();
         mConnections.close();
-        mWorker.shutdownNow();
     }
 
     /**
--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/HttpCallTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/HttpCallTest.java
@@ -28,16 +28,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.orchidmount.clock.SystemMonotonicClock;
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
 import org.orchidmount.junit.Await;
+import org.orchidmount.junit.TestConnections;
 import org.orchidmount.upstream.CancelSignal;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 /** Tests {@code HttpCall}. */
 final class HttpCallTest {
@@ -58,17 +54,13 @@
                 "Connection: close\r\n\r\nwhole",
             })
     void aWholeAnswerThatEndsItsConnectionIsWhole(String answer) throws Exception {
-        XnioWorker worker = worker();
         try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-                HttpConnections connections =
-                        new HttpConnections(worker, new SystemMonotonicClock(), TIMEOUT)) {
+                TestConnections connections = new TestConnections(TIMEOUT)) {
             Thread.ofVirtual().start(() -> serve(server, "HTTP/1.1 200 OK\r\n" + answer));
             Peer peer = new Peer("peer", "127.0.0.1", server.getLocalPort());
             for (int i = 0; i < CALLS; i++) {
-                assertThat(read(connections, peer)).isEqualTo("whole");
+                assertThat(read(connections.get(), peer)).isEqualTo("whole");
             }
-        } finally {
-            worker.shutdownNow();
         }
     }
 
@@ -83,22 +75,19 @@
     @ParameterizedTest
     @EnumSource(Phase.class)
     void aCallThatIsCancelledClosesItsConnection(Phase phase) throws Exception {
-        XnioWorker worker = worker();
         CancelSignal cancel = new CancelSignal();
         try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-                HttpConnections connections =
-                        new HttpConnections(worker, new SystemMonotonicClock(), TIMEOUT)) {
+                TestConnections connections = new TestConnections(TIMEOUT)) {
             Peer peer = new Peer("peer", "127.0.0.1", server.getLocalPort());
             HttpHead head = HttpHead.of(Methods.POST, "/a").with(Headers.CONTENT_LENGTH, "100");
-            try (HttpCall call = connections.callFresh(peer, Step.FORWARD, head, true, cancel);
+            try (HttpCall call =
+                            connections.get().callFresh(peer, Step.FORWARD, head, true, cancel);
                     Socket socket = server.accept()) {
                 advance(call, socket, phase);
                 cancel.cancel(CancelSignal.Reason.CALLER_GONE);
                 socket.setSoTimeout((int) NOTICED_WITHIN.toMillis());
                 assertThat(readsToEnd(socket)).isTrue();
             }
-        } finally {
-            worker.shutdownNow();
         }
     }
 
@@ -132,17 +121,18 @@
     /** A peer whose queue of new connections is full lets them wait. */
     @Test
     void aCancelEndsTheWaitForAConnection() throws Exception {
-        XnioWorker worker = worker();
         CancelSignal cancel = new CancelSignal();
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 FullQueue _ = new FullQueue(server);
-                HttpConnections connections =
-                        new HttpConnections(worker, new SystemMonotonicClock(), Await.LONG)) {
+                TestConnections connections = new TestConnections(Await.LONG)) {
             Peer peer = new Peer("peer", "127.0.0.1", server.getLocalPort());
             CompletableFuture<Failure> failure = new CompletableFuture<>();
             Thread calling =
                     Thread.ofVirtual()
-                            .start(() -> failure.complete(failure(connections, peer, cancel)));
+                            .start(
+                                    () ->
+                                            failure.complete(
+                                                    failure(connections.get(), peer, cancel)));
             Await.until(
                     "the call waits for its connection",
                     TIMEOUT,
@@ -150,8 +140,6 @@
             cancel.cancel(CancelSignal.Reason.CALLER_GONE);
             Failure cancelled = failure.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
             assertThat(cancelled.mayHaveRun()).isFalse();
-        } finally {
-            worker.shutdownNow();
         }
     }
 
@@ -166,30 +154,17 @@
 
     @Test
     void nothingIsBegunForWorkThatWasCancelled() throws Exception {
-        XnioWorker worker = worker();
         CancelSignal cancel = new CancelSignal();
         cancel.cancel(CancelSignal.Reason.CALLER_GONE);
         try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-                HttpConnections connections =
-                        new HttpConnections(worker, new SystemMonotonicClock(), TIMEOUT)) {
+                TestConnections connections = new TestConnections(TIMEOUT)) {
             Peer peer = new Peer("peer", "127.0.0.1", server.getLocalPort());
-            assertThat(failure(connections, peer, cancel).mayHaveRun()).isFalse();
+            assertThat(failure(connections.get(), peer, cancel).mayHaveRun()).isFalse();
             server.setSoTimeout(1);
             assertThrows(SocketTimeoutException.class, server::accept);
-        } finally {
-            worker.shutdownNow();
         }
     }
 
-    private static XnioWorker worker() throws IOException {
-        return Xnio.getInstance()
-                .createWorker(
-                        OptionMap.builder()
-                                .set(Options.WORKER_IO_THREADS, 1)
-                                .set(Options.THREAD_DAEMON, true)
-                                .getMap());
-    }
-
     /** Fills the queue of new connections of a socket that accepts none. */
     private static final class FullQueue implements AutoCloseable {
         private final List<SocketChannel> mWaiting = new ArrayList<>();
--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/HttpServerTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/HttpServerTest.java
@@ -21,14 +21,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.orchidmount.clock.SystemMonotonicClock;
 import org.orchidmount.errors.Step;
 import org.orchidmount.junit.Await;
 import org.orchidmount.junit.RawCaller;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
+import org.orchidmount.junit.TestConnections;
 
 /** Tests {@link HttpServer} and {@link HttpConnections} over one connection that stays open. */
 class HttpServerTest {
@@ -45,27 +41,19 @@
     void endedRequestsAreNotKeptWhileTheConnectionStaysOpen() throws Exception {
         List<WeakReference<ServerExchange>> exchanges = new CopyOnWriteArrayList<>();
         List<WeakReference<HttpCall>> calls = new ArrayList<>();
-        XnioWorker worker =
-                Xnio.getInstance()
-                        .createWorker(
-                                OptionMap.create(
-                                        Options.WORKER_IO_THREADS, 1, Options.THREAD_DAEMON, true));
         try (HttpServer server =
                         server(
                                 exchange -> {
                                     exchanges.add(new WeakReference<>(exchange));
                                     exchange.answer(200, new HeaderMap(), BODY, TIMEOUT);
                                 });
-                HttpConnections connections =
-                        new HttpConnections(worker, new SystemMonotonicClock(), TIMEOUT)) {
+                TestConnections connections = new TestConnections(TIMEOUT)) {
             Peer peer = new Peer("server", "127.0.0.1", server.port());
             for (int i = 0; i < REQUESTS; i++) {
-                calls.add(new WeakReference<>(call(connections, peer)));
+                calls.add(new WeakReference<>(call(connections.get(), peer)));
             }
             Await.until("exchanges are freed", Await.LONG, () -> isMostlyFree(exchanges));
             Await.until("calls are freed", Await.LONG, () -> isMostlyFree(calls));
-        } finally {
-            worker.shutdownNow();
         }
     }
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/upstream/HttpEngineClientTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/upstream/HttpEngineClientTest.java
@@ -14,20 +14,16 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
-import org.orchidmount.clock.SystemMonotonicClock;
 import org.orchidmount.errors.Attempt;
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.http.HttpLimits;
 import org.orchidmount.internal.http.HttpServer;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.http.ServerExchange;
+import org.orchidmount.junit.TestConnections;
 import org.orchidmount.settings.Settings;
 import org.orchidmount.upstream.CancelSignal;
 import org.orchidmount.upstream.TokenStream;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 /** Tests {@link HttpEngineClient}. */
 final class HttpEngineClientTest {
@@ -48,11 +44,6 @@
      */
     @Test
     void aStreamIsTakenUpFromAnEngineThatPauses() throws Exception {
-        XnioWorker worker =
-                Xnio.getInstance()
-                        .createWorker(
-                                OptionMap.create(
-                                        Options.WORKER_IO_THREADS, 1, Options.THREAD_DAEMON, true));
         try (HttpServer engine =
                         new HttpServer(
                                 "127.0.0.1",
@@ -60,17 +51,14 @@
                                 HttpLimits.defaults(),
                                 1,
                                 HttpEngineClientTest::serveAfterAPause);
-                HttpConnections connections =
-                        new HttpConnections(worker, new SystemMonotonicClock(), LONG)) {
+                TestConnections connections = new TestConnections(LONG)) {
             Peer peer = new Peer("engine", "127.0.0.1", engine.port());
             Attempt<TokenStream> resumed =
-                    client(connections).resume(peer, "r", 5, new CancelSignal());
+                    client(connections.get()).resume(peer, "r", 5, new CancelSignal());
             assertThat(resumed).isInstanceOf(Attempt.Done.class);
             try (TokenStream stream = ((Attempt.Done<TokenStream>) resumed).value()) {
                 assertThat(stream.next().offset()).isEqualTo(5);
             }
-        } finally {
-            worker.shutdownNow();
         }
     }
 
