--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/EngineCore.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/EngineCore.java
@@ -34,7 +34,7 @@
  * requests that decode, and never passes the limit. All state is guarded by one lock. Thread-safe.
  */
 final class EngineCore implements AutoCloseable {
-    private static final int MAX_EVENTS = 100_000;
+    /** Requests remembered for tests; far more than a test sends. */
     private static final int MAX_REMEMBERED = 200_000;
 
     private final EngineConfig mConfig;
@@ -42,14 +42,11 @@
     private final Condition mChanged = mLock.newCondition();
     private final SplittableRandom mRandom;
     private final Map<String, EngineSequence> mSequences = new LinkedHashMap<>();
-    private final List<Prefill> mPrefillQueue = new ArrayList<>();
+    private final List<EnginePrefill> mPrefillQueue = new ArrayList<>();
     private final Map<String, Export> mExports = new HashMap<>();
-    private final LinkedHashMap<Long, Boolean> mCache = new LinkedHashMap<>(16, 0.75f, true);
-    private final List<Event> mFreshEvents = new ArrayList<>();
-    private final List<Event> mEvents = new ArrayList<>();
+    private final PrefixCache mCache;
     private final Set<String> mReceived = new LinkedHashSet<>();
     private final List<Thread> mThreads = new ArrayList<>();
-    private long mEventCounter;
     private long mOrder;
     private long mKvBytesHeld;
     private long mLinkFreeNanos;
@@ -64,6 +61,7 @@
     EngineCore(EngineConfig config, long seed) {
         mConfig = config;
         mRandom = new SplittableRandom(seed);
+        mCache = new PrefixCache(config.cacheBlocks(), config.eventLossPercent(), mRandom);
         start("prefill", this::prefillLoop);
         start("decode", this::decodeLoop);
         start("report", this::reportLoop);
@@ -129,14 +127,15 @@
         mLock.lock();
         try {
             long kvBytes = blocks.tokens() * mConfig.kvBytesPerToken();
-            Prefill prefill =
-                    new Prefill(id, instance, incarnation, blocks, kvBytes, priority, mOrder++);
+            EnginePrefill prefill =
+                    new EnginePrefill(
+                            id, instance, incarnation, blocks, kvBytes, priority, mOrder++);
             mPrefillQueue.add(prefill);
             mChanged.signalAll();
-            while (prefill.mResult == null && !prefill.mCancelled && !mClosed) {
+            while (prefill.result() == null && !prefill.isCancelled() && !mClosed) {
                 mChanged.await(1, TimeUnit.SECONDS);
             }
-            return prefill.mResult;
+            return prefill.result();
         } finally {
             mLock.unlock();
         }
@@ -146,14 +145,14 @@
         mLock.lock();
         try {
             while (!mClosed) {
-                Prefill next = nextPrefill();
+                EnginePrefill next = nextPrefill();
                 if (next == null) {
                     mChanged.await(5, TimeUnit.MILLISECONDS);
                     expireExports();
                     continue;
                 }
-                mKvBytesHeld += next.mKvBytes;
-                next.mHolding = true;
+                mKvBytesHeld += next.kvBytes();
+                next.setHoldsMemory(true);
                 process(next);
             }
         } finally {
@@ -161,30 +160,30 @@
         }
     }
 
-    private Prefill nextPrefill() {
-        mPrefillQueue.removeIf(prefill -> prefill.mCancelled);
+    private EnginePrefill nextPrefill() {
+        mPrefillQueue.removeIf(EnginePrefill::isCancelled);
         return mPrefillQueue.stream()
-                .filter(prefill -> mKvBytesHeld + prefill.mKvBytes <= mConfig.kvBytes())
+                .filter(prefill -> mKvBytesHeld + prefill.kvBytes() <= mConfig.kvBytes())
                 .min(
-                        Comparator.comparingInt((Prefill p) -> p.mPriority)
-                                .thenComparingLong(p -> p.mOrder))
+                        Comparator.comparingInt(EnginePrefill::priority)
+                                .thenComparingLong(EnginePrefill::order))
                 .orElse(null);
     }
 
-    private void process(Prefill prefill) throws InterruptedException {
-        int cached = cachedTokens(prefill.mBlocks);
-        int uncached = Math.max(1, prefill.mBlocks.tokens() - cached);
+    private void process(EnginePrefill prefill) throws InterruptedException {
+        int cached = mCache.cachedTokens(prefill.blocks());
+        int uncached = Math.max(1, prefill.blocks().tokens() - cached);
         double nanosPerToken =
                 mFaults.slowFactor()
                         * TimeUnit.SECONDS.toNanos(1)
                         / mConfig.prefillTokensPerSecond();
         long startNanos = System.nanoTime();
         long endNanos = startNanos + (long) (uncached * nanosPerToken);
-        while (System.nanoTime() < endNanos && !prefill.mCancelled && !mClosed) {
+        while (System.nanoTime() < endNanos && !prefill.isCancelled() && !mClosed) {
             mChanged.awaitNanos(endNanos - System.nanoTime());
         }
         mPrefillQueue.remove(prefill);
-        if (prefill.mCancelled) {
+        if (prefill.isCancelled()) {
             long done = (long) ((System.nanoTime() - startNanos) / nanosPerToken);
             mProcessedTokens += Math.min(done, uncached);
             mWastedTokens += Math.min(done, uncached);
@@ -192,28 +191,29 @@
             return;
         }
         mProcessedTokens += uncached;
-        store(prefill.mBlocks);
+        mCache.store(prefill.blocks());
         long expiresNanos =
                 System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mConfig.exportHoldMillis());
-        prefill.mResult =
+        Export export =
                 new Export(
-                        prefill.mId,
-                        prefill.mInstance,
-                        prefill.mIncarnation,
-                        prefill.mKvBytes,
-                        prefill.mBlocks.tokens(),
+                        prefill.id(),
+                        prefill.instance(),
+                        prefill.incarnation(),
+                        prefill.kvBytes(),
+                        prefill.blocks().tokens(),
                         cached,
                         uncached,
                         expiresNanos);
-        prefill.mHolding = false;
-        mExports.put(prefill.mId, prefill.mResult);
+        prefill.setResult(export);
+        prefill.setHoldsMemory(false);
+        mExports.put(prefill.id(), export);
         mChanged.signalAll();
     }
 
-    private void release(Prefill prefill) {
-        if (prefill.mHolding) {
-            prefill.mHolding = false;
-            mKvBytesHeld -= prefill.mKvBytes;
+    private void release(EnginePrefill prefill) {
+        if (prefill.holdsMemory()) {
+            prefill.setHoldsMemory(false);
+            mKvBytesHeld -= prefill.kvBytes();
         }
         mChanged.signalAll();
     }
@@ -231,38 +231,6 @@
         }
     }
 
-    private int cachedTokens(PromptBlocks blocks) {
-        int count = 0;
-        for (long hash : blocks.hashes()) {
-            if (mCache.get(hash) == null) {
-                break;
-            }
-            count++;
-        }
-        return count * PromptBlocks.BLOCK_TOKENS;
-    }
-
-    private void store(PromptBlocks blocks) {
-        for (long hash : blocks.hashes()) {
-            if (mCache.put(hash, true) == null) {
-                publish(hash, true);
-            }
-        }
-        Iterator<Long> eldest = mCache.keySet().iterator();
-        while (mCache.size() > mConfig.cacheBlocks()) {
-            long hash = eldest.next();
-            eldest.remove();
-            publish(hash, false);
-        }
-    }
-
-    private void publish(long hash, boolean stored) {
-        mEventCounter++;
-        if (mRandom.nextInt(100) >= mConfig.eventLossPercent()) {
-            mFreshEvents.add(new Event(mEventCounter, hash, stored));
-        }
-    }
-
     /** Finds an exported cache; it is held until {@link #releaseExport} or it runs out. */
     Export findExport(String id) {
         return locked(() -> mExports.get(id));
@@ -417,9 +385,9 @@
         return locked(
                 () -> {
                     boolean known = false;
-                    for (Prefill prefill : mPrefillQueue) {
-                        if (prefill.mId.equals(id)) {
-                            prefill.mCancelled = true;
+                    for (EnginePrefill prefill : mPrefillQueue) {
+                        if (prefill.id().equals(id)) {
+                            prefill.cancel();
                             known = true;
                         }
                     }
@@ -454,11 +422,7 @@
                 }
                 mVisible = mPending;
                 mPending = capture();
-                mEvents.addAll(mFreshEvents);
-                mFreshEvents.clear();
-                if (mEvents.size() > MAX_EVENTS) {
-                    mEvents.subList(0, mEvents.size() - MAX_EVENTS).clear();
-                }
+                mCache.publish();
             }
         } finally {
             mLock.unlock();
@@ -478,17 +442,8 @@
     Seen seen(long eventsAfter) {
         return locked(
                 () -> {
-                    List<Event> events = new ArrayList<>();
-                    boolean lost = false;
-                    long previous = eventsAfter;
-                    for (Event event : mEvents) {
-                        if (event.number() > eventsAfter) {
-                            lost |= event.number() != previous + 1;
-                            previous = event.number();
-                            events.add(event);
-                        }
-                    }
-                    return new Seen(mVisible, events, previous, lost);
+                    PrefixCache.Page page = mCache.eventsAfter(eventsAfter);
+                    return new Seen(mVisible, page.events(), page.next(), page.lost());
                 });
     }
 
@@ -516,8 +471,8 @@
                         list.add(
                                 new Running(s.id(), s.instance(), s.incarnation(), s.isAttached()));
                     }
-                    for (Prefill p : mPrefillQueue) {
-                        list.add(new Running(p.mId, p.mInstance, p.mIncarnation, false));
+                    for (EnginePrefill p : mPrefillQueue) {
+                        list.add(new Running(p.id(), p.instance(), p.incarnation(), false));
                     }
                     for (Export e : mExports.values()) {
                         list.add(new Running(e.id(), e.instance(), e.incarnation(), false));
@@ -551,37 +506,6 @@
         void run() throws InterruptedException;
     }
 
-    /** A prompt that waits or is being processed. */
-    private static final class Prefill {
-        private final String mId;
-        private final String mInstance;
-        private final String mIncarnation;
-        private final PromptBlocks mBlocks;
-        private final long mKvBytes;
-        private final int mPriority;
-        private final long mOrder;
-        private Export mResult;
-        private boolean mCancelled;
-        private boolean mHolding;
-
-        Prefill(
-                String id,
-                String instance,
-                String incarnation,
-                PromptBlocks blocks,
-                long kvBytes,
-                int priority,
-                long order) {
-            mId = id;
-            mInstance = instance;
-            mIncarnation = incarnation;
-            mBlocks = blocks;
-            mKvBytes = kvBytes;
-            mPriority = priority;
-            mOrder = order;
-        }
-    }
-
     /** A processed prompt whose cache waits to be imported. */
     record Export(
             String id,
@@ -593,14 +517,11 @@
             int uncachedTokens,
             long expiresNanos) {}
 
-    /** A change of the prefix cache. */
-    record Event(long number, long hash, boolean stored) {}
-
     /** The load at one time. */
     record Report(int running, int waiting, long kvBytesUsed) {}
 
     /** What a poller gets. */
-    record Seen(Report report, List<Event> events, long nextEvent, boolean lost) {}
+    record Seen(Report report, List<PrefixCache.Event> events, long nextEvent, boolean lost) {}
 
     /** The true state. */
     record State(
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/EngineService.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/internal/EngineService.java
@@ -372,7 +372,7 @@
         json.put("next_event", seen.nextEvent());
         json.put("events_lost", seen.lost());
         ArrayNode events = json.putArray("events");
-        for (EngineCore.Event event : seen.events()) {
+        for (PrefixCache.Event event : seen.events()) {
             String hash = Long.toUnsignedString(event.hash(), HEX);
             events.addObject().put("hash", hash).put("stored", event.stored());
         }
