--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -172,8 +172,8 @@
     }
 
     /**
-     * Makes a call that a cancel ends whatever it waits for. Here, and nowhere above, is seen to it
-     * that nothing is begun for work that was cancelled.
+     * Makes a call that a cancel ends, whatever it waits for. Callers need not ask whether their
+     * work was cancelled before: then the call fails here, and nothing is sent.
      */
     private HttpCall connect(Peer peer, Step step, boolean fresh, CancelSignal cancel)
             throws CallFailedException {
