--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
@@ -39,10 +39,6 @@
         mGreeting = greeting;
         mHandler = handler;
         mSeeds = Set.copyOf(seeds);
-    }
-
-    /** Begins to look for voters at the seeds. */
-    void dialSeeds() {
         mSeeds.forEach(this::dial);
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -6,8 +6,15 @@
 package org.orchidmount.cluster;
 
 import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -33,14 +40,15 @@
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
+import org.orchidmount.membership.Registry;
 
 /**
- * An instance that votes on the route table and replicates registrations.
+ * An instance that votes on the route table and spreads registrations.
  *
  * <p>Invariants: a change is answered as accepted only once it is synced at a quorum; a
- * registration that says an upstream leaves is answered only once a quorum holds it ({@link
- * RegistrationReplicator}); the tables that entries receive are committed. All state is confined to
- * one thread; the public methods are thread-safe and answer by futures.
+ * registration that says an upstream leaves is answered only once a quorum holds it; what entries
+ * are told is committed. All state is confined to one thread; the public methods are thread-safe
+ * and answer by futures.
  */
 public final class VoterNode implements AutoCloseable {
     /** The version of the protocol between instances. */
@@ -57,6 +65,14 @@
     /** Announcements are gathered this long, so that many entries cost few frames. Chosen. */
     private static final long GATHER_MILLIS = 2;
 
+    /** Nanoseconds for which an upstream that has left is remembered. Chosen. */
+    private static final long REMEMBER_NANOS = Duration.ofMinutes(10).toNanos();
+
+    /** Random bytes that tell a voter with a new disk from the one before. */
+    private static final int IDENTITY_BYTES = 8;
+
+    private static final String FOUNDER = "/first";
+
     private final TaskThread mTasks = new TaskThread("voter", LOG);
     private final MonotonicClock mClock;
     private final Member mSelf;
@@ -65,20 +81,34 @@
     private final VoterLinks mLinks;
     private final LinkServer mServer;
     private final StageController mStages;
-    private final TableOperations mTables;
-    private final RegistrationReplicator mRegistrations;
+    private final Registry mRegistry = new Registry(REMEMBER_NANOS);
+    private final Map<Long, Spread> mSpreads = new HashMap<>();
+
+    /** Registrations received here since the other voters were last sent any. */
+    private final Map<String, Registration> mReceived = new HashMap<>();
 
     /** Announcements of entries that were not passed on yet. */
     private final List<InFlightSequence> mAnnounced = new ArrayList<>();
 
     private GroupState mCommitted = new GroupState(List.of(), 0, new byte[0]);
+    private long mSpreadNumber;
     private boolean mWasInTouch;
     private Replica.Role mWasRole = Replica.Role.FOLLOWER;
 
+    /** Registrations on their way to a quorum. */
+    private static final class Spread {
+        private final CompletableFuture<Boolean> mDone;
+        private int mHolders = 1;
+
+        Spread(CompletableFuture<Boolean> done) {
+            mDone = done;
+        }
+    }
+
     private VoterNode(VoterConfig config, MonotonicClock clock) throws IOException {
         mClock = clock;
         StateFile file = StateFile.open(config.folder());
-        DurableState durable = file.read().orElseGet(() -> FirstState.of(config));
+        DurableState durable = file.read().orElseGet(() -> firstState(config));
         mSelf = new Member(durable.self(), config.address().toString(), config.controlAddress());
         Greeting greeting = new Greeting(PROTOCOL, config.node(), mSelf);
         Link.Handler handler = new LinkEvents();
@@ -98,12 +128,8 @@
                         greeting,
                         config.seeds().stream().map(VoterConfig.Seed::address).toList(),
                         handler);
-        mTables = new TableOperations(mReplica, () -> mCommitted);
-        mRegistrations = new RegistrationReplicator(mReplica, mLinks, mTasks, clock);
-        mStages = new StageController(config.stages(), config.node());
-        // Links bring messages, which need all of the above, so they are opened last.
         mServer = new LinkServer(config.address(), greeting, handler);
-        mTasks.post(mLinks::dialSeeds);
+        mStages = new StageController(config.stages(), config.node());
         mTasks.every(TICK_MILLIS, this::tick);
         mTasks.every(NOTICE_MILLIS, this::refresh);
         LOG.info(
@@ -123,6 +149,37 @@
         return new VoterNode(config, clock);
     }
 
+    /**
+     * The state of an empty disk: a founder's if it is one, else that of a replica to be taught.
+     */
+    private static DurableState firstState(VoterConfig config) {
+        List<Member> founders =
+                config.seeds().stream()
+                        .map(
+                                seed ->
+                                        new Member(
+                                                seed.address() + FOUNDER,
+                                                seed.address().toString(),
+                                                seed.controlAddress()))
+                        .toList();
+        String founder = config.address() + FOUNDER;
+        boolean founds =
+                config.firstStart()
+                        && founders.stream().anyMatch(member -> member.id().equals(founder));
+        if (founds) {
+            GroupState state = new GroupState(founders, 0, new byte[0]);
+            return new DurableState(founder, 0, "", new EntryId(0, 1), state);
+        }
+        byte[] identity = new byte[IDENTITY_BYTES];
+        new SecureRandom().nextBytes(identity);
+        return new DurableState(
+                config.address() + "/" + HexFormat.of().formatHex(identity),
+                0,
+                "",
+                EntryId.NONE,
+                new GroupState(List.of(), 0, new byte[0]));
+    }
+
     // ---- operators
 
     /**
@@ -133,7 +190,27 @@
      * @return the answer, in time or not at all
      */
     public CompletableFuture<TableAnswer> putTable(long version, byte[] document) {
-        return ask(answer -> mTables.put(version, document, answer));
+        return ask(
+                done -> {
+                    GroupState newest = mReplica.state();
+                    boolean same = version == newest.tableVersion();
+                    if (version > newest.tableVersion()) {
+                        LOG.info("table %d replaces %d", version, newest.tableVersion());
+                        mReplica.propose(
+                                newest.withTable(version, document),
+                                committed -> done.accept(accepted(committed, version)));
+                    } else if (same && !Arrays.equals(document, newest.tableDocument())) {
+                        done.accept(new TableAnswer.Conflict(version));
+                    } else {
+                        mReplica.confirm(
+                                confirmed ->
+                                        done.accept(accepted(confirmed, newest.tableVersion())));
+                    }
+                });
+    }
+
+    private static TableAnswer accepted(boolean certain, long version) {
+        return certain ? new TableAnswer.Accepted(version) : new TableAnswer.Unavailable();
     }
 
     /**
@@ -142,12 +219,34 @@
      * @return the answer, in time or not at all
      */
     public CompletableFuture<TableAnswer> readTable() {
-        return ask(mTables::read);
+        return ask(
+                done ->
+                        mReplica.confirm(
+                                confirmed ->
+                                        done.accept(
+                                                confirmed
+                                                        ? new TableAnswer.Current(
+                                                                mCommitted.tableVersion(),
+                                                                mCommitted.tableDocument())
+                                                        : new TableAnswer.Unavailable())));
     }
 
+    /** Runs a question on the leader, or names the leader. */
     private CompletableFuture<TableAnswer> ask(Consumer<Consumer<TableAnswer>> question) {
         CompletableFuture<TableAnswer> answer = new CompletableFuture<>();
-        mTasks.post(() -> question.accept(answer::complete));
+        mTasks.post(
+                () -> {
+                    if (mReplica.role() == Replica.Role.LEADER) {
+                        question.accept(answer::complete);
+                        return;
+                    }
+                    Optional<Member> leader =
+                            mReplica.isInTouch() ? mReplica.leader() : Optional.empty();
+                    answer.complete(
+                            leader.map(Member::controlAddress)
+                                    .<TableAnswer>map(TableAnswer.AskLeader::new)
+                                    .orElseGet(TableAnswer.Unavailable::new));
+                });
         return answer;
     }
 
@@ -181,7 +280,20 @@
      */
     public CompletableFuture<Boolean> register(Registration registration) {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
-        mTasks.post(() -> mRegistrations.register(registration, done));
+        mTasks.post(
+                () -> {
+                    Optional<Registration> changed =
+                            mRegistry.merge(registration, mClock.nanoTime());
+                    changed.ifPresent(VoterNode::logChange);
+                    mReceived.put(registration.id(), registration);
+                    boolean leaving = registration.state() != Registration.State.READY;
+                    if (leaving) {
+                        spread(mRegistry.find(registration.id()).orElse(registration), done);
+                        return;
+                    }
+                    changed.ifPresent(this::forward);
+                    done.complete(mReplica.isInTouch());
+                });
         return done;
     }
 
@@ -193,10 +305,54 @@
      */
     public CompletableFuture<Boolean> leave(String id) {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
-        mTasks.post(() -> mRegistrations.leave(id, done));
+        mTasks.post(
+                () -> {
+                    Registration gone = mRegistry.leave(id, mClock.nanoTime());
+                    logChange(gone);
+                    spread(gone, done);
+                });
         return done;
     }
 
+    private void spread(Registration leaving, CompletableFuture<Boolean> done) {
+        if (!mReplica.isInTouch()) {
+            forward(leaving);
+            done.complete(false);
+            return;
+        }
+        long number = ++mSpreadNumber;
+        mSpreads.put(number, new Spread(done));
+        done.whenComplete((held, error) -> mTasks.post(() -> mSpreads.remove(number)));
+        Registrations message = new Registrations(number, List.of(leaving));
+        mLinks.sendToVoters(message);
+        mLinks.sendToEntries(new Registrations(0, List.of(leaving)));
+        checkSpread(number);
+    }
+
+    private void checkSpread(long number) {
+        Spread spread = mSpreads.get(number);
+        if (spread != null && spread.mHolders >= mReplica.state().quorum()) {
+            spread.mDone.complete(true);
+        }
+    }
+
+    private void forward(Registration changed) {
+        Registrations message = new Registrations(0, List.of(changed));
+        mLinks.sendToVoters(message);
+        mLinks.sendToEntries(message);
+    }
+
+    private static void logChange(Registration changed) {
+        LOG.info(
+                "upstream %s of %s at %s is %s, stage %s, sequence %d",
+                changed.id(),
+                changed.service(),
+                changed.address(),
+                changed.state(),
+                changed.stage(),
+                changed.sequence());
+    }
+
     // ---- links
 
     private void onMessage(Link link, ClusterMessage message) {
@@ -210,8 +366,14 @@
         }
         switch (message) {
             case Replication replication -> onReplication(replication);
-            case Registrations registrations -> mRegistrations.receive(link, registrations);
-            case RegistrationsHeld held -> mRegistrations.acknowledged(link, held);
+            case Registrations registrations -> onRegistrations(link, registrations);
+            case RegistrationsHeld held -> {
+                Spread spread = mSpreads.get(held.number());
+                if (spread != null && mLinks.isVoter(link)) {
+                    spread.mHolders++;
+                    checkSpread(held.number());
+                }
+            }
             case TableRequest _ ->
                     link.send(
                             new TableDocument(
@@ -239,7 +401,7 @@
             learn(greeting.voter());
             link.send(new Voters(knownVoters()));
         }
-        link.send(mRegistrations.all());
+        link.send(new Registrations(0, mRegistry.all()));
     }
 
     private void onReplication(Replication replication) {
@@ -262,6 +424,15 @@
         return known;
     }
 
+    private void onRegistrations(Link link, Registrations registrations) {
+        for (Registration registration : registrations.registrations()) {
+            mRegistry.merge(registration, mClock.nanoTime()).ifPresent(this::forward);
+        }
+        if (registrations.number() != 0) {
+            link.send(new RegistrationsHeld(registrations.number()));
+        }
+    }
+
     /** Passes announcements on to all entries; the sender takes its own as known. */
     private void onSequences(InFlightSequences announced) {
         if (mAnnounced.isEmpty()) {
@@ -297,7 +468,7 @@
         long term = mReplica.holdsQuorum() ? mReplica.term() : -1;
         mStages.tick(
                 term,
-                mRegistrations.heardSince(nowNanos - mStages.countedWithin().toNanos()),
+                mRegistry.heardSince(nowNanos - mStages.countedWithin().toNanos()),
                 () -> stillLeads(term),
                 nowNanos);
     }
@@ -323,8 +494,12 @@
     private void refresh() {
         long nowNanos = mClock.nanoTime();
         mLinks.forgetOld(mReplica.state().members(), nowNanos);
+        mRegistry.forgetOld(nowNanos);
         mLinks.sendToEntries(notice());
-        mRegistrations.refresh(nowNanos);
+        if (!mReceived.isEmpty()) {
+            mLinks.sendToVoters(new Registrations(0, List.copyOf(mReceived.values())));
+            mReceived.clear();
+        }
     }
 
     private void onPersisted(long number, EntryId entry) {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/package-info.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/package-info.java
@@ -5,6 +5,6 @@
  */
 /**
  * The instances of a site and what they say to each other: voters that agree on the route table and
- * replicate registrations, and entries that follow them.
+ * spread registrations, and entries that follow them.
  */
 package org.orchidmount.cluster;
