Learn the pace of engines, and leave alone those that refuse

The changes were owed to engines that crashed and were back seconds later. Prompts of 3,000 tokens take twice what the preset speed says here.

Change: (1) an engine that refuses after it had been left alone is left alone for twice as long, up to 1.92 s, and no output is placed there meanwhile; a KV cache that two engines refused is given up. (2) An engine that fell silent without leaving counts for ten heartbeats when stages are planned. (3) One pace per service, learned from prompts prefilled, first tokens and whole outputs, replaces the preset speeds of prefill, growth, first token, full memory and time to come back; what is left of the target, not all of it, decides where a prompt is prefilled. The forecast of memory needs no speed at all: its horizons are shares of an output's length.

--- /dev/null
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/routing/EnginePaceEstimatorTest.java
@@ -0,0 +1,54 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests {@code EnginePaceEstimator}. */
+final class EnginePaceEstimatorTest {
+    private final EnginePaceEstimator mEstimator = new EnginePaceEstimator();
+
+    @ParameterizedTest
+    @ValueSource(doubles = {10, 100, 5_000})
+    void theFirstObservationReplacesThePrior(double tookMillis) {
+        mEstimator.observePrefill(1_000, tookMillis);
+        EnginePace pace = mEstimator.pace();
+        assertThat(pace.prefillEngineMillis(1_000)).isWithin(1e-6).of(tookMillis);
+        assertThat(pace.decodeEngineMillis(1_000)).isWithin(1e-6).of(2 * tookMillis);
+    }
+
+    @Test
+    void aFewSlowEnginesHardlyMoveIt() {
+        for (int i = 0; i < 200; i++) {
+            mEstimator.observePrefill(1_000, i % 10 == 0 ? 900 : 100);
+        }
+        assertThat(mEstimator.pace().prefillEngineMillis(1_000)).isWithin(20).of(107);
+    }
+
+    @Test
+    void aLastingChangeIsFollowed() {
+        for (int i = 0; i < 40; i++) {
+            mEstimator.observeOutput(600, 3_000);
+        }
+        for (int i = 0; i < 60; i++) {
+            mEstimator.observeOutput(600, 9_000);
+        }
+        assertThat(mEstimator.pace().outputMillis()).isWithin(400).of(9_000);
+    }
+
+    @Test
+    void whatCannotBeMeasuredIsLeftOut() {
+        EnginePace before = mEstimator.pace();
+        mEstimator.observePrefill(0, 100);
+        mEstimator.observePrefill(100, 0);
+        mEstimator.observeOutput(9, 0);
+        assertThat(mEstimator.pace()).isEqualTo(before);
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
@@ -47,6 +47,12 @@
     /** Heartbeats that an engine may miss and still count. Chosen, not measured. */
     private static final int HEARTBEATS_MISSED = 3;
 
+    /**
+     * Heartbeats after which an engine that fell silent is no longer expected back: on the users'
+     * platforms some 12 s, twice what an engine takes to change its stage. Chosen.
+     */
+    private static final int HEARTBEATS_UNTIL_LOST = 10;
+
     private final VoterConfig.Stages mConfig;
     private final StageOrders mOrders;
     private final EngineStagePlan mPlan;
@@ -82,15 +88,26 @@
         return mConfig.heartbeat().multipliedBy(HEARTBEATS_MISSED);
     }
 
+    /** Returns how long an upstream may be silent and still be expected back. */
+    Duration expectedWithin() {
+        return mConfig.heartbeat().multipliedBy(HEARTBEATS_UNTIL_LOST);
+    }
+
     /**
      * Lets time pass.
      *
      * @param term the voter's term, or -1 if it does not lead a quorum
      * @param current the upstreams whose heartbeats are recent
+     * @param silent those that have lately stopped to send any and are expected back
      * @param stillHeld tells, from any thread, whether the voter still leads that term
      * @param nowNanos the monotonic time
      */
-    void tick(long term, List<Registration> current, BooleanSupplier stillHeld, long nowNanos) {
+    void tick(
+            long term,
+            List<Registration> current,
+            List<Registration> silent,
+            BooleanSupplier stillHeld,
+            long nowNanos) {
         follow(term, nowNanos);
         if (mCalling.get()) {
             return;
@@ -106,7 +123,7 @@
             return;
         }
         mPending = null;
-        Optional<EngineStagePlan.Change> change = mPlan.next(current);
+        Optional<EngineStagePlan.Change> change = mPlan.next(current, silent);
         if (change.isEmpty()) {
             mDue = null;
         } else if (isSettled(change.get(), nowNanos)) {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -466,11 +466,13 @@
     private void orderStages() {
         long nowNanos = mClock.nanoTime();
         long term = mReplica.holdsQuorum() ? mReplica.term() : -1;
-        mStages.tick(
-                term,
-                mRegistry.heardSince(nowNanos - mStages.countedWithin().toNanos()),
-                () -> stillLeads(term),
-                nowNanos);
+        List<Registration> current =
+                mRegistry.heardSince(nowNanos - mStages.countedWithin().toNanos());
+        List<Registration> silent =
+                new ArrayList<>(
+                        mRegistry.heardSince(nowNanos - mStages.expectedWithin().toNanos()));
+        silent.removeAll(current);
+        mStages.tick(term, current, silent, () -> stillLeads(term), nowNanos);
     }
 
     /** Tells, from another thread, whether this voter leads a quorum in a term. */
--- a/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
@@ -17,6 +17,7 @@
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.lock.LockRank;
 import org.orchidmount.internal.lock.OrderedLock;
+import org.orchidmount.routing.EnginePace;
 import org.orchidmount.routing.MemoryForecast;
 import org.orchidmount.routing.MemoryRule;
 
@@ -28,22 +29,12 @@
  * older announcement that took another way does not bring it back. Thread-safe.
  */
 public final class EngineLoads {
-    /** Tokens a sequence grows in a millisecond, before any was seen (trials to 08ae6f6f). */
-    private static final double INITIAL_TOKENS_PER_MILLI = 1.3;
-
-    /** Smoothing factor of that rate. Chosen, not measured. */
-    private static final double RATE_SMOOTHING = 0.2;
-
-    /** From the choice of an engine to its first token, in milliseconds. Chosen, not measured. */
-    private static final double FIRST_TOKEN_MILLIS = 150;
-
     /** Three announcements missed: a sequence so silent has ended with its instance. */
     private static final Duration FORGET_AFTER = Duration.ofSeconds(5);
 
     private final OrderedLock mLock = new OrderedLock(LockRank.LOADS);
     private final MonotonicClock mClock;
     private final Map<String, Map<String, Known>> mSequences = new HashMap<>();
-    private double mTokensPerMilli = INITIAL_TOKENS_PER_MILLI;
 
     /**
      * A sequence as it was last announced.
@@ -92,32 +83,23 @@
         }
     }
 
-    /**
-     * Learns from a whole output how fast sequences grow.
-     *
-     * @param tokensPerMilli its tokens for each millisecond between its first and its last
-     */
-    public void observeRate(double tokensPerMilli) {
-        try (OrderedLock.Held _ = mLock.hold()) {
-            mTokensPerMilli += RATE_SMOOTHING * (tokensPerMilli - mTokensPerMilli);
-        }
-    }
-
     /**
      * Names the engines whose memory has no room for one more sequence.
      *
      * @param candidate the sequence; its engine does not count
      * @param memoryTokens the memory of each engine
+     * @param pace how fast the engines are
      * @return their identities; an engine of which nothing is known is not among them
      */
-    public Set<String> saturatedEngines(InFlightSequence candidate, long memoryTokens) {
+    public Set<String> saturatedEngines(
+            InFlightSequence candidate, long memoryTokens, EnginePace pace) {
         try (OrderedLock.Held _ = mLock.hold()) {
             long nowNanos = mClock.nanoTime();
             forgetOld(nowNanos);
             Set<String> saturated = new HashSet<>();
             mSequences.forEach(
                     (upstreamId, known) -> {
-                        if (!fits(known, candidate, memoryTokens, nowNanos)) {
+                        if (!fits(known, candidate, memoryTokens, pace, nowNanos)) {
                             saturated.add(upstreamId);
                         }
                     });
@@ -145,16 +127,17 @@
      * Estimates how much memory the sequences of an engine use now.
      *
      * @param upstreamId its identity
+     * @param pace how fast the engines are
      * @return tokens
      */
-    public double usedMemoryTokens(String upstreamId) {
+    public double usedMemoryTokens(String upstreamId, EnginePace pace) {
         try (OrderedLock.Held _ = mLock.hold()) {
             long nowNanos = mClock.nanoTime();
             return inFlight(upstreamId)
                     .mapToDouble(
                             known ->
                                     known.sequence().promptTokens()
-                                            + generatedTokens(known, nowNanos))
+                                            + generatedTokens(known, pace, nowNanos))
                     .sum();
         }
     }
@@ -170,9 +153,10 @@
      *
      * @param sequence the sequence, which is known here
      * @param memoryTokens the memory of the engine
+     * @param pace how fast the engines are
      * @return false if it has to go elsewhere
      */
-    public boolean keepsPlace(InFlightSequence sequence, long memoryTokens) {
+    public boolean keepsPlace(InFlightSequence sequence, long memoryTokens, EnginePace pace) {
         try (OrderedLock.Held _ = mLock.hold()) {
             Map<String, Known> atEngine = mSequences.getOrDefault(sequence.upstreamId(), Map.of());
             Known own = atEngine.get(sequence.id());
@@ -181,7 +165,7 @@
             }
             Map<String, Known> before = new HashMap<>(atEngine);
             before.values().removeIf(other -> !hasPrecedence(other, own));
-            return fits(before, sequence, memoryTokens, mClock.nanoTime());
+            return fits(before, sequence, memoryTokens, pace, mClock.nanoTime());
         }
     }
 
@@ -194,23 +178,26 @@
             Map<String, Known> atEngine,
             InFlightSequence candidate,
             long memoryTokens,
+            EnginePace pace,
             long nowNanos) {
         List<MemoryForecast.Sequence> sequences = new ArrayList<>(atEngine.size() + 1);
         sequences.add(forecastInput(candidate, 0));
         for (Known known : atEngine.values()) {
             if (!known.sequence().ended()) {
-                sequences.add(forecastInput(known.sequence(), generatedTokens(known, nowNanos)));
+                sequences.add(
+                        forecastInput(known.sequence(), generatedTokens(known, pace, nowNanos)));
             }
         }
-        return MemoryRule.fits(sequences, mTokensPerMilli, memoryTokens);
+        return MemoryRule.fits(sequences, memoryTokens);
     }
 
     /** Extrapolates what a sequence has generated since it was last announced. */
-    private double generatedTokens(Known known, long nowNanos) {
+    private static double generatedTokens(Known known, EnginePace pace, long nowNanos) {
         double sinceMillis = Millis.ofNanos(nowNanos - known.updatedNanos());
         boolean begun = known.sequence().generatedTokens() > 0;
-        double growingMillis = begun ? sinceMillis : Math.max(0, sinceMillis - FIRST_TOKEN_MILLIS);
-        return known.sequence().generatedTokens() + growingMillis * mTokensPerMilli;
+        double growingMillis =
+                begun ? sinceMillis : Math.max(0, sinceMillis - pace.firstTokenMillis());
+        return known.sequence().generatedTokens() + growingMillis * pace.outputTokensPerMilli();
     }
 
     private static MemoryForecast.Sequence forecastInput(
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -158,7 +158,7 @@
         Assignment assignment = placement.assignment();
         return switch (mContext.protocol().classify(mRequest, response)) {
             case NOT_RUN -> {
-                mContext.upstreams().saturated(assignment);
+                mContext.upstreams().refused(assignment);
                 mLastFailure = "status " + response.getResponseCode() + ", not run";
                 discard(call);
                 yield AttemptOutcome.NOT_RUN;
@@ -246,6 +246,7 @@
             mTracker.ifPresent(tracker -> tracker.generated(stream.last() - before));
             if (first) {
                 mContext.upstreams().release(assignment);
+                mTracker.ifPresent(tracker -> tracker.observeFirst(placement));
                 mTracker.ifPresent(tracker -> tracker.endPrefill(placement));
                 mContext.upstreams().succeeded(assignment);
             }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -14,6 +14,7 @@
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.routes.Service;
+import org.orchidmount.routing.EnginePace;
 import org.orchidmount.routing.MemoryRule;
 import org.orchidmount.routing.MemoryWaitRule;
 import org.orchidmount.routing.OutputLengthEstimator;
@@ -183,17 +184,23 @@
     private Placement announce(
             Assignment assignment, Optional<String> reservation, PrefillRule.Choice choice) {
         Optional<InFlightSequence> prefill = Optional.empty();
+        int queueTokens = 0;
         if (choice != PrefillRule.Choice.SPLIT) {
             InFlightSequence unplaced = InFlightSequence.ofPrefill(mRequest.id(), mPrompt.tokens());
+            queueTokens = mPrompt.tokens() + mContext.loads().prefillBacklogTokens(assignment.id());
             prefill = Optional.of(mTracker.begin(unplaced, assignment));
         }
         InFlightSequence output = mTracker.begin(mOutput, assignment);
-        return new Placement(assignment, reservation, Optional.of(output), prefill);
+        return new Placement(assignment, reservation, Optional.of(output), prefill, queueTokens);
     }
 
-    /** Names the engines that have no room, or that the choice rules out. */
+    /**
+     * Names the engines that have no room, that refuse work, or that the choice rules out. One that
+     * refuses although its memory is free looks like the best of all, so it must not be a choice.
+     */
     private Set<String> excluded(PrefillRule.Choice choice) {
         Set<String> excluded = new HashSet<>(saturatedEngines());
+        excluded.addAll(mContext.upstreams().refusingPersistently());
         if (choice == PrefillRule.Choice.UNSPLIT_IF_IDLE) {
             excluded.addAll(
                     mContext.upstreams().unfit(mService.name(), Stage.DECODE, this::isNearlyIdle));
@@ -203,13 +210,16 @@
 
     private Set<String> saturatedEngines() {
         return mService.engine()
-                .map(engine -> mContext.loads().saturatedEngines(mOutput, engine.memoryTokens()))
+                .map(
+                        engine ->
+                                mContext.loads()
+                                        .saturatedEngines(mOutput, engine.memoryTokens(), pace()))
                 .orElseGet(Set::of);
     }
 
     private boolean isNearlyIdle(String upstreamId) {
         return PrefillRule.isNearlyIdle(
-                mPrompt.tokens(),
+                pace().decodeEngineMillis(mPrompt.tokens()),
                 memoryShare(upstreamId),
                 mContext.loads().prefillBacklogTokens(upstreamId),
                 mRequest.route().longestPause().toMillis());
@@ -226,12 +236,13 @@
         long memoryTokens = mService.engine().get().memoryTokens();
         long roomyTokens = MemoryRule.roomyTokens(memoryTokens);
         String engine = placement.assignment().id();
-        if (!mContext.loads().saturatedEngines(mOutput, roomyTokens).contains(engine)) {
+        if (!mContext.loads().saturatedEngines(mOutput, roomyTokens, pace()).contains(engine)) {
             return true;
         }
         mProgress.waitsFor(Activity.PLACEMENT, engine);
         return !mCancel.await(ANNOUNCED_AFTER)
-                && mContext.loads().keepsPlace(placement.output().orElseThrow(), memoryTokens);
+                && mContext.loads()
+                        .keepsPlace(placement.output().orElseThrow(), memoryTokens, pace());
     }
 
     private int reservedTokens() {
@@ -246,7 +257,7 @@
         return new UpstreamDirectory.Need(
                 mService.name(),
                 Stage.DECODE,
-                PrefillRule.requestMillis(mPrompt.tokens()),
+                requestMillis(),
                 UpstreamCost.OTHER_ZONE_ENGINE_MILLIS,
                 mayTakeTried,
                 excluded,
@@ -257,13 +268,21 @@
     private double backlogMillis(String upstreamId, double ownMillis) {
         int prefillTokens = mContext.loads().prefillBacklogTokens(upstreamId);
         return ownMillis
-                + PrefillRule.decodeEngineMillis(prefillTokens)
-                + UpstreamCost.memoryMillis(memoryShare(upstreamId));
+                + pace().decodeEngineMillis(prefillTokens)
+                + UpstreamCost.memoryMillis(memoryShare(upstreamId), requestMillis());
+    }
+
+    private double requestMillis() {
+        return pace().requestMillis(mPrompt.tokens());
+    }
+
+    private EnginePace pace() {
+        return mContext.enginePace(mService.name()).pace();
     }
 
     private double memoryShare(String upstreamId) {
         double memoryTokens = mService.engine().map(Service.Engine::memoryTokens).orElse(0L);
-        double usedTokens = mContext.loads().usedMemoryTokens(upstreamId);
+        double usedTokens = mContext.loads().usedMemoryTokens(upstreamId, pace());
         return memoryTokens > 0 ? usedTokens / memoryTokens : 0;
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Placement.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Placement.java
@@ -15,15 +15,18 @@
  * @param reservation the name of the memory reserved at the upstream, if any
  * @param output the output that was announced, if any
  * @param prefill the prefill that was announced, if the same engine does it
+ * @param prefillQueueTokens if so, the tokens of the prompt and what the engine has to prefill
+ *     before; else 0
  */
 record Placement(
         Assignment assignment,
         Optional<String> reservation,
         Optional<InFlightSequence> output,
-        Optional<InFlightSequence> prefill) {
+        Optional<InFlightSequence> prefill,
+        int prefillQueueTokens) {
     /** Returns a place at an upstream where nothing is reserved or announced. */
     static Placement atPlainService(Assignment assignment) {
-        return new Placement(assignment, Optional.empty(), Optional.empty(), Optional.empty());
+        return new Placement(assignment, Optional.empty(), Optional.empty(), Optional.empty(), 0);
     }
 
     /** Tells whether the engine of the place prefills the prompt itself. */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.orchidmount.clock.Millis;
 import org.orchidmount.cluster.HostPort;
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Step;
@@ -23,6 +24,7 @@
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.relay.UpstreamCall.Phase;
 import org.orchidmount.routes.Service;
+import org.orchidmount.routing.EnginePace;
 import org.orchidmount.routing.PrefillRule;
 import org.orchidmount.routing.PrefillTimeoutRule;
 import org.orchidmount.routing.UpstreamCost;
@@ -45,6 +47,9 @@
     /** Engines asked in turn, so that one silent engine costs one wait. Chosen, not measured. */
     private static final int MAX_ENGINES = 2;
 
+    /** Decode engines that refuse a KV cache before it is given up: one may be at fault itself. */
+    private static final int MAX_CACHE_REFUSALS = 2;
+
     private final RelayContext mContext;
     private final RelayRequest mRequest;
     private final RelayRequest.Prompt mPrompt;
@@ -52,7 +57,10 @@
     private final SequenceTracker mTracker;
     private final CancelSignal mCancel;
     private final RequestProgress mProgress;
+    private final long mArrivedNanos;
     private int mCalls;
+    private int mCacheRefusals;
+    private Optional<Assignment> mPrefilledAt = Optional.empty();
     private Optional<KvCacheRef> mUnused = Optional.empty();
     private long mPrefilledNanos;
 
@@ -71,19 +79,27 @@
         mTracker = tracker;
         mCancel = cancel;
         mProgress = progress;
+        mArrivedNanos = context.clock().nanoTime();
     }
 
     /** Chooses by the load of the prefill engines where the prompt is prefilled. */
     PrefillRule.Choice choice() {
-        return PrefillRule.choose(
-                mContext.upstreams().estimateMillis(need()), mRequest.route().target().toMillis());
+        return PrefillRule.choose(mContext.upstreams().estimateMillis(need()), targetLeftMillis());
+    }
+
+    /** Returns what is left of the target; all of it once it has passed. */
+    private double targetLeftMillis() {
+        Duration target = mRequest.route().target();
+        double leftMillis =
+                target.toMillis() - Millis.ofNanos(mContext.clock().nanoTime() - mArrivedNanos);
+        return leftMillis > 0 ? leftMillis : target.toMillis();
     }
 
     private UpstreamDirectory.Need need() {
         return new UpstreamDirectory.Need(
                 mService.name(),
                 Stage.PREFILL,
-                PrefillRule.prefillEngineMillis(mPrompt.tokens()),
+                pace().prefillEngineMillis(mPrompt.tokens()),
                 UpstreamCost.OTHER_ZONE_ENGINE_MILLIS,
                 false,
                 Set.of(),
@@ -93,7 +109,11 @@
     /** Counts what all instances have given an engine to prefill. */
     private double backlogMillis(String upstreamId, double ownMillis) {
         int tokens = mContext.loads().prefillBacklogTokens(upstreamId);
-        return Math.max(ownMillis, PrefillRule.prefillEngineMillis(tokens));
+        return Math.max(ownMillis, pace().prefillEngineMillis(tokens));
+    }
+
+    private EnginePace pace() {
+        return mContext.enginePace(mService.name()).pace();
     }
 
     /**
@@ -129,11 +149,19 @@
 
     private Optional<KvCacheRef> prefillAt(Assignment assignment) {
         mCalls++;
+        int queueTokens = mPrompt.tokens() + mContext.loads().prefillBacklogTokens(assignment.id());
         InFlightSequence unplaced = InFlightSequence.ofPrefill(mRequest.id(), mPrompt.tokens());
         InFlightSequence sequence = mTracker.begin(unplaced, assignment);
         try {
             Optional<KvCacheRef> cache = call(assignment);
             mPrefilledNanos = mContext.clock().nanoTime();
+            if (cache.isPresent()) {
+                long tookNanos = mPrefilledNanos - assignment.sinceNanos();
+                mContext.enginePace(mService.name())
+                        .observePrefill(queueTokens, Millis.ofNanos(tookNanos));
+            }
+            mPrefilledAt = Optional.of(assignment);
+            mCacheRefusals = 0;
             return cache;
         } finally {
             mTracker.end(sequence);
@@ -184,7 +212,7 @@
             LOG.debug(
                     "%s: not prefilled at %s: status %d",
                     mRequest.id(), assignment.id(), response.getResponseCode());
-            mContext.upstreams().saturated(assignment);
+            mContext.upstreams().refused(assignment);
             return Optional.empty();
         }
         mContext.upstreams().succeeded(assignment);
@@ -197,7 +225,8 @@
     }
 
     private Duration silenceLimit(Assignment assignment) {
-        return PrefillTimeoutRule.silenceLimit(assignment.ordinaryMillis(), left());
+        return PrefillTimeoutRule.silenceLimit(
+                assignment.ordinaryMillis(), mRequest.route().target(), left());
     }
 
     /** Frees a KV cache that no engine has taken. */
@@ -211,6 +240,19 @@
         mUnused = Optional.empty();
     }
 
+    /**
+     * Notes that a decode engine has refused the request with its KV cache. That may be for the
+     * engine's own sake; but a cache that two have refused cannot be fetched, most likely because
+     * the prefill engine no longer has it, so it is given up and that engine counts as failed.
+     */
+    void cacheRefused() {
+        mCacheRefusals++;
+        if (mUnused.isPresent() && mCacheRefusals >= MAX_CACHE_REFUSALS) {
+            mPrefilledAt.ifPresent(mContext.upstreams()::failed);
+            freeUnused();
+        }
+    }
+
     /** Notes that an engine has taken the KV cache. */
     void used() {
         mUnused = Optional.empty();
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -49,6 +49,7 @@
                         upstreams,
                         new ConcurrentHashMap<>(),
                         () -> new WindowRetryBudget(retryLimit, instances, clock),
+                        new ConcurrentHashMap<>(),
                         new OutputLengthEstimator(),
                         new ClientRetryDetector(clock),
                         loads,
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -21,6 +21,7 @@
 import org.orchidmount.load.EngineLoads;
 import org.orchidmount.load.SequenceAnnouncer;
 import org.orchidmount.routing.ClientRetryDetector;
+import org.orchidmount.routing.EnginePaceEstimator;
 import org.orchidmount.routing.OutputLengthEstimator;
 import org.orchidmount.upstream.CancelSignal;
 
@@ -30,6 +31,7 @@
  * @param upstreams the upstreams known here
  * @param retryBudgets the retry budget of each service
  * @param newRetryBudget creates the budget of a service that has none yet
+ * @param enginePaces what has been observed of the engines of each service
  * @param outputLengths estimates the lengths of outputs
  * @param clientRetries tells retries of callers from new requests
  * @param loads the sequences in flight at engines
@@ -42,6 +44,7 @@
         UpstreamDirectory upstreams,
         ConcurrentMap<String, RetryBudget> retryBudgets,
         Supplier<RetryBudget> newRetryBudget,
+        ConcurrentMap<String, EnginePaceEstimator> enginePaces,
         OutputLengthEstimator outputLengths,
         ClientRetryDetector clientRetries,
         EngineLoads loads,
@@ -62,6 +65,11 @@
         return retryBudgets.computeIfAbsent(service, name -> newRetryBudget.get());
     }
 
+    /** Returns what is learned of the engines of a service. */
+    EnginePaceEstimator enginePace(String service) {
+        return enginePaces.computeIfAbsent(service, name -> new EnginePaceEstimator());
+    }
+
     /** Learns from a call that failed, unless it failed because its caller had gone. */
     void callFailed(Assignment assignment, Failure failure, CancelSignal cancel) {
         LOG.debug(failure.describe());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -20,6 +20,7 @@
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.AttemptOutcome;
 import org.orchidmount.routing.AttemptRule;
+import org.orchidmount.routing.EnginePace;
 import org.orchidmount.routing.FinalOutcome;
 import org.orchidmount.routing.RetryAfter;
 import org.orchidmount.routing.UpstreamCost;
@@ -169,6 +170,9 @@
     private void settle(EnginePlacer engines, Placement placement, AttemptOutcome outcome) {
         boolean untouched =
                 outcome == AttemptOutcome.NOT_RUN || outcome == AttemptOutcome.NOT_REACHED;
+        if (outcome == AttemptOutcome.NOT_RUN) {
+            engines.prefiller().cacheRefused();
+        }
         boolean abandoned = mCancel.isCancelled() && !mAttempts.hasResponse();
         if (untouched || abandoned) {
             engines.release(placement);
@@ -199,7 +203,14 @@
         LOG.info(
                 "%s: %s after %d attempts: %s",
                 mRequest.id(), outcome, mHistory.attempts(), mAttempts.lastFailure());
-        mCaller.refuse(
-                outcome, RetryAfter.noRoom(mEngines.isPresent(), ThreadLocalRandom.current()));
+        mCaller.refuse(outcome, retryAfter());
+    }
+
+    private Duration retryAfter() {
+        if (mEngines.isEmpty()) {
+            return RetryAfter.plainService();
+        }
+        EnginePace pace = mContext.enginePace(mService.name()).pace();
+        return RetryAfter.engines(pace, ThreadLocalRandom.current());
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/SequenceTracker.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/SequenceTracker.java
@@ -6,8 +6,10 @@
 package org.orchidmount.relay;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import org.orchidmount.clock.Millis;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.routes.Service;
+import org.orchidmount.routing.EnginePaceEstimator;
 
 /**
  * Announces what engines work on for one request, and learns from it how fast they generate.
@@ -20,12 +22,14 @@
     private static final int MIN_EVENTS = 8;
 
     private final RelayContext mContext;
+    private final EnginePaceEstimator mPace;
     private final int mEventTokens;
     private final AtomicInteger mGeneratedTokens = new AtomicInteger();
     private int mPlacements;
 
     SequenceTracker(RelayContext context, Service service) {
         mContext = context;
+        mPace = context.enginePace(service.name());
         mEventTokens = service.engine().map(Service.Engine::eventTokens).orElse(1);
     }
 
@@ -61,11 +65,20 @@
         mGeneratedTokens.set((int) (events * mEventTokens));
     }
 
+    /** Learns from the first part of a stream how long its engine took to it. */
+    void observeFirst(Placement placement) {
+        long sinceNanos = placement.assignment().sinceNanos();
+        double tookMillis = Millis.ofNanos(mContext.clock().nanoTime() - sinceNanos);
+        mPace.observeFirstToken(tookMillis);
+        if (placement.isUnsplit()) {
+            mPace.observeDecodePrefill(placement.prefillQueueTokens(), tookMillis);
+        }
+    }
+
     /** Learns from a whole stream how fast its engine generates. */
     void observe(long events, StreamTiming timing) {
-        double millis = timing.durationMillis();
-        if (events >= MIN_EVENTS && millis > 0) {
-            mContext.loads().observeRate((events - 1) * mEventTokens / millis);
+        if (events >= MIN_EVENTS) {
+            mPace.observeOutput((events - 1) * mEventTokens, timing.durationMillis());
         }
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -58,6 +58,10 @@
         return mHealth.backoff().isEjected(nowNanos);
     }
 
+    boolean refusesPersistently(long nowNanos) {
+        return mHealth.refusals().isPersistent(nowNanos);
+    }
+
     void learn(UnaryOperator<UpstreamHealth> observation) {
         mHealth = observation.apply(mHealth);
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -217,9 +217,20 @@
         learn(assignment, UpstreamHealth::afterUnreachable);
     }
 
-    /** Learns from an upstream that had no room. */
-    void saturated(Assignment assignment) {
-        learn(assignment, UpstreamHealth::afterSaturated);
+    /** Learns from an upstream that refused what it was given. */
+    void refused(Assignment assignment) {
+        learn(assignment, UpstreamHealth::afterRefusal);
+    }
+
+    /** Names the upstreams that refuse work here again and again. */
+    Set<String> refusingPersistently() {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            long nowNanos = mClock.nanoTime();
+            return mUpstreams.values().stream()
+                    .filter(upstream -> upstream.refusesPersistently(nowNanos))
+                    .map(upstream -> upstream.registration().id())
+                    .collect(Collectors.toSet());
+        }
     }
 
     private void learn(Assignment assignment, Observation observation) {
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/EngineStagePlan.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/EngineStagePlan.java
@@ -5,11 +5,12 @@
  */
 package org.orchidmount.routing;
 
+import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
@@ -18,8 +19,10 @@
  * Why an engine changes its stage: prefill engines are kept at a set share of the engines of each
  * service. Pure and immutable.
  *
- * <p>The share is a setting. At least one engine stays in each stage, and two prefill engines where
- * there are six engines or more, so that the loss of one leaves another.
+ * <p>An engine that fell silent without leaving is counted for a while as if it were there, since
+ * it is mostly back within seconds, while a change takes another engine from its work for longer.
+ * One that leaves is not. The share is a setting. At least one engine stays in each stage, and two
+ * prefill engines where there are six engines or more, so that the loss of one leaves another.
  */
 public final class EngineStagePlan {
     /** Fewer engines than this are left as they are. Chosen, not measured. */
@@ -57,41 +60,64 @@
      * Decides.
      *
      * @param current the upstreams whose heartbeats are recent
+     * @param silent those that have lately stopped to send any and are expected back
      * @return the next change, if one is due
      */
-    public Optional<Change> next(List<Registration> current) {
-        Map<String, Long> services = new HashMap<>();
-        for (Registration registration : current) {
-            if (isEngine(registration)) {
-                services.merge(registration.service(), 1L, Long::sum);
-            }
-        }
-        return services.keySet().stream()
+    public Optional<Change> next(List<Registration> current, List<Registration> silent) {
+        return current.stream()
+                .filter(EngineStagePlan::isEngine)
+                .map(Registration::service)
+                .distinct()
                 .sorted()
-                .map(service -> next(current, service))
+                .map(
+                        service ->
+                                nextOfService(
+                                        ofService(current, service), ofService(silent, service)))
                 .flatMap(Optional::stream)
                 .findFirst();
     }
 
-    private Optional<Change> next(List<Registration> current, String service) {
-        List<Registration> engines =
-                current.stream()
-                        .filter(EngineStagePlan::isEngine)
-                        .filter(engine -> engine.service().equals(service))
-                        .toList();
-        long prefill = engines.stream().filter(engine -> engine.stage() == Stage.PREFILL).count();
-        long target = target(engines.size());
-        if (engines.size() < MIN_ENGINES || prefill == target) {
+    private static List<Registration> ofService(List<Registration> all, String service) {
+        return all.stream()
+                .filter(EngineStagePlan::isEngine)
+                .filter(engine -> engine.service().equals(service))
+                .toList();
+    }
+
+    private Optional<Change> nextOfService(List<Registration> current, List<Registration> silent) {
+        List<Registration> counted = counted(current, silent);
+        long prefill = count(counted, Stage.PREFILL);
+        long target = target(counted.size());
+        if (counted.size() < MIN_ENGINES || prefill == target) {
             return Optional.empty();
         }
         Stage from = prefill > target ? Stage.PREFILL : Stage.DECODE;
         Stage to = prefill > target ? Stage.DECODE : Stage.PREFILL;
-        return engines.stream()
+        return current.stream()
                 .filter(engine -> engine.stage() == from)
-                .max(Comparator.comparingLong(engine -> fewInZone(engines, engine, to)))
+                .max(Comparator.comparingLong(engine -> fewInZone(current, engine, to)))
                 .map(engine -> new Change(engine, to));
     }
 
+    /** Adds the silent ones, unless a stage has no other engine or their addresses are in use. */
+    private static List<Registration> counted(
+            List<Registration> current, List<Registration> silent) {
+        if (count(current, Stage.PREFILL) == 0 || count(current, Stage.DECODE) == 0) {
+            return current;
+        }
+        Set<String> addresses =
+                current.stream().map(Registration::address).collect(Collectors.toSet());
+        List<Registration> counted = new ArrayList<>(current);
+        silent.stream()
+                .filter(engine -> !addresses.contains(engine.address()))
+                .forEach(counted::add);
+        return counted;
+    }
+
+    private static long count(List<Registration> engines, Stage stage) {
+        return engines.stream().filter(engine -> engine.stage() == stage).count();
+    }
+
     private long target(int engines) {
         int least = engines >= ENGINES_FOR_SPARE ? 2 : 1;
         long share = (long) (engines * mPrefillShare + ROUNDING);
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryForecast.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryForecast.java
@@ -21,9 +21,12 @@
     /** Standard deviations above the mean that must fit: 1.3 preempted 37 a day (62022e93). */
     private static final double MARGIN_DEVIATIONS = 2.2;
 
-    /** Moments at which the sum is looked at; the last is beyond nearly all outputs. Chosen. */
-    private static final double[] HORIZONS_MILLIS = {
-        0, 250, 500, 800, 1_200, 1_700, 2_300, 3_000, 4_000, 5_500
+    /**
+     * Moments at which the sum is looked at, as shares of the time that an output of mean length
+     * takes; the last is beyond nearly all outputs. Chosen.
+     */
+    private static final double[] HORIZON_SHARES = {
+        0, 0.08, 0.16, 0.25, 0.36, 0.5, 0.7, 0.9, 1.2, 1.6
     };
 
     /** The logistic function with this slope is within 0.01 of the normal distribution. */
@@ -49,16 +52,18 @@
             double maxOutputTokens) {}
 
     /**
-     * Returns the most memory that the sequences are likely to take at one moment from now on.
+     * Returns the most memory that the sequences are likely to take at one moment from now on. All
+     * grow alike, so it does not matter how fast.
      *
      * @param sequences the sequences
-     * @param tokensPerMilli how fast each grows
      * @return tokens
      */
-    public static double peakTokens(List<Sequence> sequences, double tokensPerMilli) {
+    public static double peakTokens(List<Sequence> sequences) {
+        double meanTokens =
+                sequences.stream().mapToDouble(Sequence::expectedTokens).average().orElse(0);
         double peak = 0;
-        for (double horizonMillis : HORIZONS_MILLIS) {
-            peak = Math.max(peak, tokensAt(sequences, horizonMillis * tokensPerMilli));
+        for (double share : HORIZON_SHARES) {
+            peak = Math.max(peak, tokensAt(sequences, share * meanTokens));
         }
         return peak;
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryRule.java
@@ -38,14 +38,11 @@
      * Tells whether sequences fit into an engine.
      *
      * @param sequences all of them, a candidate included
-     * @param tokensPerMilli how fast each grows
      * @param memoryTokens the memory of the engine
      * @return true if the forecast stays within its usable memory
      */
-    public static boolean fits(
-            List<MemoryForecast.Sequence> sequences, double tokensPerMilli, double memoryTokens) {
-        double peak = MemoryForecast.peakTokens(sequences, tokensPerMilli);
-        return peak <= USABLE_SHARE * memoryTokens;
+    public static boolean fits(List<MemoryForecast.Sequence> sequences, double memoryTokens) {
+        return MemoryForecast.peakTokens(sequences) <= USABLE_SHARE * memoryTokens;
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/PrefillRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/PrefillRule.java
@@ -14,18 +14,9 @@
  * <p>A decode engine prefills at half the pace, and between the tokens of others, whose streams
  * then pause. So it prefills only while no prefill engine can be had, or where those are busy and
  * the decode engine is nearly idle. Always prefilling at decode engines was tried and lost (round
- * a8ce7c27 in docs/ROUNDS.md).
+ * a8ce7c27 in docs/ROUNDS.md). How long a prefill takes is learned ({@link EnginePace}).
  */
 public final class PrefillRule {
-    /** Tokens a prefill engine prefills in a millisecond until seen; the sites' do some 56. */
-    private static final double PREFILL_TOKENS_PER_MILLI = 50;
-
-    /** Tokens a decode engine prefills in a millisecond: half. Chosen, not measured. */
-    private static final double DECODE_TOKENS_PER_MILLI = 25;
-
-    /** Milliseconds of work of an output besides its prompt. Chosen, not measured. */
-    private static final double OUTPUT_MILLIS = 40;
-
     /** Share of the target beyond which an idle decode engine is better: round b811a22e. */
     private static final double BUSY_SHARE = 0.6;
 
@@ -76,47 +67,19 @@
      * Tells whether a decode engine may prefill while the prefill engines are busy: it holds up few
      * streams, and those not for too long.
      *
-     * @param promptTokens the tokens of the prompt
+     * @param prefillMillis how long the engine takes to prefill the prompt
      * @param memoryShare the share of the engine's memory in use
      * @param backlogTokens the tokens that it has yet to prefill
      * @param longestPauseMillis the longest pause of a stream that does no harm
      * @return true if it may
      */
     public static boolean isNearlyIdle(
-            int promptTokens, double memoryShare, int backlogTokens, double longestPauseMillis) {
-        double prefillMillis = promptTokens / DECODE_TOKENS_PER_MILLI;
+            double prefillMillis,
+            double memoryShare,
+            int backlogTokens,
+            double longestPauseMillis) {
         return memoryShare < IDLE_MEMORY_SHARE
                 && backlogTokens == 0
                 && prefillMillis < PAUSE_SHARE * longestPauseMillis;
     }
-
-    /**
-     * Returns the time a prefill engine of ordinary speed needs.
-     *
-     * @param promptTokens the tokens to prefill
-     * @return milliseconds
-     */
-    public static double prefillEngineMillis(int promptTokens) {
-        return promptTokens / PREFILL_TOKENS_PER_MILLI;
-    }
-
-    /**
-     * Returns the time a decode engine of ordinary speed needs to prefill.
-     *
-     * @param promptTokens the tokens to prefill
-     * @return milliseconds
-     */
-    public static double decodeEngineMillis(int promptTokens) {
-        return promptTokens / DECODE_TOKENS_PER_MILLI;
-    }
-
-    /**
-     * Returns the work that a whole request is counted as at a decode engine.
-     *
-     * @param promptTokens the tokens of the prompt
-     * @return milliseconds
-     */
-    public static double requestMillis(int promptTokens) {
-        return decodeEngineMillis(promptTokens) + OUTPUT_MILLIS;
-    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/PrefillTimeoutRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/PrefillTimeoutRule.java
@@ -17,8 +17,8 @@
     /** Times the expected time that an engine may stay silent. Chosen, not measured. */
     private static final double SILENCE_FACTOR = 2;
 
-    /** Added for short prompts and for pauses of the engine. Chosen, not measured. */
-    private static final Duration MARGIN = Duration.ofMillis(400);
+    /** Share of the target added for short prompts and for pauses of the engine. Chosen. */
+    private static final double MARGIN_SHARE = 0.45;
 
     private PrefillTimeoutRule() {}
 
@@ -26,12 +26,14 @@
      * Returns how long a prefill engine may stay silent.
      *
      * @param ordinaryMillis when an engine of ordinary speed would be done, backlog included
+     * @param target the time to the first token that is of full use
      * @param left the time until the request must have its final answer
      * @return the longest silence, at most {@code left}
      */
-    public static Duration silenceLimit(double ordinaryMillis, Duration left) {
+    public static Duration silenceLimit(double ordinaryMillis, Duration target, Duration left) {
         long nanos = (long) Millis.toNanos(SILENCE_FACTOR * ordinaryMillis);
-        Duration limit = Duration.ofNanos(nanos + MARGIN.toNanos());
+        long marginNanos = (long) (MARGIN_SHARE * target.toNanos());
+        Duration limit = Duration.ofNanos(nanos + marginNanos);
         return limit.compareTo(left) < 0 ? limit : left;
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.util.random.RandomGenerator;
+import org.orchidmount.clock.Millis;
 
 /**
  * Why a refused caller gets this time to come back. Every refusal that has not run carries one.
@@ -25,25 +26,33 @@
     /** Upstreams of a plain service refused: they have room again after some requests. Chosen. */
     private static final Duration PLAIN_SERVICE = Duration.ofMillis(200);
 
-    /** Engines are full: an output takes some 3 s (trials df3ef6c3 to 08ae6f6f). */
-    private static final Duration ENGINES = Duration.ofSeconds(3);
-
-    /** Spread at random over this, so that those refused together do not come back together. */
-    private static final Duration ENGINES_SPREAD = Duration.ofMillis(1_600);
+    /**
+     * Share of an output's time over which the times are spread at random, so that those refused
+     * together do not come back together. Chosen.
+     */
+    private static final double SPREAD_SHARE = 0.5;
 
     private RetryAfter() {}
 
     /**
-     * Returns the time for a request that found no upstream with room.
+     * Returns the time for a request that found no place at a plain service.
+     *
+     * @return when to come back
+     */
+    public static Duration plainService() {
+        return PLAIN_SERVICE;
+    }
+
+    /**
+     * Returns the time for a request that found no engine with room: by then the outputs that fill
+     * the engines now have mostly ended.
      *
-     * @param isForEngines whether it was for model engines
+     * @param pace how fast the engines are
      * @param random spreads the times
      * @return when to come back
      */
-    public static Duration noRoom(boolean isForEngines, RandomGenerator random) {
-        if (!isForEngines) {
-            return PLAIN_SERVICE;
-        }
-        return ENGINES.plusMillis(random.nextLong(ENGINES_SPREAD.toMillis()));
+    public static Duration engines(EnginePace pace, RandomGenerator random) {
+        double millis = pace.outputMillis() * (1 + SPREAD_SHARE * random.nextDouble());
+        return Duration.ofNanos((long) Millis.toNanos(millis));
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamCost.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamCost.java
@@ -28,8 +28,8 @@
     /** The same for an engine, between which and another a KV cache is moved. Chosen. */
     public static final double OTHER_ZONE_ENGINE_MILLIS = 30;
 
-    /** Milliseconds that an engine with full memory counts more than an empty one. Chosen. */
-    private static final double FULL_MEMORY_MILLIS = 300;
+    /** Times its work that a request counts more at an engine with full memory. Chosen. */
+    private static final double FULL_MEMORY_FACTOR = 1.25;
 
     private UpstreamCost() {}
 
@@ -53,10 +53,11 @@
      * longer each token takes and the sooner it has no room.
      *
      * @param memoryShare the share of its memory in use
+     * @param workMillis the work of the request
      * @return milliseconds
      */
-    public static double memoryMillis(double memoryShare) {
-        return FULL_MEMORY_MILLIS * memoryShare;
+    public static double memoryMillis(double memoryShare, double workMillis) {
+        return FULL_MEMORY_FACTOR * memoryShare * workMillis;
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamHealth.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamHealth.java
@@ -5,8 +5,6 @@
  */
 package org.orchidmount.routing;
 
-import java.time.Duration;
-
 /**
  * Why an upstream is avoided: what its calls to it have shown, and what that adds to the time
  * expected of it.
@@ -17,27 +15,25 @@
  * @param slowness how much slower than ordinary it answers
  * @param failures what failures add
  * @param backoff whether it is ejected
- * @param isSaturated whether it has refused work for lack of room
- * @param saturatedUntilNanos until when that counts
+ * @param refusals whether it refuses work
  */
 public record UpstreamHealth(
         Slowness slowness,
         FailurePenalty failures,
         FailureBackoff backoff,
-        boolean isSaturated,
-        long saturatedUntilNanos) {
+        RefusalBackoff refusals) {
     /** Of an upstream of which nothing is known. */
     public static final UpstreamHealth UNKNOWN =
-            new UpstreamHealth(Slowness.NONE, FailurePenalty.NONE, FailureBackoff.NONE, false, 0);
+            new UpstreamHealth(
+                    Slowness.NONE, FailurePenalty.NONE, FailureBackoff.NONE, RefusalBackoff.NONE);
 
     /** Milliseconds added to an ejected upstream: more than any estimate, so it comes last. */
     public static final double EJECTED_MILLIS = 100_000;
 
-    /** Milliseconds added to a saturated one: about a target, so that others come first. Chosen. */
-    private static final double SATURATED_MILLIS = 1_000;
-
-    /** A refusal for lack of room counts this long; a place is free again soon. Chosen. */
-    private static final Duration SATURATED = Duration.ofMillis(60);
+    /**
+     * Milliseconds added to one that refuses: about a target, so that others come first. Chosen.
+     */
+    private static final double REFUSING_MILLIS = 1_000;
 
     /**
      * Counts an answer.
@@ -51,8 +47,7 @@
                 slowness.afterAnswer(ratio, nowNanos),
                 failures.afterSuccess(),
                 backoff.afterSuccess(),
-                isSaturated,
-                saturatedUntilNanos);
+                RefusalBackoff.NONE);
     }
 
     /**
@@ -77,18 +72,17 @@
 
     private UpstreamHealth failed(FailureBackoff next, long nowNanos) {
         FailurePenalty penalty = failures.afterFailure(nowNanos);
-        return new UpstreamHealth(slowness, penalty, next, isSaturated, saturatedUntilNanos);
+        return new UpstreamHealth(slowness, penalty, next, refusals);
     }
 
     /**
-     * Counts a refusal for lack of room, which is no failure.
+     * Counts a refusal, which is no failure.
      *
      * @param nowNanos the present time
      * @return the state after it
      */
-    public UpstreamHealth afterSaturated(long nowNanos) {
-        long untilNanos = nowNanos + SATURATED.toNanos();
-        return new UpstreamHealth(slowness, failures, backoff, true, untilNanos);
+    public UpstreamHealth afterRefusal(long nowNanos) {
+        return new UpstreamHealth(slowness, failures, backoff, refusals.afterRefusal(nowNanos));
     }
 
     /**
@@ -100,8 +94,8 @@
      */
     public double expectedMillis(double ordinaryMillis, long nowNanos) {
         double millis = ordinaryMillis * slowness.at(nowNanos) + failures.millis(nowNanos);
-        if (isSaturated && nowNanos - saturatedUntilNanos < 0) {
-            millis += SATURATED_MILLIS;
+        if (refusals.isRefusing(nowNanos)) {
+            millis += REFUSING_MILLIS;
         }
         return backoff.isEjected(nowNanos) ? millis + EJECTED_MILLIS : millis;
     }
