--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -45,7 +45,8 @@
     private final RequestProgress mProgress;
     private final OutputLengthEstimator.Stated mStated;
     private final InFlightSequence mOutput;
-    private final Duration mLongestWait;
+    private final Duration mNewRequestWait;
+    private Duration mLongestWait;
     private final SequenceTracker mTracker;
     private final Prefiller mPrefiller;
     private final MemoryReservations mReservations;
@@ -79,7 +80,11 @@
                                 ? prompt.maxOutputTokens()
                                 : Integer.MAX_VALUE);
         mIsClientRetry = isClientRetry;
-        mLongestWait = longestWait();
+        mNewRequestWait = newRequestWait();
+        mLongestWait =
+                isClientRetry
+                        ? MemoryWaitRule.forClientRetry(request.route().target())
+                        : mNewRequestWait;
         mTracker = new SequenceTracker(context, service);
         mPrefiller = new Prefiller(context, request, prompt, service, mTracker, cancel, progress);
         mReservations = new MemoryReservations(context, request.id(), cancel, progress);
@@ -93,11 +98,8 @@
         return mTracker;
     }
 
-    private Duration longestWait() {
+    private Duration newRequestWait() {
         Duration target = mRequest.route().target();
-        if (mIsClientRetry) {
-            return MemoryWaitRule.forClientRetry(target);
-        }
         int tokens = mOutput.promptTokens() + mOutput.expectedTokens();
         return MemoryWaitRule.forNewRequest(mContext.outputLengths().relativeSize(tokens), target);
     }
@@ -115,6 +117,9 @@
             Optional<Placement> placement = placeByChoice(tried);
             long nowNanos = mContext.clock().nanoTime();
             if (placement.isPresent()) {
+                // Another attempt waits as a new request does, or the waits of a client retry would
+                // add up to more than its caller waits for the first part.
+                mLongestWait = mNewRequestWait;
                 return placement;
             }
             if (nowNanos - untilNanos > 0) {
