--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -18,8 +18,6 @@
 import org.orchidmount.relay.AttemptRunner.HeldResponse;
 import org.orchidmount.relay.EndClassifier.End;
 import org.orchidmount.relay.RequestProgress.Activity;
-import org.orchidmount.report.RequestEnd;
-import org.orchidmount.report.RequestReport;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.AttemptOutcome;
 import org.orchidmount.routing.AttemptRule;
@@ -39,10 +37,6 @@
  */
 final class RequestRelay {
     private static final PartLog LOG = PartLog.of("relay");
-    private static final PartLog LOG_REPORT = PartLog.of(RequestReport.PART);
-
-    /** Reported as the time to the first part of a response that never came. */
-    private static final long NO_RESPONSE_MILLIS = -1;
 
     private final RelayContext mContext;
     private final RelayRequest mRequest;
@@ -55,11 +49,8 @@
     private final AttemptRunner mAttempts;
     private final Set<String> mTried = new HashSet<>();
     private AttemptRule.History mHistory = AttemptRule.History.NONE;
-    private final boolean mIsClientRetry;
     private boolean mLastHadNoRoom;
-    private int mAttemptsMade;
-    private int mUnsplitTokens;
-    private String mLastUpstream = RequestReport.NO_UPSTREAM;
+    private final RequestReporter mReporter;
 
     RequestRelay(
             RelayContext context,
@@ -74,12 +65,7 @@
         mCaller = caller;
         mCancel = cancel;
         mProgress = new RequestProgress(context.clock(), request.id());
-        mIsClientRetry =
-                context.clientRetries()
-                        .isRetry(
-                                request.route().name(),
-                                Duration.ofNanos(
-                                        request.callerEndNanos() - context.clock().nanoTime()));
+        boolean isClientRetry = isClientRetry();
         mEngines =
                 request.prompt()
                         .map(
@@ -89,7 +75,7 @@
                                                 request,
                                                 prompt,
                                                 service,
-                                                mIsClientRetry,
+                                                isClientRetry,
                                                 cancel,
                                                 mProgress));
         mAttempts =
@@ -100,51 +86,27 @@
                         cancel,
                         mProgress,
                         mEngines.map(EnginePlacer::tracker));
+        mReporter = new RequestReporter(request, service, isClientRetry, mProgress);
+    }
+
+    private boolean isClientRetry() {
+        long waitNanos = mRequest.callerEndNanos() - mContext.clock().nanoTime();
+        return mContext.clientRetries()
+                .isRetry(mRequest.route().name(), Duration.ofNanos(waitNanos));
     }
 
     /** Serves the request to its end. */
     void run() throws IOException, TimeoutException, InterruptedException {
         try (CancelSignal.Registration _ = mCancel.onCancel(mProgress::callerLeft)) {
-            End end = serve();
-            LOG_REPORT.info("%s", report(end).toLine());
+            mReporter.ended(serve(), mHistory, mAttempts, mEngines);
         } catch (IOException | TimeoutException e) {
-            LOG_REPORT.info("%s", report(End.CALLER_LEFT).toLine());
+            mReporter.ended(End.CALLER_LEFT, mHistory, mAttempts, mEngines);
             throw e;
         } finally {
             mProgress.ended();
         }
     }
 
-    private RequestReport report(End end) {
-        Optional<Duration> first = mAttempts.firstResponse();
-        RequestEnd reported =
-                EndClassifier.classify(
-                        new EndClassifier.Facts(
-                                end,
-                                mHistory,
-                                mIsClientRetry,
-                                mEngines.map(EnginePlacer::lacksPrefill).orElse(false),
-                                mRequest.route(),
-                                first,
-                                mAttempts.longestPause(),
-                                mProgress));
-        return new RequestReport(
-                mRequest.id(),
-                reported,
-                mService.name(),
-                mIsClientRetry,
-                mAttemptsMade,
-                mRequest.prompt().map(RelayRequest.Prompt::tokens).orElse(0),
-                mUnsplitTokens
-                        + mEngines.map(engines -> engines.prefiller().prefilledTokens()).orElse(0),
-                EndClassifier.roomWait(mProgress).toMillis(),
-                mProgress.waited(Activity.PREFILL).toMillis(),
-                first.map(Duration::toMillis).orElse(NO_RESPONSE_MILLIS),
-                mAttempts.longestPause().toMillis(),
-                mProgress.age().toMillis(),
-                mLastUpstream);
-    }
-
     private End serve() throws IOException, TimeoutException, InterruptedException {
         mBudget.countRequest();
         while (mayTry()) {
@@ -202,14 +164,12 @@
 
     private AttemptOutcome attemptAt(Placement placement)
             throws IOException, TimeoutException, InterruptedException {
-        mAttemptsMade++;
-        mLastUpstream = placement.assignment().id();
         try {
             Optional<KvCacheRef> cache = prefill(placement);
             AttemptOutcome outcome = mAttempts.run(placement, cache, mHistory);
-            if (cache.isEmpty() && mAttempts.hasResponse()) {
-                mUnsplitTokens += mRequest.prompt().map(RelayRequest.Prompt::tokens).orElse(0);
-            }
+            boolean prefilledThere =
+                    cache.isEmpty() && outcome != AttemptOutcome.NOT_RUN && mAttempts.hasResponse();
+            mReporter.attempted(placement.assignment().id(), prefilledThere);
             mEngines.ifPresent(engines -> settle(engines, placement, outcome));
             return outcome;
         } finally {
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
@@ -0,0 +1,93 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.relay;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.relay.EndClassifier.End;
+import org.orchidmount.relay.RequestProgress.Activity;
+import org.orchidmount.report.RequestEnd;
+import org.orchidmount.report.RequestReport;
+import org.orchidmount.routes.Service;
+import org.orchidmount.routing.AttemptRule;
+
+/**
+ * Writes what became of one request to the log.
+ *
+ * <p>Invariant: one line a request that was read. Used by one virtual thread.
+ */
+final class RequestReporter {
+    private static final PartLog LOG = PartLog.of(RequestReport.PART);
+
+    /** Reported as the time to the first part of a response that never came. */
+    private static final long NO_RESPONSE_MILLIS = -1;
+
+    private final RelayRequest mRequest;
+    private final Service mService;
+    private final boolean mIsClientRetry;
+    private final RequestProgress mProgress;
+    private final int mPromptTokens;
+    private int mAttempts;
+    private int mUnsplitTokens;
+    private String mLastUpstream = RequestReport.NO_UPSTREAM;
+
+    RequestReporter(
+            RelayRequest request,
+            Service service,
+            boolean isClientRetry,
+            RequestProgress progress) {
+        mRequest = request;
+        mService = service;
+        mIsClientRetry = isClientRetry;
+        mProgress = progress;
+        mPromptTokens = request.prompt().map(RelayRequest.Prompt::tokens).orElse(0);
+    }
+
+    /** Notes an attempt, and whether its upstream has prefilled the prompt itself. */
+    void attempted(String upstreamId, boolean prefilledThere) {
+        mAttempts++;
+        mLastUpstream = upstreamId;
+        mUnsplitTokens += prefilledThere ? mPromptTokens : 0;
+    }
+
+    /** Writes the line. */
+    void ended(
+            End end,
+            AttemptRule.History history,
+            AttemptRunner attempts,
+            Optional<EnginePlacer> engines) {
+        Optional<Duration> first = attempts.firstResponse();
+        RequestEnd reported =
+                EndClassifier.classify(
+                        new EndClassifier.Facts(
+                                end,
+                                history,
+                                mIsClientRetry,
+                                engines.map(EnginePlacer::lacksPrefill).orElse(false),
+                                mRequest.route(),
+                                first,
+                                attempts.longestPause(),
+                                mProgress));
+        int splitTokens = engines.map(placer -> placer.prefiller().prefilledTokens()).orElse(0);
+        RequestReport report =
+                new RequestReport(
+                        mRequest.id(),
+                        reported,
+                        mService.name(),
+                        mIsClientRetry,
+                        mAttempts,
+                        mPromptTokens,
+                        splitTokens + mUnsplitTokens,
+                        EndClassifier.roomWait(mProgress).toMillis(),
+                        mProgress.waited(Activity.PREFILL).toMillis(),
+                        first.map(Duration::toMillis).orElse(NO_RESPONSE_MILLIS),
+                        attempts.longestPause().toMillis(),
+                        mProgress.age().toMillis(),
+                        mLastUpstream);
+        LOG.info("%s", report.toLine());
+    }
+}
