Bound the forecast of memory by what its sequences can take; refuse at once what never fits

Cause: the forecast adds 2.2 deviations to the mean.

Change: the sum of all sequences bounds the forecast. A request that does not fit into an empty engine is refused at once instead of after its wait (REFUSED_TOO_LARGE). The departures on their way to a quorum moved from VoterNode into PendingDepartures.

--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -43,7 +43,7 @@
 import org.orchidmount.membership.Registry;
 
 /**
- * An instance that votes on the route table and spreads registrations.
+ * An instance that votes on the route table and passes registrations on.
  *
  * <p>Invariants: a change is answered as accepted only once it is synced at a quorum; a
  * registration that says an upstream leaves is answered only once a quorum holds it; what entries
@@ -85,7 +85,7 @@
     private final LinkServer mServer;
     private final StageController mStages;
     private final Registry mRegistry = new Registry(REMEMBER_NANOS);
-    private final Map<Long, Spread> mSpreads = new HashMap<>();
+    private final PendingDepartures mDepartures = new PendingDepartures();
 
     /** Registrations received here since the other voters were last sent any. */
     private final Map<String, Registration> mReceived = new HashMap<>();
@@ -94,20 +94,9 @@
     private final List<InFlightSequence> mAnnounced = new ArrayList<>();
 
     private GroupState mCommitted = new GroupState(List.of(), 0, new byte[0]);
-    private long mSpreadNumber;
     private boolean mWasInTouch;
     private Replica.Role mWasRole = Replica.Role.FOLLOWER;
 
-    /** Registrations on their way to a quorum. */
-    private static final class Spread {
-        private final CompletableFuture<Boolean> mDone;
-        private int mHolders = 1;
-
-        Spread(CompletableFuture<Boolean> done) {
-            mDone = done;
-        }
-    }
-
     private VoterNode(VoterConfig config, MonotonicClock clock) throws IOException {
         mClock = clock;
         StateFile file = StateFile.open(config.folder());
@@ -291,7 +280,8 @@
                     mReceived.put(registration.id(), registration);
                     boolean leaving = registration.state() != Registration.State.READY;
                     if (leaving) {
-                        spread(mRegistry.find(registration.id()).orElse(registration), done);
+                        replicateDeparture(
+                                mRegistry.find(registration.id()).orElse(registration), done);
                         return;
                     }
                     changed.ifPresent(this::forward);
@@ -312,31 +302,22 @@
                 () -> {
                     Registration gone = mRegistry.leave(id, mClock.nanoTime());
                     logChange(gone);
-                    spread(gone, done);
+                    replicateDeparture(gone, done);
                 });
         return done;
     }
 
-    private void spread(Registration leaving, CompletableFuture<Boolean> done) {
+    private void replicateDeparture(Registration leaving, CompletableFuture<Boolean> done) {
         if (!mReplica.isInTouch()) {
             forward(leaving);
             done.complete(false);
             return;
         }
-        long number = ++mSpreadNumber;
-        mSpreads.put(number, new Spread(done));
-        done.whenComplete((held, error) -> mTasks.post(() -> mSpreads.remove(number)));
-        Registrations message = new Registrations(number, List.of(leaving));
-        mLinks.sendToVoters(message);
+        long number = mDepartures.begin(done);
+        done.whenComplete((held, error) -> mTasks.post(() -> mDepartures.end(number)));
+        mLinks.sendToVoters(new Registrations(number, List.of(leaving)));
         mLinks.sendToEntries(new Registrations(0, List.of(leaving)));
-        checkSpread(number);
-    }
-
-    private void checkSpread(long number) {
-        Spread spread = mSpreads.get(number);
-        if (spread != null && spread.mHolders >= mReplica.state().quorum()) {
-            spread.mDone.complete(true);
-        }
+        mDepartures.complete(number, mReplica.state().quorum());
     }
 
     private void forward(Registration changed) {
@@ -371,10 +352,8 @@
             case Replication replication -> onReplication(replication);
             case Registrations registrations -> onRegistrations(link, registrations);
             case RegistrationsHeld held -> {
-                Spread spread = mSpreads.get(held.number());
-                if (spread != null && mLinks.isVoter(link)) {
-                    spread.mHolders++;
-                    checkSpread(held.number());
+                if (mLinks.isVoter(link)) {
+                    mDepartures.held(held.number(), mReplica.state().quorum());
                 }
             }
             case TableRequest _ ->
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
@@ -37,6 +37,7 @@
      * @param end what was done last
      * @param history its attempts that failed
      * @param isClientRetry whether its caller had been refused before
+     * @param isTooLarge whether it is larger than an engine's memory
      * @param lacksPrefill whether memory was there when no place was found
      * @param route its route
      * @param first the time to the first part of a response, if any came
@@ -47,6 +48,7 @@
             End end,
             AttemptRule.History history,
             boolean isClientRetry,
+            boolean isTooLarge,
             boolean lacksPrefill,
             Route route,
             Optional<Duration> first,
@@ -106,6 +108,9 @@
         if (facts.route().kind() != RequestKind.STREAM) {
             return RequestEnd.REFUSED_NO_UPSTREAM;
         }
+        if (facts.isTooLarge()) {
+            return RequestEnd.REFUSED_TOO_LARGE;
+        }
         return facts.lacksPrefill() ? RequestEnd.REFUSED_NO_PREFILL : RequestEnd.REFUSED_NO_ROOM;
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -15,6 +15,7 @@
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.EnginePace;
+import org.orchidmount.routing.MemoryForecast;
 import org.orchidmount.routing.MemoryRule;
 import org.orchidmount.routing.MemoryWaitRule;
 import org.orchidmount.routing.OutputLengthEstimator;
@@ -52,6 +53,7 @@
     private final MemoryReservations mReservations;
     private final boolean mIsClientRetry;
     private boolean mLacksPrefill;
+    private boolean mIsTooLarge;
 
     EnginePlacer(
             RelayContext context,
@@ -112,6 +114,10 @@
      * @throws InterruptedException if the thread is interrupted
      */
     Optional<Placement> place(Set<String> tried) throws InterruptedException {
+        mIsTooLarge = !canEverFit();
+        if (mIsTooLarge) {
+            return Optional.empty();
+        }
         long untilNanos = mContext.clock().nanoTime() + mLongestWait.toNanos();
         while (!mCancel.isCancelled()) {
             Optional<Placement> placement = placeByChoice(tried);
@@ -133,6 +139,23 @@
         return Optional.empty();
     }
 
+    /** Tells whether the request is larger than an engine's memory, so that none was asked. */
+    boolean isTooLarge() {
+        return mIsTooLarge;
+    }
+
+    private boolean canEverFit() {
+        MemoryForecast.Sequence request =
+                new MemoryForecast.Sequence(
+                        mOutput.promptTokens(),
+                        0,
+                        mOutput.expectedTokens(),
+                        mOutput.maxOutputTokens());
+        return mService.engine()
+                .map(engine -> MemoryRule.canEverFit(request, engine.memoryTokens()))
+                .orElse(true);
+    }
+
     /** Tells whether the last look found memory, but no engine that could prefill in time. */
     boolean lacksPrefill() {
         return mLacksPrefill;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
@@ -67,6 +67,7 @@
                                 end,
                                 history,
                                 mIsClientRetry,
+                                engines.map(EnginePlacer::isTooLarge).orElse(false),
                                 engines.map(EnginePlacer::lacksPrefill).orElse(false),
                                 mRequest.route(),
                                 first,
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
@@ -21,6 +21,8 @@
     LATE_BY_PAUSE,
     /** Refused: no engine had memory for it within its wait. */
     REFUSED_NO_ROOM,
+    /** Refused at once: it is larger than the memory of an engine. */
+    REFUSED_TOO_LARGE,
     /** Refused: engines had memory, but no prefill engine was free in time. */
     REFUSED_NO_PREFILL,
     /** Refused: no upstream of the service took work. */
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryForecast.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryForecast.java
@@ -12,7 +12,9 @@
  *
  * <p>A sequence's memory grows with each token until it ends, and its length is known only roughly:
  * its logarithm is taken as normal around the expected one, cut at the maximum. Sequences end at
- * different moments, so the peak of the sum is well below the sum of the peaks.
+ * different moments, so the peak of the sum is well below the sum of the peaks. With few sequences
+ * the margin would exceed all that they can take, so that a prompt of more than about half of an
+ * engine's memory would find no room on an empty engine; the sum of all of them bounds it.
  */
 public final class MemoryForecast {
     /** Deviation of the logarithm of an output's length from the estimate: 0.38 (d3944360). */
@@ -71,15 +73,17 @@
     private static double tokensAt(List<Sequence> sequences, double grownTokens) {
         double mean = 0;
         double variance = 0;
+        double most = 0;
         for (Sequence sequence : sequences) {
             double generated =
                     Math.min(sequence.generatedTokens() + grownTokens, sequence.maxOutputTokens());
             double survival = survival(sequence, sequence.generatedTokens() + grownTokens);
             double tokens = sequence.promptTokens() + generated;
+            most += survival > 0 ? tokens : 0;
             mean += survival * tokens;
             variance += survival * (1 - survival) * tokens * tokens;
         }
-        return mean + MARGIN_DEVIATIONS * Math.sqrt(variance);
+        return Math.min(most, mean + MARGIN_DEVIATIONS * Math.sqrt(variance));
     }
 
     /** The probability that a sequence still goes on when it would have that many output tokens. */
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryRule.java
@@ -53,6 +53,17 @@
         return MemoryForecast.peakTokens(sequences) <= USABLE_SHARE * memoryTokens;
     }
 
+    /**
+     * Tells whether a request can ever be placed: whether it fits into an engine that is empty.
+     *
+     * @param request the request, as it begins
+     * @param memoryTokens the memory of the engine
+     * @return false if waiting is of no use
+     */
+    public static boolean canEverFit(MemoryForecast.Sequence request, double memoryTokens) {
+        return fits(List.of(request), memoryTokens);
+    }
+
     /**
      * Returns the memory of an engine that a request may help to fill.
      *
