--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
@@ -19,6 +19,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -32,9 +33,11 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.clock.SystemMonotonicClock;
 import org.orchidmount.consensus.Timing;
 import org.orchidmount.junit.Await;
+import org.orchidmount.junit.ManualClock;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.routes.CallerLimits;
@@ -69,13 +72,21 @@
     }
 
     private EntryNode entry(String name, String zone, Collection<InFlightSequence> announced) {
+        return entry(name, zone, announced, new SystemMonotonicClock());
+    }
+
+    private EntryNode entry(
+            String name,
+            String zone,
+            Collection<InFlightSequence> announced,
+            MonotonicClock clock) {
         return new EntryNode(
                 name,
                 zone,
                 List.of(mAddresses.getFirst()),
                 VoterNodeTest::parse,
                 new Listener(mSeen, announced),
-                new SystemMonotonicClock());
+                clock);
     }
 
     private record Listener(Map<String, Registration> seen, Collection<InFlightSequence> announced)
@@ -108,6 +119,36 @@
         assertThat(read()).isEqualTo("7");
     }
 
+    /** After a restart of all instances a refusal would use up the only retry of a caller. */
+    @Test
+    void aRequestWaitsForTheFirstTableOfAnEntryThatHasJustStarted() throws Exception {
+        try (EntryNode entry =
+                entry("new", ZONE, new ConcurrentLinkedQueue<>(), new ManualClock())) {
+            CompletableFuture<Optional<RouteTable>> table = new CompletableFuture<>();
+            Thread.ofVirtual()
+                    .start(
+                            () -> {
+                                try {
+                                    table.complete(entry.awaitTable(LONGEST));
+                                } catch (InterruptedException e) {
+                                    table.completeExceptionally(e);
+                                }
+                            });
+            put(1);
+            assertThat(table.get(LONGEST.toSeconds(), TimeUnit.SECONDS).get().version())
+                    .isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aRequestDoesNotWaitForATableThatIsLongOverdue() throws Exception {
+        ManualClock clock = new ManualClock();
+        try (EntryNode entry = entry("old", ZONE, new ConcurrentLinkedQueue<>(), clock)) {
+            clock.advance(Duration.ofSeconds(1));
+            assertThat(entry.awaitTable(LONGEST)).isEmpty();
+        }
+    }
+
     @Test
     void whatOneEntryGivesToAnEngineIsToldToTheOthers() {
         put(1);
