--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
@@ -46,7 +46,10 @@
     public static final String NO_UPSTREAM = "-";
 
     private static final String PREFIX = PART + ": ";
+
+    /** Places of the words of a line: the identity and the end, then fields by name. */
     private static final int ID = 0;
+
     private static final int END = 1;
     private static final int FIRST_FIELD = 2;
 
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/EnginePaceEstimator.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/EnginePaceEstimator.java
@@ -15,19 +15,19 @@
  * Thread-safe.
  */
 public final class EnginePaceEstimator {
-    /** Prefill before any was seen: what engines of a 70-billion model do at least. Chosen. */
+    /** Milliseconds for a token of a prompt before any was seen: 50 tokens a ms. Chosen. */
     private static final double PRIOR_PREFILL_MILLIS_PER_TOKEN = 0.02;
 
     /** A decode engine prefills at half the pace until seen: the engines' protocol says so. */
     private static final double DECODE_PREFILL_FACTOR = 2;
 
-    /** Growth of an output before any was seen: a common speed of reading, ten times. Chosen. */
+    /** Tokens that an output grows by in a ms before any was seen: 4,000 in 3 s. Chosen. */
     private static final double PRIOR_TOKENS_PER_MILLI = 1.3;
 
-    /** Time to the first token before any was seen. Chosen: a prompt of 5,000 and a half more. */
+    /** Milliseconds to the first token before any was seen: a prompt of 5,000 and half more. */
     private static final double PRIOR_FIRST_TOKEN_MILLIS = 150;
 
-    /** Length in time of an output before any was seen. Chosen: 4,000 tokens. */
+    /** Milliseconds that an output lasts before any was seen: 4,000 tokens. Chosen. */
     private static final double PRIOR_OUTPUT_MILLIS = 3_000;
 
     /** Weight of a prefill that took longer than the mean against one that took less. Chosen. */
