Let a large client retry fill the whole engine

With 85% of an engine's memory for client retries, one that needs more than that was refused for ever, and waited for it. It now sees all of the memory, as a new request does. Found by reading; on the small sites no request is that large.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/routing/MemoryRuleTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/routing/MemoryRuleTest.java
@@ -33,12 +33,21 @@
         assertThat(MemoryRule.canEverFit(request, MEMORY_TOKENS)).isEqualTo(fits);
     }
 
+    @ParameterizedTest
+    @CsvSource({"20000, true, 34000", "36000, true, 40000", "36000, false, 40000"})
+    void aLargeClientRetryMayFillTheWholeEngine(int prompt, boolean isRetry, long available) {
+        MemoryForecast.Sequence request = new MemoryForecast.Sequence(prompt, 0, 600, 1_500);
+        assertThat(MemoryRule.availableTokens(request, isRetry, MEMORY_TOKENS))
+                .isEqualTo(available);
+    }
+
     private static boolean fits(int inFlight, boolean isClientRetry) {
         List<MemoryForecast.Sequence> sequences = new ArrayList<>();
         for (int i = 0; i <= inFlight; i++) {
             sequences.add(new MemoryForecast.Sequence(3_200, 0, 600, 1_500));
         }
-        long available = MemoryRule.availableTokens(MEMORY_TOKENS, isClientRetry);
+        long available =
+                MemoryRule.availableTokens(sequences.getFirst(), isClientRetry, MEMORY_TOKENS);
         return MemoryRule.fits(sequences, available);
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -145,17 +145,16 @@
     }
 
     private boolean canEverFit() {
-        MemoryForecast.Sequence request =
-                new MemoryForecast.Sequence(
-                        mOutput.promptTokens(),
-                        0,
-                        mOutput.expectedTokens(),
-                        mOutput.maxOutputTokens());
         return mService.engine()
-                .map(engine -> MemoryRule.canEverFit(request, engine.memoryTokens()))
+                .map(engine -> MemoryRule.canEverFit(atBegin(), engine.memoryTokens()))
                 .orElse(true);
     }
 
+    private MemoryForecast.Sequence atBegin() {
+        return new MemoryForecast.Sequence(
+                mOutput.promptTokens(), 0, mOutput.expectedTokens(), mOutput.maxOutputTokens());
+    }
+
     /** Tells whether the last look found memory, but no engine that could prefill in time. */
     boolean lacksPrefill() {
         return mLacksPrefill;
@@ -258,7 +257,7 @@
     }
 
     private long availableTokens(long memoryTokens) {
-        return MemoryRule.availableTokens(memoryTokens, mIsClientRetry);
+        return MemoryRule.availableTokens(atBegin(), mIsClientRetry, memoryTokens);
     }
 
     private boolean isNearlyIdle(String upstreamId) {
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryRule.java
@@ -65,14 +65,18 @@
     }
 
     /**
-     * Returns the memory of an engine that a request may help to fill.
+     * Returns the memory of an engine that a request may help to fill. A client retry that would
+     * not fit into its part of an empty engine may fill all of it, or it would be refused for ever.
      *
-     * @param memoryTokens the memory of the engine
+     * @param request the request, as it begins
      * @param isClientRetry whether its caller was refused before
+     * @param memoryTokens the memory of the engine
      * @return tokens
      */
-    public static long availableTokens(long memoryTokens, boolean isClientRetry) {
-        return isClientRetry ? memoryTokens * CLIENT_RETRY_PERCENT / 100 : memoryTokens;
+    public static long availableTokens(
+            MemoryForecast.Sequence request, boolean isClientRetry, long memoryTokens) {
+        long forRetries = memoryTokens * CLIENT_RETRY_PERCENT / 100;
+        return isClientRetry && canEverFit(request, forRetries) ? forRetries : memoryTokens;
     }
 
     /**
