Write logs on a thread of their own, bounded

Each request leaves a line at its end now, and the console's handler wrote on the request's thread: a reader of the log that stalls would have held up every request.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/log/LogSetup.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/log/LogSetup.java
@@ -9,7 +9,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -24,7 +23,7 @@
     private LogSetup() {}
 
     /**
-     * Sends all logs to standard error.
+     * Sends all logs to standard error, without making those wait who log.
      *
      * @param json true for one JSON object a line, false for text
      * @param level the least level written, a name of {@link Level}
@@ -34,10 +33,8 @@
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        ConsoleHandler console = new ConsoleHandler();
-        console.setLevel(Level.ALL);
-        console.setFormatter(json ? new JsonLines() : new TextLines());
-        root.addHandler(console);
+        Formatter lines = json ? new JsonLines() : new TextLines();
+        root.addHandler(new QueuedHandler(System.err, lines));
         root.setLevel(Level.WARNING);
         PRODUCT.setLevel(Level.parse(level));
     }
