--- a/org.orchidmount/src/main/java/org/orchidmount/routing/EngineStagePlan.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/EngineStagePlan.java
@@ -21,8 +21,9 @@
  *
  * <p>An engine that fell silent without leaving is counted for a while as if it were there, since
  * it is mostly back within seconds, while a change takes another engine from its work for longer.
- * One that leaves is not. The share is a setting. At least one engine stays in each stage, and two
- * prefill engines where there are six engines or more, so that the loss of one leaves another.
+ * One that leaves is not. The share is a setting. At least one engine stays in each stage; where
+ * there are six engines or more two prefill engines are left, so that the loss of one leaves
+ * another. An engine is changed to prefill only if nearly a whole one is missing, or there is none.
  */
 public final class EngineStagePlan {
     /** Fewer engines than this are left as they are. Chosen, not measured. */
