--- a/org.orchidmount/src/main/java/org/orchidmount/routing/EnginePaceEstimator.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/EnginePaceEstimator.java
@@ -9,8 +9,8 @@
  * Learns the {@link EnginePace} of one service from what passes through this instance.
  *
  * <p>It starts from a prior that counts as one observation; some 15 observations are remembered.
- * The figures are means over all engines of the service: a few slow ones hardly move them, and are
- * told by {@link Slowness} instead. A prefill takes longer than it should where others queue whose
+ * The figures are means over all engines of the service: a few slow ones hardly move them, and show
+ * in {@link Slowness} instead. A prefill takes longer than it should where others queue whose
  * announcements are not known here, and never less, so that a slow one counts for less.
  * Thread-safe.
  */
