--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -41,7 +41,7 @@
 
 /**
  * Writes and reads messages and the durable state as MessagePack: a type number, then the fields in
- * order. Stateless and thread-safe.
+ * order. The most frequent messages are looked for first. Stateless and thread-safe.
  */
 final class ClusterCodec {
     /** The longest list in a frame; the target has some 8,000 upstreams. */
@@ -93,79 +93,93 @@
     }
 
     private static void write(MessageBufferPacker out, ClusterMessage message) throws IOException {
-        switch (message) {
-            case Greeting greeting -> {
-                out.packInt(GREETING).packInt(greeting.protocol()).packString(greeting.node());
-                out.packBoolean(greeting.voter() != null);
-                if (greeting.voter() != null) {
-                    writeMember(out, greeting.voter());
-                }
-                out.packString(greeting.zone());
-            }
-            case KeepAlive _ -> out.packInt(KEEP_ALIVE);
-            case Voters voters -> {
-                out.packInt(VOTERS);
-                writeMembers(out, voters.members());
-            }
-            case TableNotice notice -> {
-                out.packInt(TABLE_NOTICE).packLong(notice.version());
-                out.packBoolean(notice.inTouch()).packInt(notice.entries());
-            }
-            case TableRequest _ -> out.packInt(TABLE_REQUEST);
-            case TableDocument table -> {
-                out.packInt(TABLE_DOCUMENT).packLong(table.version());
-                writeDocument(out, table.document());
-            }
-            case Registrations registrations -> {
-                out.packInt(REGISTRATIONS).packLong(registrations.number());
-                out.packArrayHeader(registrations.registrations().size());
-                for (Registration registration : registrations.registrations()) {
-                    writeRegistration(out, registration);
-                }
-            }
-            case RegistrationsHeld held -> out.packInt(REGISTRATIONS_HELD).packLong(held.number());
-            case InFlightSequences all -> writeSequences(out, all.sequences());
-            case Replication replication -> writeReplication(out, replication);
+        if (message instanceof InFlightSequences all) {
+            writeSequences(out, all.sequences());
+        } else if (message instanceof Replication replication) {
+            writeReplication(out, replication);
+        } else if (message instanceof Registrations registrations) {
+            writeRegistrations(out, registrations);
+        } else if (message instanceof RegistrationsHeld held) {
+            out.packInt(REGISTRATIONS_HELD).packLong(held.number());
+        } else if (message instanceof KeepAlive) {
+            out.packInt(KEEP_ALIVE);
+        } else if (message instanceof TableNotice notice) {
+            out.packInt(TABLE_NOTICE).packLong(notice.version());
+            out.packBoolean(notice.inTouch()).packInt(notice.entries());
+        } else if (message instanceof TableRequest) {
+            out.packInt(TABLE_REQUEST);
+        } else if (message instanceof TableDocument table) {
+            out.packInt(TABLE_DOCUMENT).packLong(table.version());
+            writeDocument(out, table.document());
+        } else if (message instanceof Voters voters) {
+            out.packInt(VOTERS);
+            writeMembers(out, voters.members());
+        } else if (message instanceof Greeting greeting) {
+            writeGreeting(out, greeting);
+        } else {
+            throw new IllegalStateException("no frame for " + message.getClass());
+        }
+    }
+
+    private static void writeGreeting(MessageBufferPacker out, Greeting greeting)
+            throws IOException {
+        out.packInt(GREETING).packInt(greeting.protocol()).packString(greeting.node());
+        out.packBoolean(greeting.voter() != null);
+        if (greeting.voter() != null) {
+            writeMember(out, greeting.voter());
+        }
+        out.packString(greeting.zone());
+    }
+
+    private static void writeRegistrations(MessageBufferPacker out, Registrations registrations)
+            throws IOException {
+        out.packInt(REGISTRATIONS).packLong(registrations.number());
+        out.packArrayHeader(registrations.registrations().size());
+        for (Registration registration : registrations.registrations()) {
+            writeRegistration(out, registration);
         }
     }
 
     private static void writeReplication(MessageBufferPacker out, Replication replication)
             throws IOException {
         ReplicaMessage message = replication.message();
-        out.packInt(replicationType(message));
-        writeMember(out, replication.sender());
-        out.packLong(message.term());
-        switch (message) {
-            case VoteRequest request -> {
-                writeEntry(out, request.newest());
-                out.packBoolean(request.trial());
-            }
-            case VoteReply reply -> out.packBoolean(reply.granted()).packBoolean(reply.trial());
-            case Append append -> {
-                writeEntry(out, append.entry());
-                writeEntry(out, append.committed());
-                out.packLong(append.round());
-                out.packBoolean(append.state() != null);
-                if (append.state() != null) {
-                    writeState(out, append.state());
-                }
-            }
-            case AppendReply reply -> {
-                writeEntry(out, reply.durable());
-                out.packLong(reply.round());
-            }
-            case Hello hello -> writeEntry(out, hello.durable());
+        if (message instanceof Append append) {
+            writeHead(out, APPEND, replication);
+            writeAppend(out, append);
+        } else if (message instanceof AppendReply reply) {
+            writeHead(out, APPEND_REPLY, replication);
+            writeEntry(out, reply.durable());
+            out.packLong(reply.round());
+        } else if (message instanceof VoteRequest request) {
+            writeHead(out, VOTE_REQUEST, replication);
+            writeEntry(out, request.newest());
+            out.packBoolean(request.trial());
+        } else if (message instanceof VoteReply reply) {
+            writeHead(out, VOTE_REPLY, replication);
+            out.packBoolean(reply.granted()).packBoolean(reply.trial());
+        } else if (message instanceof Hello hello) {
+            writeHead(out, HELLO, replication);
+            writeEntry(out, hello.durable());
+        } else {
+            throw new IllegalStateException("no frame for " + message.getClass());
         }
     }
 
-    private static int replicationType(ReplicaMessage message) {
-        return switch (message) {
-            case VoteRequest _ -> VOTE_REQUEST;
-            case VoteReply _ -> VOTE_REPLY;
-            case Append _ -> APPEND;
-            case AppendReply _ -> APPEND_REPLY;
-            case Hello _ -> HELLO;
-        };
+    private static void writeHead(MessageBufferPacker out, int type, Replication replication)
+            throws IOException {
+        out.packInt(type);
+        writeMember(out, replication.sender());
+        out.packLong(replication.message().term());
+    }
+
+    private static void writeAppend(MessageBufferPacker out, Append append) throws IOException {
+        writeEntry(out, append.entry());
+        writeEntry(out, append.committed());
+        out.packLong(append.round());
+        out.packBoolean(append.state() != null);
+        if (append.state() != null) {
+            writeState(out, append.state());
+        }
     }
 
     private static ClusterMessage read(MessageUnpacker in) throws IOException {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -259,28 +259,33 @@
     }
 
     private void onMessage(Link link, ClusterMessage message) {
-        switch (message) {
-            case Greeting greeting -> onGreeting(link, greeting);
-            case Voters voters -> voters.members().forEach(this::learn);
-            case TableNotice notice -> {
-                mNotices.putLast(link, notice);
-                mEntries = Math.max(1, largestEntryCount());
-                follow();
-            }
-            case TableDocument document -> apply(document);
-            case InFlightSequences announced ->
-                    announced.sequences().forEach(mListener::onSequence);
-            case Registrations registrations -> {
-                for (Registration registration : registrations.registrations()) {
-                    mRegistry
-                            .merge(registration, mClock.nanoTime())
-                            .ifPresent(mListener::onRegistration);
-                }
-                if (registrations.number() != 0) {
-                    link.send(new RegistrationsHeld(registrations.number()));
-                }
-            }
-            default -> {}
+        if (message instanceof InFlightSequences announced) {
+            announced.sequences().forEach(mListener::onSequence);
+        } else if (message instanceof Registrations registrations) {
+            onRegistrations(link, registrations);
+        } else if (message instanceof TableNotice notice) {
+            onNotice(link, notice);
+        } else if (message instanceof TableDocument document) {
+            apply(document);
+        } else if (message instanceof Voters voters) {
+            voters.members().forEach(this::learn);
+        } else if (message instanceof Greeting greeting) {
+            onGreeting(link, greeting);
+        }
+    }
+
+    private void onNotice(Link link, TableNotice notice) {
+        mNotices.putLast(link, notice);
+        mEntries = Math.max(1, largestEntryCount());
+        follow();
+    }
+
+    private void onRegistrations(Link link, Registrations registrations) {
+        for (Registration registration : registrations.registrations()) {
+            mRegistry.merge(registration, mClock.nanoTime()).ifPresent(mListener::onRegistration);
+        }
+        if (registrations.number() != 0) {
+            link.send(new RegistrationsHeld(registrations.number()));
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/HostPort.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/HostPort.java
@@ -32,6 +32,17 @@
         }
     }
 
+    // Written out, because the compiler's versions are linked at run time, early in each start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof HostPort that && port == that.port && host.equals(that.host);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * host.hashCode() + port;
+    }
+
     @Override
     public String toString() {
         return host + ":" + port;
--- a/org.orchidmount/src/main/java/org/orchidmount/consensus/EntryId.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/consensus/EntryId.java
@@ -22,6 +22,22 @@
     private static final Comparator<EntryId> ORDER =
             Comparator.comparingLong(EntryId::term).thenComparingLong(EntryId::index);
 
+    // Written out, because the compiler's versions are linked at run time, early in each start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof EntryId that && term == that.term && index == that.index;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Long.hashCode(term) + Long.hashCode(index);
+    }
+
+    @Override
+    public String toString() {
+        return term + "/" + index;
+    }
+
     @Override
     public int compareTo(EntryId other) {
         return ORDER.compare(this, other);
--- a/org.orchidmount/src/main/java/org/orchidmount/consensus/Member.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/consensus/Member.java
@@ -13,4 +13,10 @@
  * @param address host and port at which the replica listens to its peers
  * @param controlAddress host and port at which the replica serves operators and upstreams
  */
-public record Member(String id, String address, String controlAddress) {}
+public record Member(String id, String address, String controlAddress) {
+    // Written out, because the compiler's version is linked at run time, early in each start.
+    @Override
+    public String toString() {
+        return id + " at " + address;
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/Peer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/Peer.java
@@ -23,4 +23,18 @@
     public URI uri() {
         return URI.create("http://" + host + ":" + port);
     }
+
+    // Written out, because the compiler's versions are linked at run time, at the first call.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Peer that
+                && port == that.port
+                && host.equals(that.host)
+                && name.equals(that.name);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * (31 * host.hashCode() + port) + name.hashCode();
+    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/log/LogSetup.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/log/LogSetup.java
@@ -5,8 +5,9 @@
  */
 package org.orchidmount.internal.log;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.util.logging.Formatter;
@@ -56,17 +57,29 @@
         }
     }
 
+    /**
+     * Writes one object a line. It uses the writer of JSON alone: the mapper of trees would be set
+     * up for the first line already, at 3% of the instructions of an instance's start.
+     */
     private static final class JsonLines extends Formatter {
+        private final JsonFactory mJson = new JsonFactory();
+
         @Override
         public String format(LogRecord record) {
-            ObjectNode line = JsonNodeFactory.instance.objectNode();
-            line.put("time", record.getInstant().toString());
-            line.put("level", record.getLevel().getName());
-            line.put("message", formatMessage(record));
-            if (record.getThrown() != null) {
-                line.put("stackTrace", stackTrace(record.getThrown()));
+            StringWriter text = new StringWriter();
+            try (JsonGenerator line = mJson.createGenerator(text)) {
+                line.writeStartObject();
+                line.writeStringField("time", record.getInstant().toString());
+                line.writeStringField("level", record.getLevel().getName());
+                line.writeStringField("message", formatMessage(record));
+                if (record.getThrown() != null) {
+                    line.writeStringField("stackTrace", stackTrace(record.getThrown()));
+                }
+                line.writeEndObject();
+            } catch (IOException e) {
+                throw new IllegalStateException("a line cannot be written to memory", e);
             }
-            return line + "\n";
+            return text + "\n";
         }
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/membership/Registration.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/membership/Registration.java
@@ -77,16 +77,12 @@
      * @return true if nothing but the sequence differs
      */
     public boolean saysSame(Registration other) {
-        Registration renumbered =
-                new Registration(
-                        other.id,
-                        other.service,
-                        other.address,
-                        other.zone,
-                        other.slots,
-                        other.stage,
-                        other.state,
-                        sequence);
-        return equals(renumbered);
+        return id.equals(other.id)
+                && service.equals(other.service)
+                && address.equals(other.address)
+                && zone.equals(other.zone)
+                && slots == other.slots
+                && stage == other.stage
+                && state == other.state;
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -42,12 +42,12 @@
      * @return the settings, or all that is wrong with the file
      */
     public static Result read(Path file) {
-        return switch (SettingsReader.parse(file, SiteSettingsReader::settings)) {
-            case SettingsReader.Parsed.Good<SiteSettings>(SiteSettings settings) ->
-                    new Result.Valid(settings);
-            case SettingsReader.Parsed.Bad<SiteSettings>(List<SettingsProblem> problems) ->
-                    new Result.Invalid(problems);
-        };
+        SettingsReader.Parsed<SiteSettings> parsed =
+                SettingsReader.parse(file, SiteSettingsReader::settings);
+        if (parsed instanceof SettingsReader.Parsed.Bad<SiteSettings> bad) {
+            return new Result.Invalid(bad.problems());
+        }
+        return new Result.Valid(((SettingsReader.Parsed.Good<SiteSettings>) parsed).value());
     }
 
     private static SiteSettings settings(Section root) {
