Let replicas that ask at the same moment give way by identity

Cause: two replicas in a trial both go on to ask for votes, and each keeps the other from a quorum. Change: a replica that has just asked refuses the trial of a higher identity without a newer state, for as long as an election takes, and stands aside for a lower one. The waits for commits and reads become one class. Registrations are split into recent and silent ones in one pass each, no longer by comparing all with all.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/consensus/ReplicaSimulationTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/consensus/ReplicaSimulationTest.java
@@ -31,7 +31,7 @@
 
     /** Seeds that failed once: each stays, with its cause in the commit that mended it. */
     @ParameterizedTest
-    @ValueSource(longs = {5, 327})
+    @ValueSource(longs = {5, 327, 1364, 12137})
     void seedsThatFailedOnceHold(long seed) {
         assertThat(new SimulatedGroup(seed).run()).isGreaterThan(0);
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -348,21 +348,24 @@
             link.close();
             return;
         }
-        switch (message) {
-            case Replication replication -> onReplication(replication);
-            case Registrations registrations -> onRegistrations(link, registrations);
-            case RegistrationsHeld held -> {
-                if (mLinks.isVoter(link)) {
-                    mDepartures.held(held.number(), mReplica.state().quorum());
-                }
-            }
-            case TableRequest _ ->
-                    link.send(
-                            new TableDocument(
-                                    mCommitted.tableVersion(), mCommitted.tableDocument()));
-            case Voters voters -> voters.members().forEach(this::learn);
-            case InFlightSequences announced -> onSequences(announced);
-            case KeepAlive _, Greeting _, TableNotice _, TableDocument _ -> {}
+        if (message instanceof Replication replication) {
+            onReplication(replication);
+        } else if (message instanceof InFlightSequences announced) {
+            onSequences(announced);
+        } else if (message instanceof Registrations registrations) {
+            onRegistrations(link, registrations);
+        } else if (message instanceof RegistrationsHeld held) {
+            onRegistrationsHeld(link, held);
+        } else if (message instanceof TableRequest) {
+            link.send(new TableDocument(mCommitted.tableVersion(), mCommitted.tableDocument()));
+        } else if (message instanceof Voters voters) {
+            voters.members().forEach(this::learn);
+        }
+    }
+
+    private void onRegistrationsHeld(Link link, RegistrationsHeld held) {
+        if (mLinks.isVoter(link)) {
+            mDepartures.held(held.number(), mReplica.state().quorum());
         }
     }
 
@@ -452,12 +455,10 @@
     private void orderStages() {
         long nowNanos = mClock.nanoTime();
         long term = mReplica.holdsQuorum() ? mReplica.term() : -1;
-        List<Registration> current =
-                mRegistry.heardSince(nowNanos - mStages.countedWithin().toNanos());
-        List<Registration> silent =
-                new ArrayList<>(
-                        mRegistry.heardSince(nowNanos - mStages.expectedWithin().toNanos()));
-        silent.removeAll(current);
+        long countedNanos = nowNanos - mStages.countedWithin().toNanos();
+        long expectedNanos = nowNanos - mStages.expectedWithin().toNanos();
+        List<Registration> current = mRegistry.heardBetween(countedNanos, nowNanos + 1);
+        List<Registration> silent = mRegistry.heardBetween(expectedNanos, countedNanos);
         mStages.tick(term, current, silent, () -> stillLeads(term), nowNanos);
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/consensus/Replica.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/consensus/Replica.java
@@ -7,7 +7,6 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -39,8 +38,8 @@
     private final Map<String, PeerProgress> mPeers = new HashMap<>();
     private final Set<String> mVotes = new HashSet<>();
     private final Deque<Deferred> mDeferred = new ArrayDeque<>();
-    private final List<Waiter> mCommitWaiters = new ArrayList<>();
-    private final List<ReadWaiter> mReadWaiters = new ArrayList<>();
+    private final Waiters<EntryId> mCommitWaiters = new Waiters<>();
+    private final Waiters<Long> mReadWaiters = new Waiters<>();
     private DurableState mState;
     private long mWrites;
     private long mSynced;
@@ -53,6 +52,7 @@
     private boolean mHasSeenLeader;
     private long mLeaderHeardNanos;
     private long mElectionAtNanos;
+    private long mStoodNanos;
     private long mHeartbeatAtNanos;
     private long mWritingSinceNanos;
     private long mLeadingSinceNanos;
@@ -72,10 +72,6 @@
 
     private record Deferred(long write, Member to, ReplicaMessage message) {}
 
-    private record Waiter(EntryId entry, Consumer<Boolean> done) {}
-
-    private record ReadWaiter(long round, Consumer<Boolean> done) {}
-
     /**
      * Creates a replica that follows.
      *
@@ -267,6 +263,7 @@
             return;
         }
         mRole = Role.TRIAL;
+        mStoodNanos = mNowNanos;
         mVotes.clear();
         mVotes.add(mSelf.id());
         askForVotes(mState.term() + 1, true);
@@ -318,12 +315,16 @@
             persist(mState.withVote(message.term(), ""));
             follow(message.term(), null);
         }
-        switch (message) {
-            case VoteRequest request -> onVoteRequest(request, sender);
-            case VoteReply reply -> onVoteReply(reply);
-            case Append append -> onAppend(append);
-            case AppendReply reply -> onAppendReply(reply, sender);
-            case Hello hello -> onHello(hello);
+        if (message instanceof Append append) {
+            onAppend(append);
+        } else if (message instanceof AppendReply reply) {
+            onAppendReply(reply, sender);
+        } else if (message instanceof VoteRequest request) {
+            onVoteRequest(request, sender);
+        } else if (message instanceof VoteReply reply) {
+            onVoteReply(reply);
+        } else if (message instanceof Hello hello) {
+            onHello(hello);
         }
     }
 
@@ -334,9 +335,7 @@
     private void onVoteRequest(VoteRequest request, Member sender) {
         boolean current = request.newest().reaches(mState.entry());
         if (request.trial()) {
-            boolean granted = request.term() > mState.term() && current && !hasLiveLeader();
-            long term = granted ? request.term() : mState.term();
-            mEffects.send(sender, new VoteReply(term, mSelf.id(), granted, true));
+            answerTrial(request, current, sender);
             return;
         }
         boolean free = mState.votedFor().isEmpty() || mState.votedFor().equals(request.from());
@@ -350,6 +349,34 @@
         defer(mWrites, sender, new VoteReply(mState.term(), mSelf.id(), granted, false));
     }
 
+    private void answerTrial(VoteRequest request, boolean current, Member sender) {
+        boolean granted =
+                request.term() > mState.term()
+                        && current
+                        && !hasLiveLeader()
+                        && !hasPrecedence(request);
+        if (granted && mRole == Role.TRIAL) {
+            mRole = Role.FOLLOWER;
+        }
+        long term = granted ? request.term() : mState.term();
+        mEffects.send(sender, new VoteReply(term, mSelf.id(), granted, true));
+    }
+
+    /**
+     * Tells whether this replica has just asked for a trial vote itself and goes before another
+     * that did so at the same moment: the lower identity, unless the other holds a newer state. Two
+     * that both went on to ask for votes would each keep the other from a quorum where every
+     * replica that is left is needed. The precedence ends soon, so that a replica which the others
+     * cannot hear does not hold them up: of 16,000 simulated schedules 2 were left without a leader
+     * until further disks failed, and none with it.
+     */
+    private boolean hasPrecedence(VoteRequest request) {
+        boolean stands =
+                mRole == Role.TRIAL && mNowNanos - mStoodNanos < mTiming.election().toNanos();
+        boolean isNewer = !mState.entry().reaches(request.newest());
+        return stands && !isNewer && mSelf.id().compareTo(request.from()) < 0;
+    }
+
     private void onVoteReply(VoteReply reply) {
         if (!reply.granted()) {
             return;
@@ -388,19 +415,11 @@
         mLeader = leader;
         if (led) {
             planElection();
-            failWaiters();
+            mCommitWaiters.fail();
+            mReadWaiters.fail();
         }
     }
 
-    private void failWaiters() {
-        List<Waiter> commits = List.copyOf(mCommitWaiters);
-        List<ReadWaiter> reads = List.copyOf(mReadWaiters);
-        mCommitWaiters.clear();
-        mReadWaiters.clear();
-        commits.forEach(waiter -> waiter.done().accept(false));
-        reads.forEach(waiter -> waiter.done().accept(false));
-    }
-
     // ---- replication
 
     /**
@@ -415,7 +434,7 @@
             return;
         }
         EntryId entry = append(state);
-        mCommitWaiters.add(new Waiter(entry, done));
+        mCommitWaiters.add(entry, done);
         commit();
     }
 
@@ -433,17 +452,16 @@
         EntryId newest = mState.entry();
         broadcast();
         mReadWaiters.add(
-                new ReadWaiter(
-                        mRound,
-                        confirmed -> {
-                            if (!confirmed) {
-                                done.accept(false);
-                            } else if (mCommitted.reaches(newest)) {
-                                done.accept(true);
-                            } else {
-                                mCommitWaiters.add(new Waiter(newest, done));
-                            }
-                        }));
+                mRound,
+                confirmed -> {
+                    if (!confirmed) {
+                        done.accept(false);
+                    } else if (mCommitted.reaches(newest)) {
+                        done.accept(true);
+                    } else {
+                        mCommitWaiters.add(newest, done);
+                    }
+                });
         confirmReads();
     }
 
@@ -580,32 +598,13 @@
         }
         mCommitted = entry;
         mEffects.committed(entry, state());
-        List<Waiter> reached = new ArrayList<>();
-        mCommitWaiters.removeIf(
-                waiter -> {
-                    boolean done = entry.reaches(waiter.entry());
-                    if (done) {
-                        reached.add(waiter);
-                    }
-                    return done;
-                });
-        reached.forEach(waiter -> waiter.done().accept(true));
+        mCommitWaiters.release(entry::reaches);
     }
 
     private void confirmReads() {
-        if (mRole != Role.LEADER || mReadWaiters.isEmpty()) {
-            return;
+        if (mRole == Role.LEADER) {
+            mReadWaiters.release(round -> votersAtRound(round) >= state().quorum());
         }
-        List<ReadWaiter> reached = new ArrayList<>();
-        mReadWaiters.removeIf(
-                waiter -> {
-                    boolean done = votersAtRound(waiter.round()) >= state().quorum();
-                    if (done) {
-                        reached.add(waiter);
-                    }
-                    return done;
-                });
-        reached.forEach(waiter -> waiter.done().accept(true));
     }
 
     private int votersAtRound(long round) {
@@ -665,14 +664,12 @@
 
     private void deliver(Member to, ReplicaMessage message) {
         boolean self = to.id().equals(mSelf.id());
-        switch (message) {
-            case VoteReply vote when self -> onVoteReply(vote);
-            case AppendReply reply -> {
-                if (reply.term() == mState.term()) {
-                    mEffects.send(to, reply(reply.round()));
-                }
-            }
-            default -> mEffects.send(to, message);
+        if (self && message instanceof VoteReply vote) {
+            onVoteReply(vote);
+        } else if (!(message instanceof AppendReply reply)) {
+            mEffects.send(to, message);
+        } else if (reply.term() == mState.term()) {
+            mEffects.send(to, reply(reply.round()));
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/membership/Registry.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/membership/Registry.java
@@ -94,15 +94,17 @@
     }
 
     /**
-     * Returns the registrations received within a time.
+     * Returns the registrations received last within a time.
      *
-     * @param sinceNanos the monotonic time from which on they must have been received
+     * @param fromNanos the monotonic time from which on they must have been received
+     * @param beforeNanos the monotonic time before which they must have been received
      * @return a copy
      */
-    public List<Registration> heardSince(long sinceNanos) {
+    public List<Registration> heardBetween(long fromNanos, long beforeNanos) {
         List<Registration> received = new ArrayList<>();
         for (Entry entry : mEntries.values()) {
-            if (entry.heardNanos() - sinceNanos >= 0) {
+            long heardNanos = entry.heardNanos();
+            if (heardNanos - fromNanos >= 0 && heardNanos - beforeNanos < 0) {
                 received.add(entry.registration());
             }
         }
