Do not count a crashed start of an upstream as another that could be tried

Cause: UpstreamDirectory.avoided took the registration of a crashed start for a live upstream, although its address belongs to the start that followed. While all live engines of a stage were ejected at once, none of them was tried until an ejection ended (up to 4.8 s), and requests were refused. Change: one predicate tells, for both the choice and the avoided ones, whether an upstream takes work. What an upstream did is learned under one hold of the lock. Ruled out: forgetting the crashed registration, since heartbeats may come late.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -130,6 +130,17 @@
         mDirectory.release(assignment);
     }
 
+    /**
+     * An engine that crashes says nothing: its registration stays beside that of its next start.
+     */
+    @Test
+    void aCrashedIncarnationIsNoOtherUpstream() {
+        mDirectory.update(ready("i-crashed", "a", 1));
+        mDirectory.update(ready("i-back", "a", 1));
+        mDirectory.unreachable(mDirectory.assign(NEED, Set.of()).get());
+        assertThat(mDirectory.avoided("s", Stage.NONE)).isEmpty();
+    }
+
     @Test
     void oneThatIsEjectedIsAvoidedWhileThereIsAnother() {
         mDirectory.update(ready("i-a", "a", 1));
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -151,11 +151,16 @@
     }
 
     private boolean isCandidate(Upstream upstream, Need need) {
+        return takesWork(upstream, need.service(), need.stage())
+                && !need.excluded().contains(upstream.registration().id());
+    }
+
+    /** A crashed upstream says nothing, but another start of it has its address. */
+    private boolean takesWork(Upstream upstream, String service, Stage stage) {
         Registration registration = upstream.registration();
         return upstream.isReady()
-                && !need.excluded().contains(registration.id())
-                && registration.id().equals(mIdByAddress.get(registration.address()))
-                && upstream.serves(need.service(), need.stage());
+                && upstream.serves(service, stage)
+                && registration.id().equals(mIdByAddress.get(registration.address()));
     }
 
     private double costMillis(Upstream upstream, Need need, long nowNanos) {
@@ -195,8 +200,9 @@
 
     /** Learns from an upstream that did what it was given. */
     void succeeded(Assignment assignment) {
-        answered(assignment);
-        proved(assignment);
+        learn(
+                assignment,
+                (health, nowNanos) -> afterAnswer(health, assignment, nowNanos).afterSuccess());
     }
 
     /** Learns that an upstream did what it was given, as became known later. */
@@ -206,14 +212,14 @@
 
     /** Learns from the time of an answer, of which it is not known yet whether it is of use. */
     void answered(Assignment assignment) {
-        learn(
-                assignment,
-                (health, nowNanos) -> {
-                    double tookMillis = Millis.ofNanos(nowNanos - assignment.sinceNanos());
-                    double ordinaryMillis =
-                            Math.max(MIN_ORDINARY_MILLIS, assignment.ordinaryMillis());
-                    return health.afterAnswer(tookMillis / ordinaryMillis, nowNanos);
-                });
+        learn(assignment, (health, nowNanos) -> afterAnswer(health, assignment, nowNanos));
+    }
+
+    private static UpstreamHealth afterAnswer(
+            UpstreamHealth health, Assignment assignment, long nowNanos) {
+        double tookMillis = Millis.ofNanos(nowNanos - assignment.sinceNanos());
+        double ordinaryMillis = Math.max(MIN_ORDINARY_MILLIS, assignment.ordinaryMillis());
+        return health.afterAnswer(tookMillis / ordinaryMillis, nowNanos);
     }
 
     /** Learns from an upstream that failed. */
@@ -249,7 +255,7 @@
             Set<String> avoided = new HashSet<>();
             boolean hasOther = false;
             for (Upstream upstream : mUpstreams.values()) {
-                if (!upstream.isReady() || !upstream.serves(service, stage)) {
+                if (!takesWork(upstream, service, stage)) {
                     continue;
                 }
                 if (upstream.isAvoided(nowNanos)) {
