Measure what a start costs; one place for the forecast's view of a sequence

Cause: the cost of a start was measured by hand only; two classes built the forecast's input from a sequence. Change: bin/bench start [--checkout DIR]: processor time of an entry from its command to the moment it listens. InFlightSequence.forecastInput serves EngineLoads and EnginePlacer. Ruled out: counting instructions, which needs a tool that not every machine has. EngineScaleTest, EngineMemoryPinTest, MemoryRuleTest and EngineLoadsTest unchanged and green.

--- a/org.orchidmount.bench/src/main/java/org/orchidmount/bench/Main.java
+++ b/org.orchidmount.bench/src/main/java/org/orchidmount/bench/Main.java
@@ -19,7 +19,7 @@
         description = "Measures the router on this machine, with stand-ins.",
         mixinStandardHelpOptions = true,
         synopsisSubcommandLabel = "COMMAND",
-        subcommands = {OverheadBench.class})
+        subcommands = {OverheadBench.class, StartBench.class})
 public final class Main implements Runnable {
     private static final String MEASURED_TIER = "4";
 
--- a/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
@@ -181,11 +181,11 @@
             EnginePace pace,
             long nowNanos) {
         List<MemoryForecast.Sequence> sequences = new ArrayList<>(atEngine.size() + 1);
-        sequences.add(forecastInput(candidate, 0));
+        sequences.add(candidate.forecastInput(0));
         for (Known known : atEngine.values()) {
             if (!known.sequence().ended()) {
-                sequences.add(
-                        forecastInput(known.sequence(), generatedTokens(known, pace, nowNanos)));
+                double tokens = generatedTokens(known, pace, nowNanos);
+                sequences.add(known.sequence().forecastInput(tokens));
             }
         }
         return MemoryRule.fits(sequences, memoryTokens);
@@ -200,15 +200,6 @@
         return known.sequence().generatedTokens() + growingMillis * pace.outputTokensPerMilli();
     }
 
-    private static MemoryForecast.Sequence forecastInput(
-            InFlightSequence sequence, double generatedTokens) {
-        return new MemoryForecast.Sequence(
-                sequence.promptTokens(),
-                generatedTokens,
-                sequence.expectedTokens(),
-                sequence.maxOutputTokens());
-    }
-
     private void forgetOld(long nowNanos) {
         for (Map<String, Known> known : mSequences.values()) {
             known.values().removeIf(old -> nowNanos - old.updatedNanos() > FORGET_AFTER.toNanos());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -151,8 +151,7 @@
     }
 
     private MemoryForecast.Sequence atBegin() {
-        return new MemoryForecast.Sequence(
-                mOutput.promptTokens(), 0, mOutput.expectedTokens(), mOutput.maxOutputTokens());
+        return mOutput.forecastInput(0);
     }
 
     /** Tells whether the last look found memory, but no engine that could prefill in time. */
