Say what the log's writer saves, as measured

Cause: the comment gave a share that no run had shown. Ruled out: taking the writer out again, which costs 8%.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/log/LogSetup.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/log/LogSetup.java
@@ -59,7 +59,8 @@
 
     /**
      * Writes one object a line. It uses the writer of JSON alone: the mapper of trees would be set
-     * up for the first line already, at 3% of the instructions of an instance's start.
+     * up for the first line already, at 8% of the instructions of an entry's start (447 M with the
+     * writer, 488 M with the mapper; median of five starts).
      */
     private static final class JsonLines extends Formatter {
         private final JsonFactory mJson = new JsonFactory();
