--- a/org.orchidmount.test/src/test/java/org/orchidmount/membership/RegistrationTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/membership/RegistrationTest.java
@@ -12,6 +12,9 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
 
@@ -46,6 +49,55 @@
         assertThat(registry.find("i-1")).isEmpty();
     }
 
+    /** Times that a monotonic clock may show: it may pass the largest number. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, Long.MAX_VALUE - 50})
+    void recentAndSilentOnesAreTwoPartsOfAll(long startNanos) {
+        Registry registry = new Registry(1_000);
+        registry.merge(ready("i-silent"), startNanos + 10);
+        registry.merge(ready("i-recent"), startNanos + 80);
+        registry.merge(ready("i-now"), startNanos + 100);
+        long nowNanos = startNanos + 100;
+        assertThat(ids(registry.heardBetween(nowNanos - 20, nowNanos + 1)))
+                .containsExactly("i-recent", "i-now");
+        assertThat(ids(registry.heardBetween(nowNanos - 90, nowNanos - 20)))
+                .containsExactly("i-silent");
+        assertThat(registry.heardBetween(nowNanos - 90, nowNanos - 90)).isEmpty();
+    }
+
+    private static List<String> ids(List<Registration> registrations) {
+        return registrations.stream().map(Registration::id).toList();
+    }
+
+    private static Registration ready(String id) {
+        return new Registration(id, "s", "10.0.0.1:80", "a", 8, Stage.DECODE, State.READY, 1);
+    }
+
+    /** Each field but the sequence is news. */
+    @ParameterizedTest
+    @CsvSource({
+        "i-1, s, 10.0.0.1:80, a, 8, DECODE, READY, true",
+        "i-2, s, 10.0.0.1:80, a, 8, DECODE, READY, false",
+        "i-1, t, 10.0.0.1:80, a, 8, DECODE, READY, false",
+        "i-1, s, 10.0.0.2:80, a, 8, DECODE, READY, false",
+        "i-1, s, 10.0.0.1:80, b, 8, DECODE, READY, false",
+        "i-1, s, 10.0.0.1:80, a, 9, DECODE, READY, false",
+        "i-1, s, 10.0.0.1:80, a, 8, PREFILL, READY, false",
+        "i-1, s, 10.0.0.1:80, a, 8, DECODE, DRAINING, false"
+    })
+    void saysSameComparesAllButTheSequence(
+            String id,
+            String service,
+            String address,
+            String zone,
+            int slots,
+            Stage stage,
+            State state,
+            boolean isSame) {
+        Registration other = new Registration(id, service, address, zone, slots, stage, state, 99);
+        assertThat(ready("i-1").saysSame(other)).isEqualTo(isSame);
+    }
+
     @Test
     void onlyNewsIsTold() {
         Registry registry = new Registry(1_000);
