--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
@@ -11,7 +11,13 @@
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
 
-/** What instances say to each other. */
+/**
+ * What instances say to each other.
+ *
+ * <p>Receivers tell messages apart by {@code instanceof} and not by a switch over patterns: the
+ * first such switch that a process runs is linked at run time, by code that writes a class, and the
+ * first messages come while an instance starts. Immutable.
+ */
 sealed interface ClusterMessage {
     /**
      * Opens a link in each direction.
--- a/org.orchidmount/src/main/java/org/orchidmount/consensus/ReplicaMessage.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/consensus/ReplicaMessage.java
@@ -5,7 +5,12 @@
  */
 package org.orchidmount.consensus;
 
-/** What replicas say to each other. Every message names its sender's term. */
+/**
+ * What replicas say to each other. Every message names its sender's term.
+ *
+ * <p>Told apart by {@code instanceof}, since a switch over patterns is linked at run time, while
+ * the group is electing its first leader after a start. Immutable.
+ */
 public sealed interface ReplicaMessage {
     /**
      * Returns the sender's term.
