Keys and limits of client accounts, with one owner of what all entries share

Cause: configurations hold accounts with keys and limits, and nothing on the platform path read them.

Keys: ClientAccounts (hashes only), AccessRule, 401 told apart from 404, the key goes no further than the entry and the account's name is set whatever the caller said; judged again before each attempt if another table is in force by then. Limits: QuotaOwner at the voter that leads, under its lease, asked for each request; it knows keys and no accounts. A bucket may be overdrawn by one request, so that large ones are granted as often as small ones. While the leader is silent the other voters grant from a reserve. What the site tolerates beyond a limit is divided in one place (QuotaTolerance). What has not run is given back. explain --by.

Tried and left: an entry without an owner may use the part of the tolerance that its own use had in the window. The reserve of the voters takes its place.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/Identity.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/Identity.java
@@ -5,10 +5,9 @@
  */
 package org.orchidmount.daemon.internal;
 
-import com.google.common.hash.Hashing;
 import io.undertow.util.StatusCodes;
-import java.nio.charset.StandardCharsets;
 import org.orchidmount.internal.http.ServerExchange;
+import org.orchidmount.internal.keys.KeyHash;
 import org.orchidmount.table.AccountRow;
 import org.orchidmount.table.ClassRow;
 import org.orchidmount.table.Table;
@@ -29,7 +28,7 @@
             throw refused("no_account", Messages.NO_ACCOUNT);
         }
         AccountRow account =
-                table.accountByKey(sha256(authorization.substring(BEARER.length()).strip()))
+                table.accountByKey(KeyHash.of(authorization.substring(BEARER.length()).strip()))
                         .orElseThrow(() -> refused("unknown_account", Messages.UNKNOWN_ACCOUNT));
         String named = exchange.header(HeaderNames.REQUEST_CLASS);
         String className = named == null ? account.requestClass() : named;
@@ -46,11 +45,6 @@
         return new Identity(account, requestClass);
     }
 
-    /** Hashes a key as the table keeps it. */
-    static String sha256(String key) {
-        return Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
-    }
-
     private static RefusedException refused(String code, String message) {
         return new RefusedException(Refusal.bad(StatusCodes.UNAUTHORIZED, code, message));
     }
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/OperatorTokens.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/OperatorTokens.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Pattern;
+import org.orchidmount.internal.keys.KeyHash;
 
 /**
  * The operators that may use this instance, read from a file that holds only hashes of their
@@ -57,7 +58,7 @@
 
     /** Finds the operator a token belongs to. */
     Optional<Operator> byToken(String token) {
-        return Optional.ofNullable(mByHash.get(Identity.sha256(token)));
+        return Optional.ofNullable(mByHash.get(KeyHash.of(token)));
     }
 
     /** What an operator may do; each role includes those before it. */
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/Cluster.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/Cluster.java
@@ -8,9 +8,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.common.hash.Hashing;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermissions;
@@ -23,6 +21,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import org.orchidmount.internal.json.Json;
+import org.orchidmount.internal.keys.KeyHash;
 
 /**
  * Real daemons before stand-ins, each a process of its own on free loopback ports.
@@ -228,8 +227,11 @@
         list.addObject()
                 .put("name", "ops")
                 .put("role", "OPERATE")
-                .put("tokenSha256", sha256(OPERATOR_TOKEN));
-        list.addObject().put("name", "eyes").put("role", "READ").put("tokenSha256", sha256("eyes"));
+                .put("tokenSha256", KeyHash.of(OPERATOR_TOKEN));
+        list.addObject()
+                .put("name", "eyes")
+                .put("role", "READ")
+                .put("tokenSha256", KeyHash.of("eyes"));
         return Json.text(list);
     }
 
@@ -274,7 +276,7 @@
     private static void account(ArrayNode edits, String name, String key, String requestClass) {
         row(edits, "account")
                 .put("name", name)
-                .put("keySha256", sha256(key))
+                .put("keySha256", KeyHash.of(key))
                 .put("requestClass", requestClass)
                 .put("weight", 1);
     }
@@ -315,10 +317,6 @@
         return proxy != null ? proxy.port() : mUpstreams.get(name).port("port");
     }
 
-    private static String sha256(String text) {
-        return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
-    }
-
     /**
      * Returns the process of an entry.
      *
--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/ExplainPgm.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/ExplainPgm.java
@@ -35,6 +35,12 @@
             description = "The story of one request, by its X-Request-Id.")
     private String mId;
 
+    @Option(
+            names = "--by",
+            paramLabel = "WHAT",
+            description = "Requests by ${COMPLETION-CANDIDATES} in place of cause and second.")
+    private Explanation.Group mGroup;
+
     @Parameters(paramLabel = "FILE", arity = "1..*", description = "The logs, in any order.")
     private List<Path> mFiles;
 
@@ -49,16 +55,23 @@
         if (mId != null) {
             tell(lines, out);
         } else {
-            Explanation explanation = Explanation.of(lines, errors);
-            out.print(explanation.causes());
-            out.println();
-            out.print(explanation.seconds());
+            sum(Explanation.of(lines, errors), out);
         }
         if (files.skipped() > 0) {
             errors.println(files.skipped() + " lines could not be read");
         }
     }
 
+    private void sum(Explanation explanation, PrintWriter out) {
+        if (mGroup != null) {
+            out.print(explanation.by(mGroup));
+            return;
+        }
+        out.print(explanation.causes());
+        out.println();
+        out.print(explanation.seconds());
+    }
+
     private void tell(List<LogFiles.Line> lines, PrintWriter out) {
         List<LogFiles.Line> story =
                 lines.stream()
--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Explanation.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Explanation.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.function.ToLongFunction;
 import org.orchidmount.report.RequestEnd;
 import org.orchidmount.report.RequestReport;
@@ -21,10 +22,27 @@
 /** Sums what the reports in logs say, by cause and by second. Not thread-safe. */
 public final class Explanation {
     private final Map<RequestEnd, List<RequestReport>> mByEnd = new EnumMap<>(RequestEnd.class);
-    private final Map<Instant, Second> mBySecond = new TreeMap<>();
+    private final Map<Instant, Ends> mBySecond = new TreeMap<>();
+    private final List<RequestReport> mReports = new ArrayList<>();
 
-    /** What ended within one second. */
-    private static final class Second {
+    /** What reports can be summed by, besides their cause and their second. */
+    public enum Group {
+        /** The client account. */
+        ACCOUNT(RequestReport::account),
+        /** The service. */
+        SERVICE(RequestReport::service),
+        /** The upstream of the last attempt. */
+        UPSTREAM(RequestReport::upstream);
+
+        private final Function<RequestReport, String> mName;
+
+        Group(Function<RequestReport, String> name) {
+            mName = name;
+        }
+    }
+
+    /** How many requests ended in which way. */
+    private static final class Ends {
         private int mInTime;
         private int mLate;
         private int mRefused;
@@ -47,6 +65,10 @@
             }
             mWastedTokens += report.wastedTokens();
         }
+
+        void addTo(Columns columns, Object name) {
+            columns.add(name, mInTime, mLate, mRefused, mFailed, mLeft, mWastedTokens);
+        }
     }
 
     /**
@@ -73,9 +95,10 @@
     }
 
     private void add(Instant time, RequestReport report) {
+        mReports.add(report);
         mByEnd.computeIfAbsent(report.end(), end -> new ArrayList<>()).add(report);
         mBySecond
-                .computeIfAbsent(time.truncatedTo(ChronoUnit.SECONDS), second -> new Second())
+                .computeIfAbsent(time.truncatedTo(ChronoUnit.SECONDS), second -> new Ends())
                 .add(report);
     }
 
@@ -115,22 +138,31 @@
      * @return a table
      */
     public Columns seconds() {
-        Columns columns =
-                new Columns(
-                        "SECOND", "IN TIME", "LATE", "REFUSED", "FAILED", "LEFT", "WASTED TOKENS");
-        mBySecond.forEach(
-                (time, second) ->
-                        columns.add(
-                                time,
-                                second.mInTime,
-                                second.mLate,
-                                second.mRefused,
-                                second.mFailed,
-                                second.mLeft,
-                                second.mWastedTokens));
+        Columns columns = ends("SECOND");
+        mBySecond.forEach((time, ends) -> ends.addTo(columns, time));
         return columns;
     }
 
+    /**
+     * Returns what ended, by another property of the requests.
+     *
+     * @param group the property
+     * @return a table, in the order of names
+     */
+    public Columns by(Group group) {
+        Map<String, Ends> byName = new TreeMap<>();
+        for (RequestReport report : mReports) {
+            byName.computeIfAbsent(group.mName.apply(report), name -> new Ends()).add(report);
+        }
+        Columns columns = ends(group.name());
+        byName.forEach((name, ends) -> ends.addTo(columns, name));
+        return columns;
+    }
+
+    private static Columns ends(String title) {
+        return new Columns(title, "IN TIME", "LATE", "REFUSED", "FAILED", "LEFT", "WASTED TOKENS");
+    }
+
     private static long sum(List<RequestReport> reports, ToLongFunction<RequestReport> figure) {
         return reports.stream().mapToLong(figure).sum();
     }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -9,6 +9,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -21,6 +22,9 @@
 import org.orchidmount.consensus.ReplicaMessage;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
+import org.orchidmount.quota.QuotaAnswer;
+import org.orchidmount.quota.QuotaAsk;
+import org.orchidmount.quota.QuotaLimit;
 
 /** Tests {@code ClusterCodec}. */
 final class ClusterCodecTest {
@@ -50,6 +54,18 @@
                                         Registration.State.DRAINING,
                                         7))),
                 new ClusterMessage.RegistrationsHeld(3),
+                new ClusterMessage.QuotaRequest(
+                        7,
+                        new QuotaAsk(
+                                "mill",
+                                new QuotaLimit(12.5, 30, 4, Duration.ofSeconds(8)),
+                                9,
+                                3_200),
+                        true),
+                new ClusterMessage.QuotaReply(7, QuotaAnswer.GRANTED, ""),
+                new ClusterMessage.QuotaReply(
+                        7, QuotaAnswer.exceeded(Duration.ofMillis(1_250)), "10.0.0.1:1"),
+                new ClusterMessage.QuotaReturn("mill", 3_200),
                 new ClusterMessage.InFlightSequences(
                         List.of(new InFlightSequence("i-1", "r-1", 5, 70, 99, 12, true))),
                 replication(new ReplicaMessage.VoteRequest(5, "a/first", ENTRY, true)),
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
@@ -40,7 +40,11 @@
 import org.orchidmount.junit.ManualClock;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
+import org.orchidmount.quota.QuotaAnswer;
+import org.orchidmount.quota.QuotaAsk;
+import org.orchidmount.quota.QuotaLimit;
 import org.orchidmount.routes.CallerLimits;
+import org.orchidmount.routes.ClientAccounts;
 import org.orchidmount.routes.RouteTable;
 
 /** Real voters and an entry, linked over loopback. */
@@ -48,6 +52,12 @@
     private static final Duration LONGEST = Duration.ofSeconds(30);
     private static final int VOTERS = 3;
 
+    /** Units that are soon used up, and come back long after any test. */
+    private static final long BURST = 100;
+
+    private static final QuotaLimit LIMIT =
+            new QuotaLimit(0.001, BURST, 1_000, Duration.ofSeconds(8));
+
     /** The availability zone of the first voter; the others are in another. */
     private static final String ZONE = "zone-0";
 
@@ -119,6 +129,43 @@
         assertThat(read()).isEqualTo("7");
     }
 
+    /** All entries ask one owner, so what one has used another cannot use. */
+    @Test
+    void unitsOfALimitAreGrantedByOneOwnerToAllEntries() {
+        try (EntryNode other = entry("other", "zone-1", new ConcurrentLinkedQueue<>())) {
+            awaitGrant(mEntry, "warm");
+            awaitGrant(other, "warm");
+            assertThat(take(mEntry, "a", BURST + 1)).isEqualTo(QuotaAnswer.Outcome.GRANTED);
+            assertThat(take(other, "a", 1)).isEqualTo(QuotaAnswer.Outcome.EXCEEDED);
+            assertThat(take(other, "b", 1)).isEqualTo(QuotaAnswer.Outcome.GRANTED);
+            mEntry.giveBack("a", BURST + 1);
+            awaitGrant(other, "a");
+        }
+    }
+
+    @Test
+    void whoeverLeadsNextOwnsTheLimits() {
+        awaitGrant(mEntry, "warm");
+        mVoters.removeFirst().close();
+        awaitGrant(mEntry, "a");
+        Await.until(
+                "an owner counts again",
+                LONGEST,
+                () -> take(mEntry, "a", BURST + 1) == QuotaAnswer.Outcome.EXCEEDED);
+    }
+
+    private static void awaitGrant(EntryNode entry, String key) {
+        Await.until("granted", LONGEST, () -> take(entry, key, 1) == QuotaAnswer.Outcome.GRANTED);
+    }
+
+    private static QuotaAnswer.Outcome take(EntryNode entry, String key, long units) {
+        CompletableFuture<QuotaAnswer> answer = entry.askOwner(new QuotaAsk(key, LIMIT, 1, units));
+        return answer.completeOnTimeout(
+                        QuotaAnswer.NO_OWNER, LONGEST.toMillis(), TimeUnit.MILLISECONDS)
+                .join()
+                .outcome();
+    }
+
     /** After a restart of all instances a refusal would use up the only retry of a caller. */
     @Test
     void aRequestWaitsForTheFirstTableOfAnEntryThatHasJustStarted() throws Exception {
@@ -347,6 +394,6 @@
     private static RouteTable parse(byte[] document) {
         long version = Long.parseLong(new String(document, StandardCharsets.UTF_8));
         CallerLimits limits = new CallerLimits(1, Duration.ofSeconds(1));
-        return new RouteTable(version, List.of(), Map.of(), limits);
+        return new RouteTable(version, List.of(), Map.of(), limits, ClientAccounts.NONE);
     }
 }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/pgm/ExplainTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/pgm/ExplainTest.java
@@ -103,6 +103,35 @@
                 .inOrder();
     }
 
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "account | -        0        1     0        0       0     0",
+                "account | mill     1        0     1        0       0     0",
+                "SERVICE | s        1        1     1        0       0     0",
+                "upstream | i-1       1        1     0        0       0     0"
+            })
+    void requestsAreSummedByOtherProperties(String group, String row) throws IOException {
+        Path file = mFolder.resolve("accounts.log");
+        Files.write(
+                file,
+                List.of(
+                        line("10:00:02.1", "request: aa11 IN_TIME " + SERVED + " account=mill"),
+                        line("10:00:02.2", "request: bb22 LATE_FOR_ROOM " + SERVED),
+                        line(
+                                "10:00:02.3",
+                                "request: cc33 REFUSED_OVER_LIMIT " + REFUSED + " account=mill")));
+        Run run = explain("--by", group, file);
+        assertThat(run.code()).isEqualTo(0);
+        assertThat(run.out().lines().map(String::strip).toList()).contains(row);
+    }
+
+    @Test
+    void whatIsNoPropertyIsWrongUsage() {
+        assertThat(explain("--by", "weather", mFirst).code()).isEqualTo(2);
+    }
+
     @Test
     void aRequestThatNoLogNamesIsAnError() {
         Run run = explain("--id", "ee55", mFirst);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/EndClassifierTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/EndClassifierTest.java
@@ -8,15 +8,14 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.orchidmount.junit.ManualClock;
+import org.orchidmount.junit.SampleRoutes;
 import org.orchidmount.relay.EndClassifier.End;
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.report.RequestEnd;
-import org.orchidmount.routes.RequestKind;
 import org.orchidmount.routes.Route;
 import org.orchidmount.routing.AttemptRule;
 
@@ -88,18 +87,7 @@
             Optional<Duration> first,
             Duration pause) {
         Route route =
-                new Route(
-                        "r",
-                        "ficu.example",
-                        "/",
-                        RequestKind.STREAM,
-                        false,
-                        Duration.ofSeconds(14),
-                        Duration.ofMillis(900),
-                        Duration.ofMillis(300),
-                        0,
-                        1,
-                        List.of(new Route.Destination("s", 1)));
+                SampleRoutes.stream(false, Duration.ofSeconds(14), Duration.ofMillis(900), 1, "s");
         return EndClassifier.classify(
                 new EndClassifier.Facts(
                         end,
--- a/org.orchidmount.test/src/test/java/org/orchidmount/routes/RouteTableTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/routes/RouteTableTest.java
@@ -47,6 +47,7 @@
                         "/",
                         RequestKind.SAFE,
                         false,
+                        false,
                         Duration.ofSeconds(1),
                         Duration.ofSeconds(1),
                         Duration.ofSeconds(1),
@@ -64,7 +65,11 @@
 
     private static RouteTable table(Route... routes) {
         return new RouteTable(
-                1, List.of(routes), Map.of("s", new Service("s", Optional.empty())), LIMITS);
+                1,
+                List.of(routes),
+                Map.of("s", new Service("s", Optional.empty())),
+                LIMITS,
+                ClientAccounts.NONE);
     }
 
     private static Route route(String name, String prefix, int weight, long timeoutMillis) {
@@ -79,6 +84,7 @@
                 prefix,
                 RequestKind.SAFE,
                 false,
+                false,
                 Duration.ofMillis(timeoutMillis),
                 Duration.ofMillis(timeoutMillis),
                 Duration.ofMillis(timeoutMillis),
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -7,6 +7,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.DataFormatException;
@@ -19,6 +20,9 @@
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.InFlightSequences;
 import org.orchidmount.cluster.ClusterMessage.KeepAlive;
+import org.orchidmount.cluster.ClusterMessage.QuotaReply;
+import org.orchidmount.cluster.ClusterMessage.QuotaRequest;
+import org.orchidmount.cluster.ClusterMessage.QuotaReturn;
 import org.orchidmount.cluster.ClusterMessage.Registrations;
 import org.orchidmount.cluster.ClusterMessage.RegistrationsHeld;
 import org.orchidmount.cluster.ClusterMessage.Replication;
@@ -38,6 +42,9 @@
 import org.orchidmount.consensus.ReplicaMessage.VoteRequest;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
+import org.orchidmount.quota.QuotaAnswer;
+import org.orchidmount.quota.QuotaAsk;
+import org.orchidmount.quota.QuotaLimit;
 
 /**
  * Writes and reads messages and the durable state as MessagePack: a type number, then the fields in
@@ -64,6 +71,9 @@
     private static final int REGISTRATIONS = 7;
     private static final int REGISTRATIONS_HELD = 8;
     private static final int ENGINE_RUNS = 9;
+    private static final int QUOTA_REQUEST = 10;
+    private static final int QUOTA_REPLY = 11;
+    private static final int QUOTA_RETURN = 12;
 
     /** The types of frames of the consensus. */
     private static final int VOTE_REQUEST = 20;
@@ -97,10 +107,18 @@
             writeSequences(out, all.sequences());
         } else if (message instanceof Replication replication) {
             writeReplication(out, replication);
+        } else if (message instanceof QuotaRequest request) {
+            writeQuotaRequest(out, request);
+        } else if (message instanceof QuotaReply reply) {
+            out.packInt(QUOTA_REPLY).packLong(reply.number());
+            out.packInt(reply.answer().outcome().ordinal());
+            out.packLong(reply.answer().comeBackAfter().toNanos()).packString(reply.owner());
         } else if (message instanceof Registrations registrations) {
             writeRegistrations(out, registrations);
         } else if (message instanceof RegistrationsHeld held) {
             out.packInt(REGISTRATIONS_HELD).packLong(held.number());
+        } else if (message instanceof QuotaReturn units) {
+            out.packInt(QUOTA_RETURN).packString(units.key()).packLong(units.units());
         } else if (message instanceof KeepAlive) {
             out.packInt(KEEP_ALIVE);
         } else if (message instanceof TableNotice notice) {
@@ -131,6 +149,35 @@
         out.packString(greeting.zone());
     }
 
+    private static void writeQuotaRequest(MessageBufferPacker out, QuotaRequest request)
+            throws IOException {
+        QuotaAsk ask = request.ask();
+        out.packInt(QUOTA_REQUEST).packLong(request.number()).packString(ask.key());
+        out.packDouble(ask.limit().ratePerSecond()).packDouble(ask.limit().burst());
+        out.packDouble(ask.limit().tolerance()).packLong(ask.limit().window().toNanos());
+        out.packLong(ask.version()).packLong(ask.units()).packBoolean(request.isOwnerSilent());
+    }
+
+    private static QuotaRequest readQuotaRequest(MessageUnpacker in) throws IOException {
+        long number = in.unpackLong();
+        String key = in.unpackString();
+        QuotaLimit limit =
+                new QuotaLimit(
+                        in.unpackDouble(),
+                        in.unpackDouble(),
+                        in.unpackDouble(),
+                        Duration.ofNanos(in.unpackLong()));
+        QuotaAsk ask = new QuotaAsk(key, limit, in.unpackLong(), in.unpackLong());
+        return new QuotaRequest(number, ask, in.unpackBoolean());
+    }
+
+    private static QuotaReply readQuotaReply(MessageUnpacker in) throws IOException {
+        long number = in.unpackLong();
+        QuotaAnswer.Outcome outcome = constant(QuotaAnswer.Outcome.values(), in.unpackInt());
+        Duration comeBackAfter = Duration.ofNanos(in.unpackLong());
+        return new QuotaReply(number, new QuotaAnswer(outcome, comeBackAfter), in.unpackString());
+    }
+
     private static void writeRegistrations(MessageBufferPacker out, Registrations registrations)
             throws IOException {
         out.packInt(REGISTRATIONS).packLong(registrations.number());
@@ -201,6 +248,9 @@
                 yield new Registrations(number, registrations);
             }
             case REGISTRATIONS_HELD -> new RegistrationsHeld(in.unpackLong());
+            case QUOTA_REQUEST -> readQuotaRequest(in);
+            case QUOTA_REPLY -> readQuotaReply(in);
+            case QUOTA_RETURN -> new QuotaReturn(in.unpackString(), in.unpackLong());
             case ENGINE_RUNS -> {
                 List<InFlightSequence> sequences = new ArrayList<>();
                 for (int left = readSize(in); left > 0; left--) {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
@@ -10,6 +10,8 @@
 import org.orchidmount.consensus.ReplicaMessage;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
+import org.orchidmount.quota.QuotaAnswer;
+import org.orchidmount.quota.QuotaAsk;
 
 /**
  * What instances say to each other.
@@ -88,4 +90,31 @@
 
     /** Answers {@link Registrations}. */
     record RegistrationsHeld(long number) implements ClusterMessage {}
+
+    /**
+     * Asks the owner of the buckets for units of a limit.
+     *
+     * @param number echoed by the answer
+     * @param ask what is to be used
+     * @param isOwnerSilent whether the owner does not answer, so that others may grant it
+     */
+    record QuotaRequest(long number, QuotaAsk ask, boolean isOwnerSilent)
+            implements ClusterMessage {}
+
+    /**
+     * Answers {@link QuotaRequest}.
+     *
+     * @param number the number of the request
+     * @param answer the answer
+     * @param owner the cluster address of the owner as the sender knows it; empty if it knows none
+     */
+    record QuotaReply(long number, QuotaAnswer answer, String owner) implements ClusterMessage {}
+
+    /**
+     * Gives units back that were granted and not used.
+     *
+     * @param key what is limited
+     * @param units how many
+     */
+    record QuotaReturn(String key, long units) implements ClusterMessage {}
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
@@ -21,6 +22,7 @@
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.InFlightSequences;
 import org.orchidmount.cluster.ClusterMessage.KeepAlive;
+import org.orchidmount.cluster.ClusterMessage.QuotaReply;
 import org.orchidmount.cluster.ClusterMessage.Registrations;
 import org.orchidmount.cluster.ClusterMessage.RegistrationsHeld;
 import org.orchidmount.cluster.ClusterMessage.TableDocument;
@@ -33,6 +35,9 @@
 import org.orchidmount.load.SequenceAnnouncer;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
+import org.orchidmount.quota.QuotaAnswer;
+import org.orchidmount.quota.QuotaAsk;
+import org.orchidmount.quota.QuotaOwnerClient;
 import org.orchidmount.routes.RouteTable;
 import org.orchidmount.routes.RouteTableParser;
 
@@ -43,7 +48,7 @@
  * never comes back. What is known stays in use while no voter can be reached. The state is confined
  * to one thread; the public methods are thread-safe.
  */
-public final class EntryNode implements SequenceAnnouncer, AutoCloseable {
+public final class EntryNode implements SequenceAnnouncer, QuotaOwnerClient, AutoCloseable {
     private static final PartLog LOG = PartLog.of("entry");
 
     /** Pause between two looks at links and tables. Chosen, not measured. */
@@ -91,10 +96,15 @@
     private final Map<Link, String> mZones = new HashMap<>();
     private final Registry mRegistry = new Registry(REMEMBER_FOR.toNanos());
     private final Map<String, OwnSequence> mOwnSequences = new HashMap<>();
+    private final QuotaRequests mQuotaRequests;
     private final CountDownLatch mFirstTable = new CountDownLatch(1);
     private final long mStartNanos;
     private long mRequestedNanos;
     private volatile long mUnlinkedNanos;
+
+    /** When a voter in touch with a quorum last said that the table held here is the newest. */
+    private volatile long mConfirmedNanos;
+
     private boolean mConfirmed;
     private volatile RouteTable mTable;
     private volatile boolean mReady;
@@ -146,9 +156,11 @@
         mListener = listener;
         mGreeting = new Greeting(VoterNode.PROTOCOL, node, zone, null);
         mSeeds = Set.copyOf(seeds);
+        mQuotaRequests = new QuotaRequests(node.hashCode());
         mStartNanos = clock.nanoTime();
         mRequestedNanos = mStartNanos - REQUEST_AGAIN_AFTER.toNanos();
         mUnlinkedNanos = mStartNanos;
+        mConfirmedNanos = mStartNanos;
         mTasks.post(() -> mSeeds.forEach(this::dial));
         mTasks.every(ANNOUNCE_AGAIN_MILLIS, this::announceAgain);
         mTasks.every(TICK_MILLIS, this::tick);
@@ -188,6 +200,15 @@
         return mReady;
     }
 
+    /**
+     * Tells for how long nobody has confirmed that the table in force here is the newest.
+     *
+     * @return the time since a voter in touch with a quorum said so
+     */
+    public Duration unconfirmedFor() {
+        return Duration.ofNanos(mClock.nanoTime() - mConfirmedNanos);
+    }
+
     /**
      * Returns how many entries share the limits of the site.
      *
@@ -254,6 +275,18 @@
         return mClock.nanoTime() - mUnlinkedNanos > SEQUENCES_KNOWN_AFTER.toNanos();
     }
 
+    @Override
+    public CompletableFuture<QuotaAnswer> askOwner(QuotaAsk ask) {
+        CompletableFuture<QuotaAnswer> answer = new CompletableFuture<>();
+        mTasks.post(() -> mQuotaRequests.ask(ask, answer));
+        return answer;
+    }
+
+    @Override
+    public void giveBack(String key, long units) {
+        mTasks.post(() -> mQuotaRequests.giveBack(key, units));
+    }
+
     private void dial(HostPort address) {
         mDialers.computeIfAbsent(address, to -> new Dialer(to, mGreeting, mHandler));
     }
@@ -261,6 +294,8 @@
     private void onMessage(Link link, ClusterMessage message) {
         if (message instanceof InFlightSequences announced) {
             announced.sequences().forEach(mListener::onSequence);
+        } else if (message instanceof QuotaReply reply) {
+            mQuotaRequests.received(reply);
         } else if (message instanceof Registrations registrations) {
             onRegistrations(link, registrations);
         } else if (message instanceof TableNotice notice) {
@@ -278,6 +313,10 @@
         mNotices.putLast(link, notice);
         mEntries = Math.max(1, largestEntryCount());
         follow();
+        boolean isNewest = mTable != null && mTable.version() >= notice.version();
+        if (notice.inTouch() && isNewest) {
+            mConfirmedNanos = mClock.nanoTime();
+        }
     }
 
     private void onRegistrations(Link link, Registrations registrations) {
@@ -299,7 +338,9 @@
             link.close();
             return;
         }
-        mLinks.put(link, HostPort.parse(greeting.voter().address()));
+        HostPort voter = HostPort.parse(greeting.voter().address());
+        mLinks.put(link, voter);
+        mQuotaRequests.linked(voter, link);
         mZones.put(link, greeting.zone());
         learn(greeting.voter());
         LOG.info("voter %s is reached", greeting.node());
@@ -378,6 +419,7 @@
         mZones.remove(link);
         HostPort voter = mLinks.remove(link);
         if (voter != null) {
+            mQuotaRequests.lost(voter, link);
             LOG.info("voter at %s is lost", voter);
         }
     }
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/quota/QuotaLimit.java
@@ -0,0 +1,35 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.quota;
+
+import java.time.Duration;
+
+/**
+ * What a key may use over all instances. Immutable.
+ *
+ * @param ratePerSecond units a second, above 0
+ * @param burst units that may be used at once beyond the rate, above 0
+ * @param tolerance units by which a window may exceed the rate and the burst, at least 0: what is
+ *     left for instances that do not know of each other's grants
+ * @param window the span over which use is counted, above 0
+ */
+public record QuotaLimit(double ratePerSecond, double burst, double tolerance, Duration window) {
+    /** Checks the fields. */
+    public QuotaLimit {
+        require("ratePerSecond", ratePerSecond, ratePerSecond > 0);
+        require("burst", burst, burst > 0);
+        require("tolerance", tolerance, tolerance >= 0);
+        if (!window.isPositive()) {
+            throw new IllegalArgumentException("the window is " + window);
+        }
+    }
+
+    private static void require(String name, double value, boolean isInRange) {
+        if (!Double.isFinite(value) || !isInRange) {
+            throw new IllegalArgumentException(name + " is " + value);
+        }
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.http.HttpConnections;
@@ -66,13 +67,20 @@
      * @param service the service chosen for it, one of the route's
      * @param caller the caller's side
      * @param cancel cancelled when the caller goes
+     * @param isStillAllowed asked before each attempt: false once the table in force no longer
+     *     allows the request, which then has not run
+     * @return whether an upstream may have run it
      * @throws IOException if the caller has gone
      * @throws TimeoutException if the caller reads too slowly
      * @throws InterruptedException if the thread is interrupted
      */
-    public void serve(
-            RelayRequest request, Service service, CallerResponse caller, CancelSignal cancel)
+    public Execution serve(
+            RelayRequest request,
+            Service service,
+            CallerResponse caller,
+            CancelSignal cancel,
+            BooleanSupplier isStillAllowed)
             throws IOException, TimeoutException, InterruptedException {
-        new RequestRelay(mContext, request, service, caller, cancel).run();
+        return new RequestRelay(mContext, request, service, caller, cancel, isStillAllowed).run();
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRequest.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRequest.java
@@ -9,6 +9,7 @@
 import io.undertow.util.HttpString;
 import java.time.Duration;
 import java.util.Optional;
+import org.orchidmount.routes.ClientAccount;
 import org.orchidmount.routes.Route;
 
 /**
@@ -17,6 +18,7 @@
  *
  * @param id the caller's identity of the request
  * @param route its route
+ * @param account the client account that it counts for, if any
  * @param method the HTTP method
  * @param pathAndQuery the path and the query as they were sent
  * @param headers the fields that are passed on
@@ -28,6 +30,7 @@
 public record RelayRequest(
         String id,
         Route route,
+        Optional<ClientAccount> account,
         HttpString method,
         String pathAndQuery,
         HeaderMap headers,
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.limits.RetryBudget;
 import org.orchidmount.membership.Registration.Stage;
@@ -44,6 +45,7 @@
     private final RetryBudget mBudget;
     private final CallerResponse mCaller;
     private final CancelSignal mCancel;
+    private final BooleanSupplier mIsStillAllowed;
     private final RequestProgress mProgress;
     private final Optional<EnginePlacer> mEngines;
     private final AttemptRunner mAttempts;
@@ -57,13 +59,15 @@
             RelayRequest request,
             Service service,
             CallerResponse caller,
-            CancelSignal cancel) {
+            CancelSignal cancel,
+            BooleanSupplier isStillAllowed) {
         mContext = context;
         mRequest = request;
         mService = service;
         mBudget = context.retryBudget(service.name());
         mCaller = caller;
         mCancel = cancel;
+        mIsStillAllowed = isStillAllowed;
         mProgress = new RequestProgress(context.clock(), request.id());
         boolean isClientRetry = isClientRetry();
         mEngines =
@@ -95,10 +99,13 @@
                 .isRetry(mRequest.route().name(), Duration.ofNanos(waitNanos));
     }
 
-    /** Serves the request to its end. */
-    void run() throws IOException, TimeoutException, InterruptedException {
+    /** Serves the request to its end; returns whether an upstream may have run it. */
+    Execution run() throws IOException, TimeoutException, InterruptedException {
         try (CancelSignal.Registration _ = mCancel.onCancel(mProgress::callerLeft)) {
-            mReporter.ended(serve(), mHistory, mAttempts, mEngines);
+            End end = serve();
+            mReporter.ended(end, mHistory, mAttempts, mEngines);
+            boolean mayHaveRun = end == End.SERVED || mHistory.executions() > 0;
+            return mayHaveRun ? Execution.MAY_HAVE_RUN : Execution.NOT_RUN;
         } catch (IOException | TimeoutException e) {
             mReporter.ended(End.CALLER_LEFT, mHistory, mAttempts, mEngines);
             throw e;
@@ -126,6 +133,7 @@
 
     private boolean mayTry() {
         return !mCancel.isCancelled()
+                && mIsStillAllowed.getAsBoolean()
                 && AttemptRule.mayTry(mHistory, mRequest.route().attemptLimits(), left())
                 && (!AttemptRule.takesFromBudget(mHistory) || mBudget.tryTake());
     }
@@ -166,9 +174,15 @@
             throws IOException, TimeoutException, InterruptedException {
         try {
             Optional<KvCacheRef> cache = prefill(placement);
-            AttemptOutcome outcome = mAttempts.run(placement, cache, mHistory);
-            boolean prefilledThere =
-                    cache.isEmpty() && outcome != AttemptOutcome.NOT_RUN && mAttempts.hasResponse();
+            // The wait for a place and the prefill may have taken longer than a change of the
+            // table.
+            AttemptOutcome outcome =
+                    mIsStillAllowed.getAsBoolean()
+                            ? mAttempts.run(placement, cache, mHistory)
+                            : AttemptOutcome.NOT_REACHED;
+            boolean isAnswered =
+                    outcome == AttemptOutcome.ENDED || outcome == AttemptOutcome.MAY_HAVE_RUN;
+            boolean prefilledThere = cache.isEmpty() && isAnswered && mAttempts.hasResponse();
             mReporter.attempted(placement.assignment().id(), prefilledThere);
             mEngines.ifPresent(engines -> settle(engines, placement, outcome));
             return outcome;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
@@ -12,6 +12,7 @@
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.report.RequestEnd;
 import org.orchidmount.report.RequestReport;
+import org.orchidmount.routes.ClientAccount;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.AttemptRule;
 
@@ -23,9 +24,6 @@
 final class RequestReporter {
     private static final PartLog LOG = PartLog.of(RequestReport.PART);
 
-    /** Reported as the time to the first part of a response that never came. */
-    private static final long NO_RESPONSE_MILLIS = -1;
-
     private final RelayRequest mRequest;
     private final Service mService;
     private final boolean mIsClientRetry;
@@ -85,10 +83,13 @@
                         splitTokens + mUnsplitTokens,
                         EndClassifier.roomWait(mProgress).toMillis(),
                         mProgress.waited(Activity.PREFILL).toMillis(),
-                        first.map(Duration::toMillis).orElse(NO_RESPONSE_MILLIS),
+                        first.map(Duration::toMillis).orElse(RequestReport.NO_RESPONSE_MILLIS),
                         attempts.longestPause().toMillis(),
                         mProgress.age().toMillis(),
-                        mLastUpstream);
+                        mLastUpstream,
+                        mRequest.account()
+                                .map(ClientAccount::name)
+                                .orElse(RequestReport.NO_ACCOUNT));
         LOG.info("%s", report.toLine());
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
@@ -29,6 +29,14 @@
     REFUSED_NO_UPSTREAM,
     /** Refused: each upstream that was asked refused it. */
     REFUSED_BY_UPSTREAMS,
+    /** Refused: its client account has used up its limit. */
+    REFUSED_OVER_LIMIT,
+    /** Refused: no instance that counts its account's limit could be asked. */
+    REFUSED_LIMIT_UNKNOWN,
+    /** Refused: its route asks for a key, and it shows none. */
+    REFUSED_NO_KEY,
+    /** Refused: no account of the table in force has the key that it shows. */
+    REFUSED_UNKNOWN_KEY,
     /** Its time was over. */
     TIMED_OUT,
     /** Failed, and may have run. */
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
@@ -24,6 +24,7 @@
  * @param pauseMillis the longest pause between two parts of a stream, in milliseconds
  * @param totalMillis milliseconds to its end
  * @param upstream the upstream of its last attempt; "-" if there was none
+ * @param account the client account that it counts for; "-" if there is none
  */
 public record RequestReport(
         String id,
@@ -38,13 +39,20 @@
         long firstMillis,
         long pauseMillis,
         long totalMillis,
-        String upstream) {
+        String upstream,
+        String account) {
     /** The prefix of a report's line in the log. */
     public static final String PART = "request";
 
+    /** The time to the first part of a response that never came. */
+    public static final long NO_RESPONSE_MILLIS = -1;
+
     /** Stands for an upstream where there was none. */
     public static final String NO_UPSTREAM = "-";
 
+    /** Stands for a client account where there was none. */
+    public static final String NO_ACCOUNT = "-";
+
     private static final String PREFIX = PART + ": ";
 
     /** Places of the words of a line: the identity and the end, then fields by name. */
@@ -53,6 +61,34 @@
     private static final int END = 1;
     private static final int FIRST_FIELD = 2;
 
+    /**
+     * Makes the report of a request that was refused before an upstream was looked for.
+     *
+     * @param id the caller's identity of the request
+     * @param end why
+     * @param service the service of its route
+     * @param account its client account, or {@link #NO_ACCOUNT}
+     * @return the report
+     */
+    public static RequestReport refusedAtOnce(
+            String id, RequestEnd end, String service, String account) {
+        return new RequestReport(
+                id,
+                end,
+                service,
+                false,
+                0,
+                0,
+                0,
+                0,
+                0,
+                NO_RESPONSE_MILLIS,
+                0,
+                0,
+                NO_UPSTREAM,
+                account);
+    }
+
     /**
      * Returns the tokens that were prefilled for nothing: all if the request was not served, else
      * those prefilled more than once.
@@ -83,7 +119,8 @@
                 "firstMillis=" + firstMillis,
                 "pauseMillis=" + pauseMillis,
                 "totalMillis=" + totalMillis,
-                "upstream=" + upstream);
+                "upstream=" + upstream,
+                "account=" + account);
     }
 
     /**
@@ -122,7 +159,8 @@
                 fields.number("firstMillis"),
                 fields.number("pauseMillis"),
                 fields.number("totalMillis"),
-                fields.text("upstream"));
+                fields.text("upstream"),
+                fields.textOr("account", NO_ACCOUNT));
     }
 
     /** The fields of a line by their names. */
@@ -147,6 +185,11 @@
             return value;
         }
 
+        /** Returns a field that instances of an earlier version leave out. */
+        String textOr(String name, String otherwise) {
+            return values.getOrDefault(name, otherwise);
+        }
+
         long number(String name) {
             String value = text(name);
             try {
--- a/org.orchidmount/src/main/java/org/orchidmount/routes/Route.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routes/Route.java
@@ -17,6 +17,7 @@
  * @param pathPrefix what the path must begin with
  * @param kind what may be repeated
  * @param resumable whether a stream may be taken up at another upstream
+ * @param isPublic whether requests need no key of a client account
  * @param timeout the longest time that a request is held
  * @param target the time within which an answer is of full use
  * @param longestPause the longest pause between events that does no harm
@@ -30,6 +31,7 @@
         String pathPrefix,
         RequestKind kind,
         boolean resumable,
+        boolean isPublic,
         Duration timeout,
         Duration target,
         Duration longestPause,
--- a/org.orchidmount/src/main/java/org/orchidmount/routes/RouteTable.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routes/RouteTable.java
@@ -23,6 +23,7 @@
     private final Map<String, List<Route>> mRoutesByHost = new HashMap<>();
     private final Map<String, Service> mServices;
     private final CallerLimits mLimits;
+    private final ClientAccounts mAccounts;
 
     /**
      * Creates a table.
@@ -31,11 +32,17 @@
      * @param routes the routes
      * @param services the services by name
      * @param limits the limits for callers
+     * @param accounts the client accounts
      * @throws IllegalArgumentException if the invariant is broken; the message says where
      */
     public RouteTable(
-            long version, List<Route> routes, Map<String, Service> services, CallerLimits limits) {
+            long version,
+            List<Route> routes,
+            Map<String, Service> services,
+            CallerLimits limits,
+            ClientAccounts accounts) {
         mVersion = version;
+        mAccounts = accounts;
         mServices = Map.copyOf(services);
         mLimits = limits;
         for (Route route : routes) {
@@ -97,6 +104,15 @@
         return mLimits;
     }
 
+    /**
+     * Returns the client accounts.
+     *
+     * @return the accounts; empty if requests need no key
+     */
+    public ClientAccounts accounts() {
+        return mAccounts;
+    }
+
     /**
      * Finds a service.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
@@ -37,6 +37,15 @@
      */
     private static final double SPREAD_SHARE = 0.7;
 
+    /**
+     * Share of the time to come back over which refusals by a limit are spread beyond it, so that
+     * those refused together do not come back together, and none before there is room. Chosen.
+     */
+    private static final double LIMIT_SPREAD_SHARE = 0.25;
+
+    /** No owner of a limit could be asked: there is another within an election. Chosen. */
+    public static final Duration NO_LIMIT_OWNER = Duration.ofMillis(700);
+
     private RetryAfter() {}
 
     /**
@@ -48,6 +57,18 @@
         return PLAIN_SERVICE;
     }
 
+    /**
+     * Returns the time for a request whose account has used up its limit.
+     *
+     * @param untilRoom when the limit is expected to have room for it
+     * @param random spreads the times
+     * @return when to come back, not before that
+     */
+    public static Duration limit(Duration untilRoom, RandomGenerator random) {
+        double share = 1 + LIMIT_SPREAD_SHARE * random.nextDouble();
+        return Duration.ofNanos((long) (share * untilRoom.toNanos()));
+    }
+
     /**
      * Returns the time for a request that found no engine with room: by then the outputs that fill
      * the engines now have mostly ended.
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.orchidmount.cluster.HostPort;
+import org.orchidmount.quota.QuotaTolerance;
 
 /**
  * The checked settings of an instance of a site whose upstreams register themselves. Immutable.
@@ -21,6 +22,9 @@
  * @param entry set if the instance serves callers
  * @param voter set if the instance votes
  * @param retries the limit on attempts beyond the first
+ * @param limits by how much a window may exceed a limit of a client account
+ * @param keyRevocation after which time a withdrawn key must not be served by an instance that may
+ *     not know that it is withdrawn; nothing if it may serve on
  * @param stop how long a planned stop may take
  * @param log the form of the logs
  */
@@ -32,6 +36,8 @@
         Optional<Entry> entry,
         Optional<Voter> voter,
         Retries retries,
+        QuotaTolerance limits,
+        Optional<Duration> keyRevocation,
         Duration stop,
         Settings.Log log) {
     /** Copies the list of seeds. */
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.orchidmount.quota.QuotaTolerance;
 
 /**
  * Reads and checks the settings file of an instance of a site whose upstreams register themselves.
@@ -24,6 +25,9 @@
     /** Upper bound of a setting. Chosen, not measured. */
     private static final double LONGEST_STOP_SECONDS = 3_600;
 
+    /** Upper bound of a setting; far more than any account has. Chosen. */
+    private static final double MOST_TOLERATED_UNITS = 1e12;
+
     private SiteSettingsReader() {}
 
     /** The settings, or all that is wrong with the file. */
@@ -64,6 +68,8 @@
                                 ? Optional.of(voter(root.section("voter", true)))
                                 : Optional.empty(),
                         retries(root.section("retries", false)),
+                        limits(root.section("accountLimits", false)),
+                        keyRevocation(root),
                         seconds(root.decimal("stopSeconds", 8, 0.1, LONGEST_STOP_SECONDS)),
                         SettingsReader.log(root.section("log", false)));
         if (settings.entry().isEmpty() == settings.voter().isEmpty()) {
@@ -117,6 +123,22 @@
         return retries;
     }
 
+    private static QuotaTolerance limits(Section section) {
+        QuotaTolerance limits =
+                new QuotaTolerance(
+                        seconds(section.decimal("windowSeconds", 10, 0.1, 3_600)),
+                        section.decimal("toleratedShare", 0.1, 0, 10),
+                        section.decimal("toleratedUnits", 0, 0, MOST_TOLERATED_UNITS));
+        section.finish();
+        return limits;
+    }
+
+    private static Optional<Duration> keyRevocation(Section root) {
+        return root.has("keyRevocationMillis")
+                ? Optional.of(millis(root, "keyRevocationMillis", 0))
+                : Optional.empty();
+    }
+
     private static Duration seconds(double seconds) {
         return Duration.ofMillis(Math.round(seconds * MILLIS));
     }
