--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -23,7 +23,6 @@
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.InFlightSequences;
 import org.orchidmount.cluster.ClusterMessage.KeepAlive;
-import org.orchidmount.cluster.ClusterMessage.QuotaReply;
 import org.orchidmount.cluster.ClusterMessage.QuotaRequest;
 import org.orchidmount.cluster.ClusterMessage.QuotaReturn;
 import org.orchidmount.cluster.ClusterMessage.Registrations;
@@ -44,11 +43,6 @@
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
-import org.orchidmount.quota.LeaseHistory;
-import org.orchidmount.quota.QuotaAnswer;
-import org.orchidmount.quota.QuotaOwner;
-import org.orchidmount.quota.QuotaReserve;
-import org.orchidmount.quota.QuotaUse;
 
 /**
  * An instance that votes on the route table and passes registrations on.
@@ -63,7 +57,6 @@
     static final int PROTOCOL = 2;
 
     private static final PartLog LOG = PartLog.of("voter");
-    private static final PartLog QUOTA_LOG = PartLog.of("quota");
 
     /** Pause between two ticks of the replica, a fraction of its timeouts. Chosen. */
     private static final long TICK_MILLIS = 50;
@@ -95,9 +88,7 @@
     private final StageController mStages;
     private final Registry mRegistry = new Registry(REMEMBER_NANOS);
     private final PendingDepartures mDepartures = new PendingDepartures();
-    private final QuotaOwner mQuota = new QuotaOwner();
-    private final QuotaReserve mReserve;
-    private final LeaseHistory mLeases;
+    private final VoterQuota mQuota;
 
     /** Registrations received here since the other voters were last sent any. */
     private final Map<String, Registration> mReceived = new HashMap<>();
@@ -134,8 +125,7 @@
                         handler);
         mServer = new LinkServer(config.address(), greeting, handler);
         mStages = new StageController(config.stages(), config.node());
-        mReserve = new QuotaReserve(config.firstStart(), clock.nanoTime());
-        mLeases = new LeaseHistory(durable.term(), config.firstStart(), clock.nanoTime());
+        mQuota = new VoterQuota(mReplica, mSelf, config.firstStart(), clock.nanoTime());
         mTasks.every(TICK_MILLIS, this::tick);
         mTasks.every(NOTICE_MILLIS, this::refresh);
         LOG.info(
@@ -367,9 +357,9 @@
         } else if (message instanceof InFlightSequences announced) {
             onSequences(announced);
         } else if (message instanceof QuotaRequest request) {
-            link.send(answer(request));
+            onQuotaRequest(link, request);
         } else if (message instanceof QuotaReturn units) {
-            mQuota.giveBack(units.key(), units.units(), mClock.nanoTime());
+            mQuota.giveBack(units, mClock.nanoTime());
         } else if (message instanceof Registrations registrations) {
             onRegistrations(link, registrations);
         } else if (message instanceof RegistrationsHeld held) {
@@ -381,6 +371,13 @@
         }
     }
 
+    /** The replica looks at the clock first: after a pause of this process others may lead. */
+    private void onQuotaRequest(Link link, QuotaRequest request) {
+        long nowNanos = mClock.nanoTime();
+        mReplica.tick(nowNanos);
+        link.send(mQuota.answer(request, nowNanos));
+    }
+
     private void onRegistrationsHeld(Link link, RegistrationsHeld held) {
         if (mLinks.isVoter(link)) {
             mDepartures.held(held.number(), mReplica.state().quorum());
@@ -453,31 +450,6 @@
         mAnnounced.clear();
     }
 
-    /**
-     * Grants units while this voter leads a quorum, which no other does then, or a few while the
-     * leader is silent. The replica looks at the clock first: after a pause of this process others
-     * may lead.
-     */
-    private QuotaReply answer(QuotaRequest request) {
-        long nowNanos = mClock.nanoTime();
-        mReplica.tick(nowNanos);
-        mLeases.see(mReplica.term(), nowNanos);
-        QuotaAnswer answer = QuotaAnswer.NO_OWNER;
-        if (mReplica.holdsQuorum()) {
-            mQuota.hold(mReplica.term(), mLeases.formerNanos(), nowNanos);
-            answer = mQuota.ask(request.ask(), nowNanos);
-        } else if (request.isOwnerSilent()) {
-            int voters = Math.max(1, mReplica.state().members().size());
-            answer = mReserve.ask(request.ask(), voters, nowNanos);
-        }
-        return new QuotaReply(request.number(), answer, leaderAddress());
-    }
-
-    /** Returns the leader's cluster address; empty if none is known. */
-    private String leaderAddress() {
-        return mReplica.isInTouch() ? mReplica.leader().map(Member::address).orElse("") : "";
-    }
-
     private TableNotice notice() {
         return new TableNotice(mCommitted.tableVersion(), mReplica.isInTouch(), mLinks.entries());
     }
@@ -486,7 +458,7 @@
 
     private void tick() {
         mReplica.tick(mClock.nanoTime());
-        mLeases.see(mReplica.term(), mClock.nanoTime());
+        mQuota.tick(mClock.nanoTime());
         noteRole();
         orderStages();
         if (mWasInTouch != mReplica.isInTouch()) {
@@ -528,7 +500,7 @@
         long nowNanos = mClock.nanoTime();
         mLinks.forgetOld(mReplica.state().members(), nowNanos);
         mRegistry.forgetOld(nowNanos);
-        mQuota.takeUses().forEach(VoterNode::logUse);
+        mQuota.logUses();
         mLinks.sendToEntries(notice());
         if (!mReceived.isEmpty()) {
             mLinks.sendToVoters(new Registrations(0, List.copyOf(mReceived.values())));
@@ -536,19 +508,6 @@
         }
     }
 
-    private static void logUse(QuotaUse use) {
-        QUOTA_LOG.info(
-                "%s: %d granted with %d units, %d refused in the last second; limit of table %d:"
-                        + " %.0f a second and %.0f at once",
-                use.key(),
-                use.granted(),
-                use.grantedUnits(),
-                use.refused(),
-                use.version(),
-                use.limit().ratePerSecond(),
-                use.limit().burst());
-    }
-
     private void onPersisted(long number, EntryId entry) {
         mTasks.post(() -> mReplica.persisted(number, entry, mClock.nanoTime()));
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/quota/QuotaAsk.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quota/QuotaAsk.java
@@ -13,4 +13,11 @@
  * @param version the version of the table that states the limit
  * @param units how much is to be used, at least 0
  */
-public record QuotaAsk(String key, QuotaLimit limit, long version, long units) {}
+public record QuotaAsk(String key, QuotaLimit limit, long version, long units) {
+    /** Checks the units. */
+    public QuotaAsk {
+        if (units < 0) {
+            throw new IllegalArgumentException("units is " + units + ", below 0");
+        }
+    }
+}
