--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
@@ -129,6 +129,25 @@
         assertThat(read()).isEqualTo("7");
     }
 
+    /**
+     * What a strict bound on withdrawn keys rests on: an entry knows how old its table's word is.
+     */
+    @Test
+    void anEntryKnowsForHowLongNobodyHasConfirmedItsTable() {
+        put(1);
+        Await.until("table in force", LONGEST, () -> versionInForce() == 1);
+        Await.until(
+                "confirmed again and again",
+                LONGEST,
+                () -> mEntry.unconfirmedFor().compareTo(Duration.ofMillis(100)) < 0);
+        mVoters.forEach(VoterNode::close);
+        mVoters.clear();
+        Await.until(
+                "no longer confirmed",
+                LONGEST,
+                () -> mEntry.unconfirmedFor().compareTo(Duration.ofMillis(1_500)) > 0);
+    }
+
     /** All entries ask one owner, so what one has used another cannot use. */
     @Test
     void unitsOfALimitAreGrantedByOneOwnerToAllEntries() {
--- a/org.orchidmount.test/src/test/java/org/orchidmount/settings/SiteSettingsReaderTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/settings/SiteSettingsReaderTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.orchidmount.quota.QuotaTolerance;
 
 /** Tests {@code SiteSettingsReader}. */
 final class SiteSettingsReaderTest {
@@ -32,6 +33,12 @@
             }
             """;
 
+    /** What is added for client accounts, in the line of "stopSeconds". */
+    private static final String ACCOUNTS =
+            "\"accountLimits\": { \"windowSeconds\": 8, \"toleratedShare\": 0.1,"
+                    + " \"toleratedUnits\": 120000 }, \"keyRevocationMillis\": 5000,"
+                    + " \"stopSeconds\"";
+
     @TempDir Path mFolder;
 
     @Test
@@ -44,6 +51,44 @@
         assertThat(settings.stop()).isEqualTo(Duration.ofSeconds(8));
     }
 
+    @Test
+    void readsWhatHoldsForClientAccounts() throws IOException {
+        String text = ENTRY.replace("\"stopSeconds\"", ACCOUNTS);
+        SiteSettings settings = ((SiteSettingsReader.Result.Valid) read(text)).settings();
+        assertThat(settings.limits())
+                .isEqualTo(new QuotaTolerance(Duration.ofSeconds(8), 0.1, 120_000));
+        assertThat(settings.keyRevocation()).hasValue(Duration.ofSeconds(5));
+    }
+
+    /** A site that does not say tolerates a tenth, and no instance stops for keys withdrawn. */
+    @Test
+    void withoutWordOfClientAccountsTheyHaveBounds() throws IOException {
+        SiteSettings settings = ((SiteSettingsReader.Result.Valid) read(ENTRY)).settings();
+        assertThat(settings.limits()).isEqualTo(new QuotaTolerance(Duration.ofSeconds(10), 0.1, 0));
+        assertThat(settings.keyRevocation()).isEmpty();
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "8, \"toleratedShare\" | 0, \"toleratedShare\" | accountLimits.windowSeconds",
+                "0.1, | -0.1, | accountLimits.toleratedShare",
+                "120000 | \"many\" | accountLimits.toleratedUnits",
+                "toleratedUnits | slack | accountLimits.slack",
+                "5000 | true | keyRevocationMillis",
+            })
+    void badSettingsOfClientAccountsAreNamed(String text, String replacement, String key)
+            throws IOException {
+        String accounts = ACCOUNTS.replace(text, replacement);
+        assertThat(accounts).isNotEqualTo(ACCOUNTS);
+        SiteSettingsReader.Result.Invalid invalid =
+                (SiteSettingsReader.Result.Invalid)
+                        read(ENTRY.replace("\"stopSeconds\"", accounts));
+        assertThat(invalid.problems().stream().map(SettingsProblem::path).toList()).contains(key);
+        assertThat(invalid.problems().getFirst().line()).isEqualTo(9);
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
