--- a/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
@@ -43,8 +43,12 @@
      */
     private static final double LIMIT_SPREAD_SHARE = 0.25;
 
-    /** No owner of a limit could be asked: there is another within an election. Chosen. */
-    public static final Duration NO_LIMIT_OWNER = Duration.ofMillis(700);
+    /**
+     * No owner of a limit could be asked: there is another after an election, which begins 0.7 to
+     * 1.4 s after the last one's word, or after a start of the voters. One that comes back sooner
+     * is mostly refused for good. Chosen for that time.
+     */
+    private static final Duration NO_LIMIT_OWNER = Duration.ofMillis(1_400);
 
     private RetryAfter() {}
 
@@ -69,6 +73,17 @@
         return Duration.ofNanos((long) (share * untilRoom.toNanos()));
     }
 
+    /**
+     * Returns the time for a request whose account's limit nobody could tell.
+     *
+     * @param random spreads the times
+     * @return when to come back
+     */
+    public static Duration noLimitOwner(RandomGenerator random) {
+        double share = 1 + SPREAD_SHARE * random.nextDouble();
+        return Duration.ofNanos((long) (share * NO_LIMIT_OWNER.toNanos()));
+    }
+
     /**
      * Returns the time for a request that found no engine with room: by then the outputs that fill
      * the engines now have mostly ended.
