--- a/org.orchidmount.test/src/test/java/org/orchidmount/quota/QuotaReserveTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/quota/QuotaReserveTest.java
@@ -28,6 +28,14 @@
         return taken;
     }
 
+    /** What a site tolerates is given out once: to three leases in a window and all reserves. */
+    @Test
+    void thePartsOfTheToleranceAreOneWhole() {
+        double starts = QuotaTolerance.FIRST_START_SHARE + 2 * QuotaTolerance.NEXT_START_SHARE;
+        double atAllTimes = QuotaTolerance.USED_SHARE + QuotaTolerance.OVERDRAFT_SHARE;
+        assertThat(starts + atAllTimes + QuotaTolerance.RESERVE_SHARE).isWithin(1e-9).of(1);
+    }
+
     @Test
     void itGrantsItsPartOfTheReserveInAnyWindow() {
         QuotaReserve reserve = new QuotaReserve(true, 0);
