Log whose response each call got, on which connection and which use of it

Cause: nothing showed on which connection a call was made, which identity it sent and which came back, so hypotheses on answers of others could not be told apart. A broken call without a message of its own was logged as "null". Change: each connection has a number and counts its uses; a debug line a call gives both with the identity sent and received, an info line if they differ. Ruled out: nothing yet; no logic is changed. Measured: HttpCallTest, HttpServerTest, HttpEngineClientTest, PathTest pass.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
@@ -25,9 +25,11 @@
 import org.orchidmount.controller.WorkerPool;
 import org.orchidmount.daemon.Daemon;
 import org.orchidmount.internal.claims.FileClaimStore;
+import org.orchidmount.internal.http.ConnectionCounters;
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.internal.table.FileTableStore;
+import org.orchidmount.internal.upstream.EngineProtocol;
 import org.orchidmount.internal.upstream.HttpEngineClient;
 import org.orchidmount.limits.LimitBook;
 import org.orchidmount.limits.TokenBucketRetryBudget;
@@ -135,7 +137,10 @@
         MetricRegistry metrics = new MetricRegistry();
         String incarnation = HexFormat.of().toHexDigits(clock.millis(), INCARNATION_DIGITS);
         Settings.Upstreams upstreams = mSettings.upstreams();
-        HttpConnections connections = new HttpConnections(mXnio, clock, upstreams.connectTimeout());
+        HttpConnections connections =
+                new HttpConnections(
+                        mXnio, clock, upstreams.connectTimeout(), EngineProtocol.REQUEST_ID);
+        register(metrics, connections.counters());
         EngineClient engines =
                 new HttpEngineClient(
                         connections, upstreams, mSettings.instance(), incarnation, metrics);
@@ -170,6 +175,12 @@
                 metrics);
     }
 
+    private static void register(MetricRegistry metrics, ConnectionCounters counters) {
+        metrics.gauge("upstream.connections.opened", () -> counters::openedCount);
+        metrics.gauge("upstream.connections.reused", () -> counters::reusedCount);
+        metrics.gauge("upstream.responses.foreign", () -> counters::foreignCount);
+    }
+
     /**
      * Starts an instance.
      *
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/TestConnections.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/TestConnections.java
@@ -5,6 +5,7 @@
  */
 package org.orchidmount.junit;
 
+import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
@@ -17,6 +18,8 @@
 
 /** Connections with an I/O thread of their own, which ends with them. Thread-safe. */
 public final class TestConnections implements AutoCloseable {
+    private static final HttpString IDENTITY_FIELD = new HttpString("X-Request-Id");
+
     private final XnioWorker mWorker;
     private final HttpConnections mConnections;
 
@@ -38,7 +41,9 @@
         } catch (IOException e) {
             throw new UncheckedIOException("no I/O thread for connections", e);
         }
-        mConnections = new HttpConnections(mWorker, new SystemMonotonicClock(), connectTimeout);
+        mConnections =
+                new HttpConnections(
+                        mWorker, new SystemMonotonicClock(), connectTimeout, IDENTITY_FIELD);
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/api/Orchidmount.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/api/Orchidmount.java
@@ -5,6 +5,7 @@
  */
 package org.orchidmount.api;
 
+import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
@@ -25,6 +26,9 @@
     /** Longer than a lost first packet takes to be sent again, about 1 s. Chosen. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
 
+    /** Names a request in the answers of an instance; commands carry none. */
+    private static final HttpString IDENTITY_FIELD = new HttpString("Orchidmount-Request-Id");
+
     private final Peer mPeer;
     private final String mToken;
     private final XnioWorker mWorker;
@@ -34,7 +38,9 @@
         mPeer = peer;
         mToken = token;
         mWorker = worker;
-        mConnections = new HttpConnections(worker, new SystemMonotonicClock(), CONNECT_TIMEOUT);
+        mConnections =
+                new HttpConnections(
+                        worker, new SystemMonotonicClock(), CONNECT_TIMEOUT, IDENTITY_FIELD);
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -14,6 +14,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,7 @@
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
+import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.upstream.CancelSignal;
 
 /**
@@ -32,6 +34,11 @@
  * any thread may call.
  */
 public final class HttpCall implements AutoCloseable {
+    private static final PartLog LOG = PartLog.of("connections");
+
+    /** Stands in a log line where a call or a response has no identity. */
+    private static final String NO_IDENTITY = "none";
+
     private final HttpConnections mPool;
     private final Peer mPeer;
     private final Step mStep;
@@ -42,6 +49,7 @@
     private final ByteQueue mBody = new ByteQueue(this::resumeReading);
     private volatile ChannelPump mPump;
     private volatile ChannelWriter mWriter;
+    private volatile Optional<String> mIdentity = Optional.empty();
     private CancelSignal.Registration mCancelRegistration = () -> {};
     private boolean mRequestEnded;
     private boolean mClosed;
@@ -52,7 +60,7 @@
         mStep = step;
         mPooled = connection;
         mConnection = connection.connection();
-        connection.setCurrent(this);
+        connection.begin(this);
     }
 
     /** Makes a cancel break the call off, until the call is closed. */
@@ -63,6 +71,7 @@
     /** Sends the head. The body follows by {@link #write}, or the call ends with the head. */
     void send(HttpHead head, boolean hasBody) {
         mRequestEnded = !hasBody;
+        mIdentity = mPool.identity(head.headers());
         ClientRequest request = new ClientRequest().setMethod(head.method()).setPath(head.path());
         request.getRequestHeaders().putAll(head.headers());
         if (!request.getRequestHeaders().contains(Headers.HOST)) {
@@ -99,11 +108,35 @@
     }
 
     private void onResponse(ClientExchange exchange) {
+        logIdentity(exchange.getResponse());
         mPump = new ChannelPump(exchange.getResponseChannel(), mConnection.getBufferPool(), mBody);
         mResponse.complete(exchange.getResponse());
         mPump.start();
     }
 
+    /** Leaves what tells whose response this is: the connection, its use, and both identities. */
+    private void logIdentity(ClientResponse response) {
+        Optional<String> received = mPool.identity(response.getResponseHeaders());
+        boolean foreign = received.isPresent() && !received.equals(mIdentity);
+        if (foreign) {
+            mPool.counters().foreign();
+        }
+        String format = "%s to %s: %s sent as %s, response %d of %s";
+        Object[] arguments = {
+            mPooled.describeUse(),
+            mPeer.name(),
+            mStep.label(),
+            mIdentity.orElse(NO_IDENTITY),
+            response.getResponseCode(),
+            received.orElse(NO_IDENTITY)
+        };
+        if (foreign) {
+            LOG.info(format, arguments);
+        } else {
+            LOG.debug(format, arguments);
+        }
+    }
+
     private void resumeReading() {
         mConnection.getIoThread().execute(() -> mPump.resume());
     }
@@ -219,7 +252,7 @@
         mCancelRegistration.close();
         boolean reusable = mPooled.idleLimitNanos() > 0 && mConnection.isOpen();
         if (mRequestEnded && mBody.isDrained() && reusable) {
-            mPooled.setCurrent(null);
+            mPooled.end();
             mPool.release(mPeer, mPooled);
         } else {
             abort();
@@ -243,11 +276,16 @@
                 throw new CallFailedException(
                         new Failure.Unreachable(mStep, mPeer.name(), e.getMessage()));
             }
-            throw new CallFailedException(
-                    new Failure.Broken(mStep, mPeer.name(), String.valueOf(e.getMessage())));
+            throw new CallFailedException(new Failure.Broken(mStep, mPeer.name(), reason(e)));
         }
     }
 
+    /** Some errors of channels have no message; then their type says what happened. */
+    private static String reason(IOException error) {
+        Throwable cause = error.getCause() == null ? error : error.getCause();
+        return cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
+    }
+
     private static <T> T await(CompletableFuture<T> future, Duration timeout)
             throws IOException, TimeoutException, InterruptedException {
         try {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -10,17 +10,21 @@
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
@@ -57,6 +61,9 @@
     private final XnioWorker mWorker;
     private final MonotonicClock mClock;
     private final Duration mConnectTimeout;
+    private final HttpString mIdentityField;
+    private final ConnectionCounters mCounters = new ConnectionCounters();
+    private final AtomicLong mNumber = new AtomicLong();
     private final ByteBufferPool mBuffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
     private final OptionMap mOptions =
             OptionMap.builder()
@@ -70,11 +77,31 @@
      * @param worker runs the I/O threads
      * @param clock tells how long a connection has been idle
      * @param connectTimeout the longest wait for a new connection
+     * @param identityField the field by which a response carries the identity of its call back
      */
-    public HttpConnections(XnioWorker worker, MonotonicClock clock, Duration connectTimeout) {
+    public HttpConnections(
+            XnioWorker worker,
+            MonotonicClock clock,
+            Duration connectTimeout,
+            HttpString identityField) {
         mWorker = worker;
         mClock = clock;
         mConnectTimeout = connectTimeout;
+        mIdentityField = identityField;
+    }
+
+    /**
+     * Returns what the connections were used for so far.
+     *
+     * @return the counters, which go on counting
+     */
+    public ConnectionCounters counters() {
+        return mCounters;
+    }
+
+    /** Returns the identity of a call or of a response, from its header fields. */
+    Optional<String> identity(HeaderMap headers) {
+        return Optional.ofNullable(headers.getFirst(mIdentityField));
     }
 
     /**
@@ -181,13 +208,22 @@
             throw unreachable(peer, step, CANCELLED);
         }
         PooledConnection idle = fresh ? null : takeIdle(peer);
-        PooledConnection connection =
-                idle != null ? idle : new PooledConnection(open(peer, step, cancel));
+        PooledConnection connection = idle != null ? idle : openPooled(peer, step, cancel);
+        if (idle != null) {
+            mCounters.reused();
+        }
         HttpCall call = new HttpCall(this, peer, step, connection);
         call.abortOn(cancel);
         return call;
     }
 
+    private PooledConnection openPooled(Peer peer, Step step, CancelSignal cancel)
+            throws CallFailedException {
+        ClientConnection connection = open(peer, step, cancel);
+        mCounters.opened();
+        return new PooledConnection(connection, mNumber.incrementAndGet());
+    }
+
     private ClientConnection open(Peer peer, Step step, CancelSignal cancel)
             throws CallFailedException {
         CompletableFuture<ClientConnection> opened = new CompletableFuture<>();
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
@@ -14,17 +14,27 @@
  * A connection to an upstream that serves one call after another.
  *
  * <p>Invariant: the library is given one close listener for the life of the connection, however
- * many calls it serves, because it never lets go of one. Thread-safe.
+ * many calls it serves, because it never lets go of one. Thread-safe; calls begin and end one after
+ * another.
  */
 final class PooledConnection {
     private static final PartLog LOG = PartLog.of("connections");
 
     private final ClientConnection mConnection;
+    private final long mNumber;
     private volatile HttpCall mCurrent;
+    private volatile int mUses;
     private volatile long mIdleLimitNanos = Long.MAX_VALUE;
 
-    PooledConnection(ClientConnection connection) {
+    /**
+     * Takes a connection that has just been opened.
+     *
+     * @param connection the connection
+     * @param number tells it apart from the others of its pool, for log lines
+     */
+    PooledConnection(ClientConnection connection, long number) {
         mConnection = connection;
+        mNumber = number;
         connection.getIoThread().execute(() -> connection.addCloseListener(c -> onClosed()));
     }
 
@@ -32,11 +42,27 @@
         return mConnection;
     }
 
-    /** Sets the call that is notified if the connection closes; null for none. */
-    void setCurrent(HttpCall call) {
+    /** Begins a call, which is notified if the connection closes. */
+    void begin(HttpCall call) {
+        mUses++;
         mCurrent = call;
     }
 
+    /** Ends the call that is under way; its answer was read whole. */
+    void end() {
+        mCurrent = null;
+    }
+
+    /** Returns how many calls the connection has been used for, that under way included. */
+    int uses() {
+        return mUses;
+    }
+
+    /** Names the connection and its use in a log line. */
+    String describeUse() {
+        return "connection " + mNumber + ", use " + mUses;
+    }
+
     /** Sets how long the connection may rest and still be used again. */
     void setIdleLimitNanos(long nanos) {
         mIdleLimitNanos = nanos;
