--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/TestConnections.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/TestConnections.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import org.orchidmount.clock.SystemMonotonicClock;
 import org.orchidmount.internal.http.HttpConnections;
 import org.xnio.OptionMap;
@@ -20,6 +21,9 @@
 public final class TestConnections implements AutoCloseable {
     private static final HttpString IDENTITY_FIELD = new HttpString("X-Request-Id");
 
+    /** Two would do if what has come were acted on at once; a close is acted on by a task. */
+    private static final int TASKS_TO_SETTLE = 4;
+
     private final XnioWorker mWorker;
     private final HttpConnections mConnections;
 
@@ -55,6 +59,20 @@
         return mConnections;
     }
 
+    /**
+     * Waits until the I/O thread has acted on all that peers had sent before. It looks for what has
+     * come between any two tasks that it is given one after the other.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void settle() throws InterruptedException {
+        for (int i = 0; i < TASKS_TO_SETTLE; i++) {
+            CountDownLatch ran = new CountDownLatch(1);
+            mWorker.getIoThread().execute(ran::countDown);
+            ran.await();
+        }
+    }
+
     @Override
     public void close() {
         mConnections.close();
