Take a response for that of a call by its identity, not by its place

Cause: on a kept connection the next response was taken for that of the latest call. An upstream that answers twice, the second time late, puts its surplus in that place. Only responses to requests were held against an identity, after it had been judged whether they say "not run"; prefills, reservations, releases, reports and orders were not. A connection on which a surplus had been taken went back to the pool, one response behind, so each later call got that of the call before: KV caches and reservations of other requests. Change: HttpCall is the one place that takes a response. It refuses one with another identity, and one without on a connection that was used before; the call fails as one that may have run, and the connection is closed. Calls with one identity share no connection (prefill and request, two attempts); calls without one have a connection of their own, and so have plain services of the daemon, which need not return identities. Ruled out: reading on for the true response, which the HTTP library does not offer; an identity for reservations, as upstreams do not send one back.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainForwarder.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainForwarder.java
@@ -164,7 +164,6 @@
                 passBodyOn(exchange, call, route, timeout);
             }
             ClientResponse response = call.awaitResponse(timeout);
-            checkId(response, id, peer);
             answer(exchange, id, response, call, timeout);
             mParts.board().succeeded(peer.name());
             return null;
@@ -181,8 +180,8 @@
         }
         boolean empty = held.length == 0 && !head.headers().contains(Headers.CONTENT_LENGTH);
         return empty
-                ? mParts.connections().call(peer, Step.FORWARD, head, cancel)
-                : mParts.connections().call(peer, Step.FORWARD, head, held, timeout, cancel);
+                ? mParts.connections().callFresh(peer, Step.FORWARD, head, false, cancel)
+                : mParts.connections().callFresh(peer, Step.FORWARD, head, held, timeout, cancel);
     }
 
     private void passBodyOn(
@@ -201,17 +200,6 @@
         call.endRequest(timeout);
     }
 
-    /** Refuses an answer that the service says belongs to another request. */
-    private static void checkId(ClientResponse response, String id, Peer peer)
-            throws CallFailedException {
-        String echoed = response.getResponseHeaders().getFirst(EngineProtocol.REQUEST_ID);
-        if (echoed != null && !echoed.equals(id)) {
-            throw new CallFailedException(
-                    new Failure.Garbled(
-                            Step.FORWARD, peer.name(), "the answer is that of another request"));
-        }
-    }
-
     private void answer(
             ServerExchange exchange,
             String id,
@@ -273,7 +261,7 @@
             Peer peer = chosen.get();
             try {
                 mParts.requests().update(id, "forward", "", peer.name());
-                RecordedAnswer answer = callOnce(peer, head, body, id, timeout);
+                RecordedAnswer answer = callOnce(peer, head, body, timeout);
                 mParts.board().succeeded(peer.name());
                 return new ClaimResult.Done(answer);
             } catch (CallFailedException e) {
@@ -288,19 +276,12 @@
         }
     }
 
-    private RecordedAnswer callOnce(
-            Peer peer, HttpHead head, byte[] body, String id, Duration timeout)
+    private RecordedAnswer callOnce(Peer peer, HttpHead head, byte[] body, Duration timeout)
             throws CallFailedException {
-        head.headers().put(Headers.CONTENT_LENGTH, body.length);
         try (HttpCall call =
                 mParts.connections()
-                        .callFresh(peer, Step.FORWARD, head, body.length > 0, new CancelSignal())) {
-            if (body.length > 0) {
-                call.write(body, timeout);
-                call.endRequest(timeout);
-            }
+                        .callFresh(peer, Step.FORWARD, head, body, timeout, new CancelSignal())) {
             ClientResponse response = call.awaitResponse(timeout);
-            checkId(response, id, peer);
             return record(response, call, timeout);
         }
     }
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakeEngine.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakeEngine.java
@@ -159,8 +159,7 @@
     private void stream(ServerExchange exchange, String id, int reader, int offset)
             throws InterruptedException {
         try {
-            exchange.start(
-                    StatusCodes.OK, new HeaderMap().put(Headers.CONTENT_TYPE, "text/event-stream"));
+            exchange.start(StatusCodes.OK, headers(exchange, "text/event-stream"));
             int next = offset;
             while (true) {
                 EngineService.Message message = mService.next(id, reader, next);
@@ -209,9 +208,19 @@
         return json;
     }
 
+    /** Every answer carries the identity of its call back, if the call has one. */
+    private static HeaderMap headers(ServerExchange exchange, String contentType) {
+        HeaderMap headers = new HeaderMap().put(Headers.CONTENT_TYPE, contentType);
+        String id = exchange.header(EngineProtocol.REQUEST_ID.toString());
+        if (id != null) {
+            headers.put(EngineProtocol.REQUEST_ID, id);
+        }
+        return headers;
+    }
+
     private static void answer(ServerExchange exchange, int status, JsonNode json)
             throws IOException, TimeoutException, InterruptedException {
-        HeaderMap headers = new HeaderMap().put(Headers.CONTENT_TYPE, "application/json");
+        HeaderMap headers = headers(exchange, "application/json");
         exchange.answer(status, headers, Json.bytes(json), TIMEOUT);
     }
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/HttpServerTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/HttpServerTest.java
@@ -8,6 +8,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import java.io.IOException;
 import java.lang.ref.WeakReference;
@@ -30,6 +31,7 @@
 class HttpServerTest {
     private static final int REQUESTS = 200;
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
+    private static final HttpString IDENTITY = new HttpString("X-Request-Id");
     private static final byte[] BODY = "ok".getBytes(StandardCharsets.UTF_8);
 
     private static HttpServer server(HttpServer.RequestHandler handler) {
@@ -45,20 +47,27 @@
                         server(
                                 exchange -> {
                                     exchanges.add(new WeakReference<>(exchange));
-                                    exchange.answer(200, new HeaderMap(), BODY, TIMEOUT);
+                                    exchange.answer(200, identity(exchange), BODY, TIMEOUT);
                                 });
                 TestConnections connections = new TestConnections(TIMEOUT)) {
             Peer peer = new Peer("server", "127.0.0.1", server.port());
             for (int i = 0; i < REQUESTS; i++) {
-                calls.add(new WeakReference<>(call(connections.get(), peer)));
+                calls.add(new WeakReference<>(call(connections.get(), peer, "call-" + i)));
             }
+            assertThat(connections.get().counters().openedCount()).isEqualTo(1);
             Await.until("exchanges are freed", Await.LONG, () -> isMostlyFree(exchanges));
             Await.until("calls are freed", Await.LONG, () -> isMostlyFree(calls));
         }
     }
 
-    private static HttpCall call(HttpConnections connections, Peer peer) throws Exception {
-        try (HttpCall call = connections.call(peer, Step.FORWARD, HttpHead.of(Methods.GET, "/"))) {
+    private static HeaderMap identity(ServerExchange exchange) {
+        return new HeaderMap().put(IDENTITY, exchange.header(IDENTITY.toString()));
+    }
+
+    private static HttpCall call(HttpConnections connections, Peer peer, String identity)
+            throws Exception {
+        HttpHead head = HttpHead.of(Methods.GET, "/").with(IDENTITY, identity);
+        try (HttpCall call = connections.call(peer, Step.FORWARD, head)) {
             assertThat(call.readAll(TIMEOUT, 100)).isEqualTo(BODY);
             return call;
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionCounters.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionCounters.java
@@ -49,7 +49,7 @@
     }
 
     /**
-     * Returns how many responses carried the identity of another call.
+     * Returns how many responses were not those of the calls that were under way, or of no call.
      *
      * @return a count of responses
      */
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -28,10 +28,10 @@
 /**
  * One call to an upstream, seen from a virtual thread.
  *
- * <p>Invariants: the connection is touched on its I/O thread only; it goes back to the pool only
- * after the whole answer has been read, and is closed in every other case, so that a late answer
- * can never be taken for that of a later call. Used by one thread, except {@link #abort()}, which
- * any thread may call.
+ * <p>Invariants: the connection is touched on its I/O thread only. A response is that of its call:
+ * it carries the call's identity, or came on a connection on which no call was made before. Only a
+ * connection whose response carried its call's identity and was read whole goes back to the pool.
+ * Used by one thread, except {@link #abort()}, which any thread may call.
  */
 public final class HttpCall implements AutoCloseable {
     private static final PartLog LOG = PartLog.of("connections");
@@ -39,10 +39,13 @@
     /** Stands in a log line where a call or a response has no identity. */
     private static final String NO_IDENTITY = "none";
 
+    private static final String IDENTITIES = "%s to %s: %s sent as %s, response %d of %s";
+
     private final HttpConnections mPool;
     private final Peer mPeer;
     private final Step mStep;
     private final PooledConnection mPooled;
+    private final boolean mIsShared;
     private final ClientConnection mConnection;
     private final CompletableFuture<ClientExchange> mReady = new CompletableFuture<>();
     private final CompletableFuture<ClientResponse> mResponse = new CompletableFuture<>();
@@ -50,15 +53,31 @@
     private volatile ChannelPump mPump;
     private volatile ChannelWriter mWriter;
     private volatile Optional<String> mIdentity = Optional.empty();
+    private volatile boolean mIsIdentified;
     private CancelSignal.Registration mCancelRegistration = () -> {};
     private boolean mRequestEnded;
     private boolean mClosed;
 
-    HttpCall(HttpConnections pool, Peer peer, Step step, PooledConnection connection) {
+    /**
+     * Begins a call on a connection.
+     *
+     * @param pool takes the connection back
+     * @param peer who is called
+     * @param step the step, for errors
+     * @param connection the connection
+     * @param isShared whether other calls may be made on the connection, before or after
+     */
+    HttpCall(
+            HttpConnections pool,
+            Peer peer,
+            Step step,
+            PooledConnection connection,
+            boolean isShared) {
         mPool = pool;
         mPeer = peer;
         mStep = step;
         mPooled = connection;
+        mIsShared = isShared;
         mConnection = connection.connection();
         connection.begin(this);
     }
@@ -72,6 +91,7 @@
     void send(HttpHead head, boolean hasBody) {
         mRequestEnded = !hasBody;
         mIdentity = mPool.identity(head.headers());
+        mIdentity.ifPresent(mPooled::carry);
         ClientRequest request = new ClientRequest().setMethod(head.method()).setPath(head.path());
         request.getRequestHeaders().putAll(head.headers());
         if (!request.getRequestHeaders().contains(Headers.HOST)) {
@@ -108,33 +128,47 @@
     }
 
     private void onResponse(ClientExchange exchange) {
-        logIdentity(exchange.getResponse());
+        ClientResponse response = exchange.getResponse();
+        Optional<String> received = mPool.identity(response.getResponseHeaders());
+        if (isForeign(received)) {
+            refuseForeign(response, received);
+            return;
+        }
+        mIsIdentified = received.isPresent() && received.equals(mIdentity);
+        LOG.debug(IDENTITIES, describeIdentities(response, received));
         mPump = new ChannelPump(exchange.getResponseChannel(), mConnection.getBufferPool(), mBody);
         mResponse.complete(exchange.getResponse());
         mPump.start();
     }
 
-    /** Leaves what tells whose response this is: the connection, its use, and both identities. */
-    private void logIdentity(ClientResponse response) {
-        Optional<String> received = mPool.identity(response.getResponseHeaders());
-        boolean foreign = received.isPresent() && !received.equals(mIdentity);
-        if (foreign) {
-            mPool.counters().foreign();
-        }
-        String format = "%s to %s: %s sent as %s, response %d of %s";
-        Object[] arguments = {
-            mPooled.describeUse(),
+    /**
+     * An upstream may answer twice, the second time late, in the place of the next response. So the
+     * place proves nothing: on a connection that was used before, a response without an identity is
+     * nobody's. On a new connection it can only be that of its call.
+     */
+    private boolean isForeign(Optional<String> received) {
+        boolean isFirst = mPooled.uses() == 1;
+        boolean isUnknown = mIdentity.isEmpty() || received.isEmpty();
+        return isUnknown ? !isFirst : !received.equals(mIdentity);
+    }
+
+    private void refuseForeign(ClientResponse response, Optional<String> received) {
+        LOG.info(IDENTITIES, describeIdentities(response, received));
+        mPool.surplusFrom(mPeer);
+        failAll(new ForeignResponseException());
+        mPooled.closeLater();
+    }
+
+    /** Names the connection, its use, and whose response this is. */
+    private Object[] describeIdentities(ClientResponse response, Optional<String> received) {
+        return new Object[] {
+            mPooled,
             mPeer.name(),
             mStep.label(),
             mIdentity.orElse(NO_IDENTITY),
             response.getResponseCode(),
             received.orElse(NO_IDENTITY)
         };
-        if (foreign) {
-            LOG.info(format, arguments);
-        } else {
-            LOG.debug(format, arguments);
-        }
     }
 
     private void resumeReading() {
@@ -242,7 +276,7 @@
         mPooled.closeLater();
     }
 
-    /** Ends the call: keeps the connection if the answer was read to its end, else closes it. */
+    /** Ends the call: keeps its connection if the next response on it can be told apart. */
     @Override
     public void close() {
         if (mClosed) {
@@ -250,8 +284,8 @@
         }
         mClosed = true;
         mCancelRegistration.close();
-        boolean reusable = mPooled.idleLimitNanos() > 0 && mConnection.isOpen();
-        if (mRequestEnded && mBody.isDrained() && reusable) {
+        boolean isWhole = mRequestEnded && mBody.isDrained();
+        if (isWhole && mIsShared && mIsIdentified && mPooled.isReusable()) {
             mPooled.end();
             mPool.release(mPeer, mPooled);
         } else {
@@ -276,6 +310,10 @@
                 throw new CallFailedException(
                         new Failure.Unreachable(mStep, mPeer.name(), e.getMessage()));
             }
+            if (e.getCause() instanceof ForeignResponseException) {
+                throw new CallFailedException(
+                        new Failure.Garbled(mStep, mPeer.name(), e.getMessage()));
+            }
             throw new CallFailedException(new Failure.Broken(mStep, mPeer.name(), reason(e)));
         }
     }
@@ -302,6 +340,13 @@
         }
     }
 
+    /** The response is not that of the call. */
+    private static final class ForeignResponseException extends IOException {
+        ForeignResponseException() {
+            super("the answer is that of another request");
+        }
+    }
+
     @FunctionalInterface
     private interface Blocking<T> {
         T run() throws IOException, TimeoutException, InterruptedException;
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -5,6 +5,7 @@
  */
 package org.orchidmount.internal.http;
 
+import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
@@ -18,6 +19,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -39,7 +41,9 @@
 /**
  * Connections to upstreams, kept for reuse for a short while.
  *
- * <p>Invariant: a connection is used by one call at a time. Thread-safe.
+ * <p>Invariants: a connection is used by one call at a time; no two calls with the same identity
+ * are made on one connection, and no call without an identity on a connection that was used before.
+ * So a surplus response of an upstream is never taken for that of a later call. Thread-safe.
  */
 public final class HttpConnections implements AutoCloseable {
     private static final String CANCELLED = "cancelled before anything was sent";
@@ -58,6 +62,7 @@
 
     private final OrderedLock mLock = new OrderedLock(LockRank.CONNECTIONS);
     private final Map<Peer, Deque<Idle>> mIdle = new HashMap<>();
+    private final ReuseSuspensions mSuspensions = new ReuseSuspensions();
     private final XnioWorker mWorker;
     private final MonotonicClock mClock;
     private final Duration mConnectTimeout;
@@ -69,6 +74,7 @@
             OptionMap.builder()
                     .set(Options.TCP_NODELAY, true)
                     .set(Options.RECEIVE_BUFFER, SOCKET_BUFFER_BYTES)
+                    .set(UndertowOptions.ENABLE_STATISTICS, true)
                     .getMap();
 
     /**
@@ -129,7 +135,7 @@
      */
     public HttpCall call(Peer peer, Step step, HttpHead head, CancelSignal cancel)
             throws CallFailedException {
-        HttpCall call = connect(peer, step, false, cancel);
+        HttpCall call = connect(peer, step, identity(head.headers()), cancel);
         call.send(head, false);
         return call;
     }
@@ -166,7 +172,32 @@
             Peer peer, Step step, HttpHead head, byte[] body, Duration timeout, CancelSignal cancel)
             throws CallFailedException {
         head.headers().put(Headers.CONTENT_LENGTH, body.length);
-        HttpCall call = connect(peer, step, false, cancel);
+        return sendWhole(
+                connect(peer, step, identity(head.headers()), cancel), head, body, timeout);
+    }
+
+    /**
+     * Sends a request with a whole body on a connection of its own, for an upstream whose responses
+     * need not carry the identity of their calls.
+     *
+     * @param peer whom to call
+     * @param step the step, for errors
+     * @param head the request's head; the length is set here
+     * @param body the body
+     * @param timeout the longest wait for the socket to take the body
+     * @param cancel breaks the call off, from now until it is closed
+     * @return the call
+     * @throws CallFailedException with {@link Failure.Unreachable} if nothing could be sent
+     */
+    public HttpCall callFresh(
+            Peer peer, Step step, HttpHead head, byte[] body, Duration timeout, CancelSignal cancel)
+            throws CallFailedException {
+        head.headers().put(Headers.CONTENT_LENGTH, body.length);
+        return sendWhole(connect(peer, step, Optional.empty(), cancel), head, body, timeout);
+    }
+
+    private static HttpCall sendWhole(HttpCall call, HttpHead head, byte[] body, Duration timeout)
+            throws CallFailedException {
         call.send(head, true);
         try {
             call.write(body, timeout);
@@ -179,8 +210,9 @@
     }
 
     /**
-     * Sends the head of a request whose body follows in parts, on a connection of its own, because
-     * an idle connection that the peer has just closed would leave it open whether the call ran.
+     * Sends the head of a request, whose body may follow in parts, on a connection of its own: an
+     * idle one that the peer has just closed would leave it open whether the call ran, and on a new
+     * one the first response is that of the call, whether or not it carries an identity.
      *
      * @param peer whom to call
      * @param step the step, for errors
@@ -193,26 +225,27 @@
     public HttpCall callFresh(
             Peer peer, Step step, HttpHead head, boolean hasBody, CancelSignal cancel)
             throws CallFailedException {
-        HttpCall call = connect(peer, step, true, cancel);
+        HttpCall call = connect(peer, step, Optional.empty(), cancel);
         call.send(head, hasBody);
         return call;
     }
 
     /**
      * Makes a call that a cancel ends, whatever it waits for. Callers need not ask whether their
-     * work was cancelled before: then the call fails here, and nothing is sent.
+     * work was cancelled before: then the call fails here, and nothing is sent. Without an identity
+     * the call gets a connection of its own, which serves no other call after it.
      */
-    private HttpCall connect(Peer peer, Step step, boolean fresh, CancelSignal cancel)
+    private HttpCall connect(Peer peer, Step step, Optional<String> identity, CancelSignal cancel)
             throws CallFailedException {
         if (cancel.isCancelled()) {
             throw unreachable(peer, step, CANCELLED);
         }
-        PooledConnection idle = fresh ? null : takeIdle(peer);
+        PooledConnection idle = identity.isEmpty() ? null : takeIdle(peer, identity.get());
         PooledConnection connection = idle != null ? idle : openPooled(peer, step, cancel);
         if (idle != null) {
             mCounters.reused();
         }
-        HttpCall call = new HttpCall(this, peer, step, connection);
+        HttpCall call = new HttpCall(this, peer, step, connection, identity.isPresent());
         call.abortOn(cancel);
         return call;
     }
@@ -221,7 +254,7 @@
             throws CallFailedException {
         ClientConnection connection = open(peer, step, cancel);
         mCounters.opened();
-        return new PooledConnection(connection, mNumber.incrementAndGet());
+        return new PooledConnection(connection, mNumber.incrementAndGet(), () -> surplusFrom(peer));
     }
 
     private ClientConnection open(Peer peer, Step step, CancelSignal cancel)
@@ -250,29 +283,73 @@
         return new CallFailedException(new Failure.Unreachable(step, peer.name(), detail));
     }
 
-    private PooledConnection takeIdle(Peer peer) {
+    private PooledConnection takeIdle(Peer peer, String identity) {
         try (OrderedLock.Held _ = mLock.hold()) {
             Deque<Idle> idle = mIdle.get(peer);
-            while (idle != null && !idle.isEmpty()) {
-                Idle newest = idle.pollLast();
-                long mostNanos = Math.min(MAX_IDLE_NANOS, newest.connection().idleLimitNanos());
-                boolean young = mClock.nanoTime() - newest.sinceNanos() < mostNanos;
-                if (young && newest.connection().isOpen()) {
-                    return newest.connection();
+            if (idle == null) {
+                return null;
+            }
+            Iterator<Idle> newestFirst = idle.descendingIterator();
+            while (newestFirst.hasNext()) {
+                Idle next = newestFirst.next();
+                PooledConnection connection = next.connection();
+                if (!isUsable(next)) {
+                    newestFirst.remove();
+                    connection.closeLater();
+                } else if (!connection.hasCarried(identity)) {
+                    newestFirst.remove();
+                    return connection;
                 }
-                newest.connection().closeLater();
             }
             return null;
         }
     }
 
+    private boolean isUsable(Idle idle) {
+        PooledConnection connection = idle.connection();
+        long mostNanos = Math.min(MAX_IDLE_NANOS, connection.idleLimitNanos());
+        return connection.isOpen() && mClock.nanoTime() - idle.sinceNanos() < mostNanos;
+    }
+
     void release(Peer peer, PooledConnection connection) {
         try (OrderedLock.Held _ = mLock.hold()) {
+            long nowNanos = mClock.nanoTime();
+            if (mSuspensions.isSuspended(peer, nowNanos)) {
+                connection.closeLater();
+                return;
+            }
             Deque<Idle> idle = mIdle.computeIfAbsent(peer, p -> new ArrayDeque<>());
             if (idle.size() >= MAX_IDLE_PER_PEER) {
                 idle.pollFirst().connection().closeLater();
             }
-            idle.addLast(new Idle(connection, mClock.nanoTime()));
+            idle.addLast(new Idle(connection, nowNanos));
+        }
+    }
+
+    /** Notes that a peer has sent more responses than it was asked for. */
+    void surplusFrom(Peer peer) {
+        mCounters.foreign();
+        try (OrderedLock.Held _ = mLock.hold()) {
+            mSuspensions.suspend(peer, mClock.nanoTime());
+            closeIdle(peer);
+        }
+    }
+
+    /**
+     * Closes the connections to a peer that are not in use.
+     *
+     * @param peer the peer, which has ended or does not need them any more
+     */
+    public void forget(Peer peer) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            closeIdle(peer);
+        }
+    }
+
+    private void closeIdle(Peer peer) {
+        Deque<Idle> idle = mIdle.remove(peer);
+        if (idle != null) {
+            idle.forEach(each -> each.connection().closeLater());
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
@@ -7,6 +7,8 @@
 
 import io.undertow.client.ClientConnection;
 import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
 import org.orchidmount.internal.log.PartLog;
 import org.xnio.IoUtils;
 
@@ -20,9 +22,18 @@
 final class PooledConnection {
     private static final PartLog LOG = PartLog.of("connections");
 
+    /** Calls after which a connection is closed, so that few identities are kept. Chosen. */
+    private static final int MAX_USES = 256;
+
     private final ClientConnection mConnection;
     private final long mNumber;
+    private final Runnable mOnSurplus;
+
+    /** Guarded by the hand-over: only the owner of the connection adds, only the pool asks. */
+    private final Set<String> mIdentities = new HashSet<>();
+
     private volatile HttpCall mCurrent;
+    private volatile long mReceivedBytes;
     private volatile int mUses;
     private volatile long mIdleLimitNanos = Long.MAX_VALUE;
 
@@ -31,10 +42,12 @@
      *
      * @param connection the connection
      * @param number tells it apart from the others of its pool, for log lines
+     * @param onSurplus runs if bytes arrive that no call has asked for
      */
-    PooledConnection(ClientConnection connection, long number) {
+    PooledConnection(ClientConnection connection, long number, Runnable onSurplus) {
         mConnection = connection;
         mNumber = number;
+        mOnSurplus = onSurplus;
         connection.getIoThread().execute(() -> connection.addCloseListener(c -> onClosed()));
     }
 
@@ -48,18 +61,42 @@
         mCurrent = call;
     }
 
+    /** Notes the identity of the call that is under way. */
+    void carry(String identity) {
+        mIdentities.add(identity);
+    }
+
+    /**
+     * Tells whether a call with an identity was made on this connection. A late response to it
+     * could not be told from the response to another call with that identity.
+     */
+    boolean hasCarried(String identity) {
+        return mIdentities.contains(identity);
+    }
+
     /** Ends the call that is under way; its answer was read whole. */
     void end() {
+        mReceivedBytes = receivedBytes();
         mCurrent = null;
     }
 
+    private long receivedBytes() {
+        return mConnection.getStatistics().getRead();
+    }
+
+    /** Tells whether the connection may serve another call. */
+    boolean isReusable() {
+        return mUses < MAX_USES && mIdleLimitNanos > 0 && isOpen();
+    }
+
     /** Returns how many calls the connection has been used for, that under way included. */
     int uses() {
         return mUses;
     }
 
     /** Names the connection and its use in a log line. */
-    String describeUse() {
+    @Override
+    public String toString() {
         return "connection " + mNumber + ", use " + mUses;
     }
 
@@ -76,8 +113,10 @@
         return mConnection.isOpen();
     }
 
-    /** Closes the connection on its I/O thread. */
+    /** Closes the connection on its I/O thread. Nobody is notified, as it is closed from here. */
     void closeLater() {
+        mCurrent = null;
+        mReceivedBytes = Long.MAX_VALUE;
         closeLater(mConnection);
     }
 
@@ -106,6 +145,10 @@
      */
     private void onClosed() {
         HttpCall current = mCurrent;
+        if (current == null && receivedBytes() > mReceivedBytes) {
+            LOG.info("connection %d: bytes that no call has asked for; closed", mNumber);
+            mOnSurplus.run();
+        }
         if (current != null) {
             mConnection
                     .getIoThread()
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/upstream/HttpEngineClient.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/upstream/HttpEngineClient.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.orchidmount.errors.Attempt;
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
@@ -39,7 +40,7 @@
 /**
  * Speaks the engine protocol over HTTP. Thread-safe.
  *
- * <p>Every answer must carry the id it was asked for; another one is refused as garbled.
+ * <p>Invariant: each call has an identity, and an answer with another one is refused as garbled.
  */
 public final class HttpEngineClient implements EngineClient {
     private static final PartLog LOG = PartLog.of("engine");
@@ -58,6 +59,9 @@
     private final String mIncarnation;
     private final Meter mDropped;
 
+    /** Gives each question that belongs to no request an identity of its own. */
+    private final AtomicLong mQuestions = new AtomicLong();
+
     /**
      * Creates a client.
      *
@@ -228,8 +232,9 @@
 
     private JsonNode get(Peer engine, String path) throws CallFailedException {
         Duration timeout = mSettings.cancelTimeout();
-        try (HttpCall call =
-                mConnections.call(engine, Step.REPORT, HttpHead.of(Methods.GET, path))) {
+        String id = mInstance + "-" + mIncarnation + "-" + mQuestions.incrementAndGet();
+        HttpHead head = HttpHead.of(Methods.GET, path).with(EngineProtocol.REQUEST_ID, id);
+        try (HttpCall call = mConnections.call(engine, Step.REPORT, head)) {
             return answer(engine, Step.REPORT, call, timeout);
         }
     }
