A stream has the head of the upstream whose event its caller gets first

Cause: AttemptRunner kept status, head and signature of the first upstream that began to answer, also if it broke off before its first whole event. The next one is then asked from the start, so its body went out under another's signature. Change: StreamForward takes the head of each upstream that begins until the first event is passed on; from then on the head stands. Ruled out: a stream that goes on at a second upstream still keeps the first head, which the platform asks for.

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -244,8 +244,9 @@
     private AttemptOutcome onStream(
             Placement placement, HttpCall call, int status, HeaderMap headers)
             throws CallFailedException, IOException, TimeoutException, InterruptedException {
-        StreamForward stream = mStream.orElseGet(() -> new StreamForward(mCaller, status, headers));
+        StreamForward stream = mStream.orElseGet(() -> new StreamForward(mCaller));
         mStream = Optional.of(stream);
+        stream.upstreamBegins(status, headers);
         long before = stream.last();
         StreamTiming timing = forward(placement, call, stream);
         if (!stream.isBetweenEvents()) {
@@ -263,7 +264,6 @@
     private StreamTiming forward(Placement placement, HttpCall call, StreamForward stream)
             throws CallFailedException, IOException, TimeoutException, InterruptedException {
         Assignment assignment = placement.assignment();
-        stream.upstreamBegins();
         long before = stream.last();
         StreamTiming timing = new StreamTiming(mContext.clock(), mArrivedNanos);
         mTiming = Optional.of(timing);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/StreamForward.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/StreamForward.java
@@ -13,25 +13,33 @@
  * The stream that a caller gets, from one upstream or from several in turn.
  *
  * <p>Invariants: only whole events are passed on, each id once and in rising order; the head is
- * that of the first upstream. Used by one thread.
+ * that of the upstream whose event is passed on first, since an upstream that broke off before is
+ * not continued but replaced. Used by one thread.
  */
 final class StreamForward {
     private final CallerResponse mAnswer;
-    private final int mStatus;
-    private final HeaderMap mHeaders;
+    private int mStatus;
+    private HeaderMap mHeaders;
     private EventFramer mFramer = new EventFramer();
     private boolean mStarted;
     private long mLast;
 
-    StreamForward(CallerResponse answer, int status, HeaderMap headers) {
+    StreamForward(CallerResponse answer) {
         mAnswer = answer;
-        mStatus = status;
-        mHeaders = headers;
     }
 
-    /** An upstream begins; what another left unfinished is forgotten. */
-    void upstreamBegins() {
+    /**
+     * An upstream begins; what another left unfinished is forgotten.
+     *
+     * @param status its status
+     * @param headers the fields that are passed on, if the caller has no head yet
+     */
+    void upstreamBegins(int status, HeaderMap headers) {
         mFramer = new EventFramer();
+        if (!mStarted) {
+            mStatus = status;
+            mHeaders = headers;
+        }
     }
 
     /** Passes on the events that a part completes. */
