A completion goes on while its attempts deliver tokens

Cause: an engine forgets a request once its socket has taken the last token. An entry that reads behind then finds a message left out and cannot get it from there any more: 404, and the attempt is lost. Three attempts were all that a request had, however far each of them got, so the third such gap ended it as upstream_failed, "offset 6 follows 4". Change: the limit of three counts attempts in a row without a token, as TokenRelay counts resumptions. From the fourth attempt on each takes from the retry budget, so that engines that break every stream do not multiply the work of each request.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionRun.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionRun.java
@@ -55,6 +55,7 @@
     private final StringBuilder mGenerated = new StringBuilder();
     private int mDelivered;
     private int mAttempt;
+    private int mAttemptsSinceToken;
     private boolean mMayHaveRun;
 
     CompletionRun(
@@ -112,12 +113,14 @@
     /** Runs one attempt; returns true if the request has ended. */
     private boolean attempt(Ticket ticket, Reservation reservation)
             throws IOException, TimeoutException, InterruptedException {
+        int deliveredBefore = mDelivered;
         Failure failure;
         try {
             failure = serve(reservation);
         } finally {
             mParts.admission().end(ticket, reservation);
         }
+        mAttemptsSinceToken = mDelivered > deliveredBefore ? 1 : mAttemptsSinceToken + 1;
         if (failure == null) {
             mWriter.complete();
             count("completed");
@@ -131,7 +134,7 @@
         LOG.info("%s: attempt %d failed: %s", mId, mAttempt, failure.describe());
         boolean again =
                 TableAttemptRule.mayRetryCompletion(failure)
-                        && TableAttemptRule.hasAttemptsLeft(mAttempt);
+                        && TableAttemptRule.hasAttemptsLeft(mAttemptsSinceToken);
         if (again && mayRetry()) {
             mExcluded.add(failure.peer());
             return false;
@@ -153,7 +156,8 @@
     }
 
     private boolean mayRetry() {
-        return !TableAttemptRule.takesFromBudget(mDelivered) || mParts.retries().tryTake();
+        return !TableAttemptRule.takesFromBudget(mAttempt, mDelivered)
+                || mParts.retries().tryTake();
     }
 
     private Failure serve(Reservation reservation) throws InterruptedException {
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/TableAttemptRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/TableAttemptRule.java
@@ -17,15 +17,16 @@
  * sent. The retry budget is asked last, since asking takes from it.
  */
 public final class TableAttemptRule {
-    /** The most attempts of a request. Chosen, not measured. */
+    /** The most attempts in a row that bring a request no further. Chosen, not measured. */
     private static final int MAX_ATTEMPTS = 3;
 
     private TableAttemptRule() {}
 
     /**
-     * Tells whether attempts are left.
+     * Tells whether attempts are left. An attempt that has delivered tokens was not in vain, so
+     * those before it do not count: each message that an engine leaves out may end one.
      *
-     * @param attempts those made so far
+     * @param attempts those made so far, from the latest that delivered tokens on
      * @return false if the request is to be given up
      */
     public static boolean hasAttemptsLeft(int attempts) {
@@ -52,13 +53,15 @@
     /**
      * Tells whether a retry of a completion takes from the retry budget. An output that its caller
      * has in part goes on without: giving it up would waste all its work, and there are no more of
-     * those than were in progress.
+     * those than were in progress. Beyond the first few attempts it takes all the same, so that
+     * engines that break every stream do not multiply the work of each request.
      *
+     * @param attempts all those made so far
      * @param deliveredTokens the tokens that the caller has
      * @return false if the budget is not asked
      */
-    public static boolean takesFromBudget(int deliveredTokens) {
-        return deliveredTokens == 0;
+    public static boolean takesFromBudget(int attempts, int deliveredTokens) {
+        return deliveredTokens == 0 || attempts >= MAX_ATTEMPTS;
     }
 
     /**
