An upstream that starts again under its identity is another incarnation

Cause: registrations were told apart by the identity alone. An upstream that started again under the identity it had sent low sequences, so each of its messages counted as a late one; one that had left never came back; and its failures, its work and its connections were those of the start before.

A newer start ends the older for good, an older one changes nothing and does not count as heard, an equal one is the same incarnation, one that is not stated is older than any stated. Frames carry the starts after all else and only if one is stated, so that instances that do not know them read the rest. The directory puts a new Upstream in the place of the old: health, refusals and work begin anew, an assignment stays with the start it was made for, and the start is part of the peer's name, so that connections are not shared.

The pin of the frames gains one line, a frame with starts; the lines before are as they were.

Ruled out: comparing starts with our clock (clocks differ by any amount); taking a message without a start as one of the incarnation held (an instance of an earlier version may speak of any).

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -16,11 +16,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.orchidmount.consensus.EntryId;
 import org.orchidmount.consensus.GroupState;
 import org.orchidmount.consensus.Member;
 import org.orchidmount.consensus.ReplicaMessage;
 import org.orchidmount.load.InFlightSequence;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.quota.QuotaAnswer;
 import org.orchidmount.quota.QuotaAsk;
@@ -41,18 +43,7 @@
                 new ClusterMessage.Voters(List.of(A)),
                 new ClusterMessage.TableNotice(5, true, 8),
                 new ClusterMessage.TableRequest(),
-                new ClusterMessage.Registrations(
-                        3,
-                        List.of(
-                                new Registration(
-                                        "i-1",
-                                        "s",
-                                        "10.0.0.9:80",
-                                        "a",
-                                        4,
-                                        Registration.Stage.DECODE,
-                                        Registration.State.DRAINING,
-                                        7))),
+                new ClusterMessage.Registrations(3, List.of(engine("i-1"))),
                 new ClusterMessage.RegistrationsHeld(3),
                 new ClusterMessage.QuotaRequest(
                         7,
@@ -73,7 +64,24 @@
                 replication(new ReplicaMessage.Append(5, A, ENTRY, STATE, ENTRY, 8)),
                 replication(new ReplicaMessage.Append(5, A, ENTRY, null, ENTRY, 8)),
                 replication(new ReplicaMessage.AppendReply(5, "a/first", ENTRY, 8)),
-                replication(new ReplicaMessage.Hello(5, A, ENTRY)));
+                replication(new ReplicaMessage.Hello(5, A, ENTRY)),
+                new ClusterMessage.Registrations(3, List.of(engine("i-1"), startedEngine("i-2"))));
+    }
+
+    private static Registration engine(String id) {
+        return new Registration(
+                id,
+                "s",
+                "10.0.0.9:80",
+                "a",
+                4,
+                Registration.Stage.DECODE,
+                Registration.State.DRAINING,
+                7);
+    }
+
+    private static Registration startedEngine(String id) {
+        return engine(id).by(Incarnation.startedAt(id, 1_700_000_000_000L));
     }
 
     private static ClusterMessage replication(ReplicaMessage message) {
@@ -107,6 +115,28 @@
         assertThrows(IOException.class, () -> ClusterCodec.decode(new byte[] {99}));
     }
 
+    /** Starts come last, so an instance that does not know them reads a frame without them. */
+    @Test
+    void aFrameWithStartsBeginsAsOneWithout() {
+        HexFormat hex = HexFormat.of();
+        String without = hex.formatHex(encodeRegistration(engine("i-1")));
+        String with = hex.formatHex(encodeRegistration(startedEngine("i-1")));
+        assertThat(with).startsWith(without);
+        assertThat(with).isNotEqualTo(without);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"90", "92c0c0", "91ff", "91a0", "91"})
+    void startsThatDoNotFitTheirFrameAreRefused(String starts) {
+        HexFormat hex = HexFormat.of();
+        String frame = hex.formatHex(encodeRegistration(engine("i-1"))) + starts;
+        assertThrows(IOException.class, () -> ClusterCodec.decode(hex.parseHex(frame)));
+    }
+
+    private static byte[] encodeRegistration(Registration registration) {
+        return ClusterCodec.encode(new ClusterMessage.Registrations(0, List.of(registration)));
+    }
+
     /** An instance that does not say its zone yet is read, so that versions can be mixed. */
     @Test
     void aGreetingWithoutAZoneIsRead() throws IOException {
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.orchidmount.junit.ManualClock;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
@@ -218,6 +219,107 @@
                 .isEqualTo(idle);
     }
 
+    /**
+     * An upstream that starts again under its identity begins anew.
+     *
+     * <p>Seen: it went on being ejected, and slow, for what its earlier start had failed to do, and
+     * was not used at all once that had left. How it comes about: what its calls show, and the work
+     * given to it, were kept by its identity. What proves it: the same upstream with a newer start
+     * is fit and idle, with the same start it is not.
+     */
+    @Test
+    void aNewStartBeginsWithoutTheFailuresOfTheOneBefore() {
+        mDirectory.update(started("i-a", 1, 10));
+        mDirectory.update(ready("i-b", "a", 2));
+        Assignment before = mDirectory.assign(NEED, Set.of("i-b")).get();
+        mDirectory.unreachable(before);
+        mDirectory.update(started("i-a", 1, 10));
+        assertThat(mDirectory.avoided("s", Stage.NONE)).containsExactly("i-a");
+        mDirectory.update(started("i-a", 1, 11));
+        assertThat(mDirectory.avoided("s", Stage.NONE)).isEmpty();
+        mDirectory.unreachable(before);
+        assertThat(mDirectory.avoided("s", Stage.NONE)).isEmpty();
+    }
+
+    @Test
+    void aNewStartBeginsWithoutTheWorkOfTheOneBefore() {
+        mDirectory.update(started("i-a", 1, 10));
+        double idleMillis = mDirectory.estimateMillis(NEED).getAsDouble();
+        for (int i = 0; i < 12; i++) {
+            mDirectory.assign(NEED, Set.of()).get();
+        }
+        Assignment before = mDirectory.assign(NEED, Set.of()).get();
+        mDirectory.update(started("i-a", 1, 11));
+        assertThat(mDirectory.estimateMillis(NEED)).hasValue(idleMillis);
+        mDirectory.assign(NEED, Set.of()).get();
+        double busyMillis = mDirectory.estimateMillis(NEED).getAsDouble();
+        mDirectory.release(before);
+        assertThat(mDirectory.estimateMillis(NEED)).hasValue(busyMillis);
+    }
+
+    @Test
+    void aNewStartTakesWorkAfterTheOneBeforeHasLeft() {
+        mDirectory.update(started("i-a", 1, 10).in(State.GONE));
+        mDirectory.update(started("i-a", 2, 11));
+        Assignment assignment = mDirectory.assign(NEED, Set.of()).get();
+        assertThat(assignment.peer().host()).isEqualTo("10.0.0.2");
+    }
+
+    @Test
+    void aNewStartTakesItsAddressBack() {
+        mDirectory.update(started("i-a", 1, 10));
+        mDirectory.update(ready("i-b", "a", 1));
+        mDirectory.update(started("i-a", 1, 11));
+        assertThat(mDirectory.assign(NEED, Set.of()).get().id()).isEqualTo("i-a");
+        assertThat(mDirectory.assign(NEED, Set.of("i-a")).get().id()).isEqualTo("i-a");
+    }
+
+    @Test
+    void anOlderStartThatArrivesLateChangesNothing() {
+        mDirectory.update(started("i-a", 2, 11));
+        mDirectory.update(started("i-a", 1, 10).in(State.GONE));
+        mDirectory.update(ready("i-a", "a", 1).in(State.GONE));
+        Assignment assignment = mDirectory.assign(NEED, Set.of()).get();
+        assertThat(assignment.peer().host()).isEqualTo("10.0.0.2");
+    }
+
+    /** An answer of another upstream at the old address says nothing of the new start. */
+    @Test
+    void whatIsLearnedOfTheOneBeforeDoesNotConcernTheNewStart() {
+        mDirectory.update(started("i-a", 1, 10));
+        Assignment before = mDirectory.assign(NEED, Set.of()).get();
+        mDirectory.update(started("i-a", 2, 11));
+        mDirectory.misdirected(before);
+        assertThat(mDirectory.assign(NEED, Set.of())).isPresent();
+    }
+
+    @Test
+    void workOfTheOneBeforeIsToldFromThatOfTheNewStart() {
+        mDirectory.update(started("i-a", 1, 10));
+        Assignment before = mDirectory.assign(NEED, Set.of()).get();
+        assertThat(mDirectory.hasStartedAgain(before)).isFalse();
+        mDirectory.update(started("i-a", 1, 10).in(State.DRAINING));
+        assertThat(mDirectory.hasStartedAgain(before)).isFalse();
+        mDirectory.update(started("i-a", 1, 11));
+        assertThat(mDirectory.hasStartedAgain(before)).isTrue();
+        assertThat(mDirectory.hasStartedAgain(mDirectory.assign(NEED, Set.of()).get())).isFalse();
+    }
+
+    /** A connection to the one before must not carry a request to the new start. */
+    @Test
+    void connectionsOfTheOneBeforeAreNotThoseOfTheNewStart() {
+        mDirectory.update(started("i-a", 1, 10));
+        Assignment before = mDirectory.assign(NEED, Set.of()).get();
+        mDirectory.update(started("i-a", 1, 11));
+        Assignment after = mDirectory.assign(NEED, Set.of()).get();
+        assertThat(after.peer()).isNotEqualTo(before.peer());
+        assertThat(after.id()).isEqualTo(before.id());
+    }
+
+    private static Registration started(String id, int machine, long startMillis) {
+        return ready(id, "a", machine).by(Incarnation.startedAt(id, startMillis));
+    }
+
     private static Registration engine(String id) {
         return new Registration(id, "s", "10.0.0.9:80", "a", 4, Stage.PREFILL, State.READY, 1);
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
@@ -41,6 +42,7 @@
 import org.orchidmount.consensus.ReplicaMessage.VoteReply;
 import org.orchidmount.consensus.ReplicaMessage.VoteRequest;
 import org.orchidmount.load.InFlightSequence;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.quota.QuotaAnswer;
 import org.orchidmount.quota.QuotaAsk;
@@ -185,6 +187,9 @@
         for (Registration registration : registrations.registrations()) {
             writeRegistration(out, registration);
         }
+        writeStarts(
+                out,
+                registrations.registrations().stream().map(Registration::incarnation).toList());
     }
 
     private static void writeReplication(MessageBufferPacker out, Replication replication)
@@ -245,6 +250,11 @@
                 for (int left = readSize(in); left > 0; left--) {
                     registrations.add(readRegistration(in));
                 }
+                List<OptionalLong> starts = readStarts(in, registrations.size());
+                for (int i = 0; i < starts.size(); i++) {
+                    Registration read = registrations.get(i);
+                    registrations.set(i, read.by(incarnation(read.id(), starts.get(i))));
+                }
                 yield new Registrations(number, registrations);
             }
             case REGISTRATIONS_HELD -> new RegistrationsHeld(in.unpackLong());
@@ -381,6 +391,49 @@
                 in.unpackLong());
     }
 
+    /**
+     * Writes the starts of upstreams, which come last in a frame: an instance that does not know
+     * starts reads the frame all the same and leaves them out. A frame without any ends before.
+     */
+    private static void writeStarts(MessageBufferPacker out, List<Incarnation> incarnations)
+            throws IOException {
+        if (incarnations.stream().noneMatch(Incarnation::isStartStated)) {
+            return;
+        }
+        out.packArrayHeader(incarnations.size());
+        for (Incarnation incarnation : incarnations) {
+            if (incarnation.isStartStated()) {
+                out.packLong(incarnation.startMillis().getAsLong());
+            } else {
+                out.packNil();
+            }
+        }
+    }
+
+    /** Reads the starts of as many upstreams as a frame has named; none if it ends before. */
+    private static List<OptionalLong> readStarts(MessageUnpacker in, int upstreams)
+            throws IOException {
+        if (!in.hasNext()) {
+            return List.of();
+        }
+        int size = readSize(in);
+        if (size != upstreams) {
+            throw new IOException("a frame holds %d starts of %d".formatted(size, upstreams));
+        }
+        List<OptionalLong> starts = new ArrayList<>();
+        for (int left = size; left > 0; left--) {
+            boolean isStated = !in.tryUnpackNil();
+            starts.add(isStated ? OptionalLong.of(in.unpackLong()) : OptionalLong.empty());
+        }
+        return starts;
+    }
+
+    private static Incarnation incarnation(String id, OptionalLong startMillis) {
+        return startMillis.isPresent()
+                ? Incarnation.startedAt(id, startMillis.getAsLong())
+                : Incarnation.ofUnstatedStart(id);
+    }
+
     private static void writeSequences(MessageBufferPacker out, List<InFlightSequence> sequences)
             throws IOException {
         out.packInt(ENGINE_RUNS).packArrayHeader(sequences.size());
--- a/org.orchidmount/src/main/java/org/orchidmount/membership/Registry.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/membership/Registry.java
@@ -16,9 +16,11 @@
 /**
  * The registrations known to one instance.
  *
- * <p>Merging is commutative and idempotent, so instances that have exchanged their registrations in
- * any order hold the same. Those that left are remembered for a while, so that a late message does
- * not bring them back. Not thread-safe.
+ * <p>Of each identity only the incarnation with the newest start is held; what comes of an older
+ * one changes nothing, nor does it count as received of the one held. Merging is commutative and
+ * idempotent, so instances that have exchanged their registrations in any order hold the same.
+ * Those that left are remembered for a while, so that a late message does not bring them back. Not
+ * thread-safe.
  */
 public final class Registry {
     private final Map<String, Entry> mEntries = new HashMap<>();
@@ -48,13 +50,17 @@
             mEntries.put(message.id(), new Entry(message, nowNanos));
             return Optional.of(message);
         }
+        if (held.registration().incarnation().isNewerThan(message.incarnation())) {
+            return Optional.empty();
+        }
         Registration merged = held.registration().merge(message);
         mEntries.put(message.id(), new Entry(merged, nowNanos));
         return merged.saysSame(held.registration()) ? Optional.empty() : Optional.of(merged);
     }
 
     /**
-     * Notes that an upstream leaves, of which nothing else may be known.
+     * Notes that an upstream leaves, of which nothing else may be known. It ends the incarnation
+     * held now; one that starts later takes its place.
      *
      * @param id its identity
      * @param nowNanos the monotonic time
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Assignment.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Assignment.java
@@ -7,6 +7,7 @@
 
 import org.orchidmount.cluster.HostPort;
 import org.orchidmount.internal.http.Peer;
+import org.orchidmount.membership.Incarnation;
 
 /**
  * Work that this instance has given to an upstream. Guarded by the lock of {@link
@@ -17,6 +18,7 @@
     private final double mWorkMillis;
     private final double mOrdinaryMillis;
     private final long mSinceNanos;
+    private final Incarnation mIncarnation;
     private final Peer mPeer;
     private boolean mPending = true;
 
@@ -25,8 +27,10 @@
         mWorkMillis = workMillis;
         mOrdinaryMillis = ordinaryMillis;
         mSinceNanos = sinceNanos;
+        mIncarnation = upstream.incarnation();
         HostPort address = HostPort.parse(upstream.registration().address());
-        mPeer = new Peer(upstream.registration().id(), address.host(), address.port());
+        // The start is part of the name, so that connections to another start are never used.
+        mPeer = new Peer(mIncarnation.toString(), address.host(), address.port());
     }
 
     Upstream upstream() {
@@ -35,7 +39,12 @@
 
     /** Returns the identity of the upstream. */
     String id() {
-        return mPeer.name();
+        return mIncarnation.id();
+    }
+
+    /** Returns which start of the upstream the work was given to. */
+    Incarnation incarnation() {
+        return mIncarnation;
     }
 
     Peer peer() {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -6,16 +6,22 @@
 package org.orchidmount.relay;
 
 import java.util.function.UnaryOperator;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.State;
 import org.orchidmount.routing.UpstreamCost;
 import org.orchidmount.routing.UpstreamHealth;
 
-/** One upstream as this instance sees it. Guarded by the lock of {@link UpstreamDirectory}. */
+/**
+ * One incarnation of an upstream as this instance sees it: one that starts again is another object,
+ * so that what is known of the one before ends with it. Guarded by the lock of {@link
+ * UpstreamDirectory}.
+ */
 final class Upstream {
     private Registration mRegistration;
     private double mPendingMillis;
     private UpstreamHealth mHealth = UpstreamHealth.UNKNOWN;
+    private boolean mHasStartedAgain;
 
     Upstream(Registration registration) {
         mRegistration = registration;
@@ -25,6 +31,19 @@
         return mRegistration;
     }
 
+    Incarnation incarnation() {
+        return mRegistration.incarnation();
+    }
+
+    /** Notes that a newer incarnation has taken its place. */
+    void startedAgain() {
+        mHasStartedAgain = true;
+    }
+
+    boolean hasStartedAgain() {
+        return mHasStartedAgain;
+    }
+
     boolean isReady() {
         return mRegistration.state() == State.READY;
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -31,9 +31,10 @@
  * The blackboard of the relay: the upstreams known here, the work this instance has given them, and
  * what its calls have shown of them. {@link UpstreamCost} and {@link UpstreamHealth} decide by it.
  *
- * <p>Invariant: an upstream that leaves gets no new work; an address belongs to the upstream that
- * registered there last. Thread-safe; a choice and its assignment are made under one hold of the
- * lock.
+ * <p>Invariants: an upstream that leaves gets no new work; an address belongs to the upstream that
+ * registered there last; an upstream that starts again is another one, of which nothing is known
+ * yet, and work given before stays with the one before. Thread-safe; a choice and its assignment
+ * are made under one hold of the lock.
  */
 public final class UpstreamDirectory {
     private static final PartLog LOG = PartLog.of("upstreams");
@@ -72,15 +73,32 @@
     public void update(Registration registration) {
         try (OrderedLock.Held _ = mLock.hold()) {
             Upstream known = mUpstreams.get(registration.id());
-            if (known != null) {
+            if (known == null) {
+                begin(registration);
+            } else if (registration.incarnation().isNewerThan(known.incarnation())) {
+                known.startedAgain();
+                begin(registration);
+            } else {
                 known.update(registration);
-                return;
             }
-            if (mUpstreams.size() > FORGET_COUNT) {
-                mUpstreams.values().removeIf(upstream -> !upstream.isReady());
-            }
-            mUpstreams.put(registration.id(), new Upstream(registration));
-            mIdByAddress.put(registration.address(), registration.id());
+        }
+    }
+
+    private void begin(Registration registration) {
+        if (mUpstreams.size() > FORGET_COUNT) {
+            mUpstreams.values().removeIf(upstream -> !upstream.isReady());
+        }
+        mUpstreams.put(registration.id(), new Upstream(registration));
+        mIdByAddress.put(registration.address(), registration.id());
+    }
+
+    /**
+     * Tells whether the upstream that was given work has started again since. That work is lost:
+     * what it had reserved or made there is no longer, and its names may be those of others now.
+     */
+    boolean hasStartedAgain(Assignment assignment) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            return assignment.upstream().hasStartedAgain();
         }
     }
 
@@ -155,7 +173,7 @@
                 && !need.excluded().contains(upstream.registration().id());
     }
 
-    /** A crashed upstream says nothing, but another start of it has its address. */
+    /** A crashed upstream says nothing, but the one that follows it has its address. */
     private boolean takesWork(Upstream upstream, String service, Stage stage) {
         Registration registration = upstream.registration();
         return upstream.isReady()
