A departure without a start ends the incarnation that is known

Cause: an entry that knows which start it uses takes nothing that states none, since an instance of an earlier version may repeat what it heard of an earlier start. But a departure names only the identity, and a voter that has itself just started knows no start to add. Its departure was acknowledged and ended nothing.

Change: a departure that its sender has just received is told as such by the number it has in the frame, as between voters before, and ends the incarnation that the receiver knows. A voter in touch with a quorum tells its departures without a start again to an entry that links. A late message of an earlier start no longer takes the place of one of the present start in what voters tell each other every second. Entries forget those that left a minute before voters do, so that each start a voter takes is taken there.

Ruled out: ending by any departure without a start (what is repeated at each greeting would end later starts).

--- a/org.orchidmount.test/src/test/java/org/orchidmount/membership/IncarnationTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/membership/IncarnationTest.java
@@ -134,6 +134,17 @@
         assertThat(held().state()).isEqualTo(State.READY);
     }
 
+    /** A departure that another instance has just received names the identity, or its start too. */
+    @ParameterizedTest
+    @CsvSource({", GONE", "1700000000000, READY", "1700000000001, GONE"})
+    void aDepartureJustReceivedIsOfTheOneHeldUnlessItStatesAnother(Long startMillis, State after) {
+        mRegistry.merge(message(NEW_MILLIS, State.READY, 7, Stage.DECODE), 0);
+        Optional<Registration> changed =
+                mRegistry.depart(message(startMillis, State.GONE, 0, Stage.NONE), 1);
+        assertThat(changed.isPresent()).isEqualTo(after == State.GONE);
+        assertThat(held()).isEqualTo(message(NEW_MILLIS, after, 7, Stage.DECODE));
+    }
+
     /** A start that is too far in the future bars the true ones until it is forgotten. */
     @Test
     void anImplausibleStartThatHasLeftIsForgottenAndTheTrueOneComesIn() {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
@@ -68,13 +68,19 @@
     /**
      * Carries registrations.
      *
-     * @param number echoed once the receiver holds them; 0 if no answer is wanted
+     * @param number for departures that the sender has just received, echoed once the receiver
+     *     holds them; 0 for what it knows, to which no answer is wanted
      * @param registrations the registrations
      */
     record Registrations(long number, List<Registration> registrations) implements ClusterMessage {
         public Registrations {
             registrations = List.copyOf(registrations);
         }
+
+        /** Tells whether the sender has just received that these upstreams leave. */
+        boolean isDeparture() {
+            return number != 0;
+        }
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -45,8 +45,8 @@
  * What an entry knows from the voters: the route table in force and the upstreams.
  *
  * <p>Invariants: the table never goes back to a lower version; an upstream that has begun to leave
- * never comes back. What is known stays in use while no voter can be reached. The state is confined
- * to one thread; the public methods are thread-safe.
+ * comes back only by a new start. What is known stays in use while no voter can be reached. The
+ * state is confined to one thread; the public methods are thread-safe.
  */
 public final class EntryNode implements SequenceAnnouncer, QuotaOwnerClient, AutoCloseable {
     private static final PartLog LOG = PartLog.of("entry");
@@ -60,8 +60,11 @@
     /** Pause between two requests for a table. Chosen, not measured. */
     private static final Duration REQUEST_AGAIN_AFTER = Duration.ofMillis(250);
 
-    /** How long the registration of an upstream that has left is remembered. Chosen. */
-    private static final Duration REMEMBER_FOR = Duration.ofMinutes(10);
+    /**
+     * How long the registration of an upstream that has left is remembered: less than by voters,
+     * which tell a start once, so that each one that they take is taken here. Chosen.
+     */
+    private static final Duration REMEMBER_FOR = Duration.ofMinutes(9);
 
     /** A voter that is silent for this long is no longer dialled. Chosen, not measured. */
     private static final Duration FORGET_VOTER_AFTER = Duration.ofSeconds(30);
@@ -320,10 +323,15 @@
     }
 
     private void onRegistrations(Link link, Registrations registrations) {
+        long nowNanos = mClock.nanoTime();
         for (Registration registration : registrations.registrations()) {
-            mRegistry.merge(registration, mClock.nanoTime()).ifPresent(mListener::onRegistration);
+            Optional<Registration> changed =
+                    registrations.isDeparture()
+                            ? mRegistry.depart(registration, nowNanos)
+                            : mRegistry.merge(registration, nowNanos);
+            changed.ifPresent(mListener::onRegistration);
         }
-        if (registrations.number() != 0) {
+        if (registrations.isDeparture()) {
             link.send(new RegistrationsHeld(registrations.number()));
         }
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -278,11 +278,14 @@
         CompletableFuture<Boolean> done = new CompletableFuture<>();
         mTasks.post(
                 () -> {
+                    boolean leaving = registration.state() != Registration.State.READY;
+                    long nowNanos = mClock.nanoTime();
                     Optional<Registration> changed =
-                            mRegistry.merge(registration, mClock.nanoTime());
+                            leaving
+                                    ? mRegistry.depart(registration, nowNanos)
+                                    : mRegistry.merge(registration, nowNanos);
                     changed.ifPresent(VoterNode::logChange);
-                    mReceived.put(registration.id(), registration);
-                    boolean leaving = registration.state() != Registration.State.READY;
+                    noteReceived(registration);
                     if (leaving) {
                         replicateDeparture(
                                 mRegistry.find(registration.id()).orElse(registration), done);
@@ -294,6 +297,18 @@
         return done;
     }
 
+    /** A late message of an earlier start must not keep back one of the start that is held. */
+    private void noteReceived(Registration registration) {
+        boolean isOfTheOneHeld =
+                mRegistry
+                        .find(registration.id())
+                        .filter(held -> held.incarnation().equals(registration.incarnation()))
+                        .isPresent();
+        if (isOfTheOneHeld) {
+            mReceived.put(registration.id(), registration);
+        }
+    }
+
     /**
      * Takes the word of an upstream that it leaves.
      *
@@ -320,7 +335,9 @@
         long number = mDepartures.begin(done);
         done.whenComplete((held, error) -> mTasks.post(() -> mDepartures.end(number)));
         mLinks.sendToVoters(new Registrations(number, List.of(leaving)));
-        mLinks.sendToEntries(new Registrations(0, List.of(leaving)));
+        // Without a start it ends what an entry knows only if it was just received.
+        long entryNumber = leaving.incarnation().isStartStated() ? 0 : number;
+        mLinks.sendToEntries(new Registrations(entryNumber, List.of(leaving)));
         mDepartures.complete(number, mReplica.state().quorum());
     }
 
@@ -402,6 +419,21 @@
             link.send(new Voters(knownVoters()));
         }
         link.send(new Registrations(0, mRegistry.all()));
+        if (greeting.voter() == null) {
+            repeatDepartures(link);
+        }
+    }
+
+    /**
+     * Tells an entry that was away of the departures of which no start is known. While this voter
+     * is in touch with a quorum, an upstream that has started again since is known to it, so that
+     * its departure is not among them.
+     */
+    private void repeatDepartures(Link entry) {
+        List<Registration> departures = mRegistry.departuresWithoutStart();
+        if (mReplica.isInTouch() && !departures.isEmpty()) {
+            entry.send(new Registrations(PendingDepartures.NONE, departures));
+        }
     }
 
     private void onReplication(Replication replication) {
@@ -425,10 +457,15 @@
     }
 
     private void onRegistrations(Link link, Registrations registrations) {
+        long nowNanos = mClock.nanoTime();
         for (Registration registration : registrations.registrations()) {
-            mRegistry.merge(registration, mClock.nanoTime()).ifPresent(this::forward);
+            Optional<Registration> changed =
+                    registrations.isDeparture()
+                            ? mRegistry.depart(registration, nowNanos)
+                            : mRegistry.merge(registration, nowNanos);
+            changed.ifPresent(this::forward);
         }
-        if (registrations.number() != 0) {
+        if (registrations.isDeparture()) {
             link.send(new RegistrationsHeld(registrations.number()));
         }
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/membership/Registry.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/membership/Registry.java
@@ -59,8 +59,26 @@
     }
 
     /**
-     * Notes that an upstream leaves, of which nothing else may be known. It ends the incarnation
-     * held now; one that starts later takes its place.
+     * Merges the word of an upstream that it leaves, which another instance has just received. If
+     * it states no start, since it names only the identity or that instance passes no starts on, it
+     * is meant for the incarnation held now, as in {@link #leave}.
+     *
+     * @param leaving the registration
+     * @param nowNanos the monotonic time
+     * @return the registration now held if the message changed what it says, else nothing
+     */
+    public Optional<Registration> depart(Registration leaving, long nowNanos) {
+        Entry held = mEntries.get(leaving.id());
+        if (held == null || leaving.incarnation().isStartStated()) {
+            return merge(leaving, nowNanos);
+        }
+        return merge(held.registration().in(leaving.state()), nowNanos);
+    }
+
+    /**
+     * Notes that an upstream leaves, of which nothing else may be known. The word names only the
+     * identity, so it ends the incarnation held now. One with a newer start takes its place; if no
+     * start was known, one with any start does, since it may have started later.
      *
      * @param id its identity
      * @param nowNanos the monotonic time
@@ -99,6 +117,19 @@
                 .toList();
     }
 
+    /**
+     * Returns the departures of which no more is known than the identity.
+     *
+     * @return a copy
+     */
+    public List<Registration> departuresWithoutStart() {
+        return mEntries.values().stream()
+                .map(Entry::registration)
+                .filter(held -> held.state() == State.GONE)
+                .filter(held -> !held.incarnation().isStartStated())
+                .toList();
+    }
+
     /**
      * Returns the registrations received last within a time.
      *
