What was given to an engine ends with the start that it was given to

Cause: announcements of sequences in flight named an engine by its identity only. An engine that started again was held for full by what had been announced for its earlier start, and instances that still waited for answers of that start announced it again every 1.5 s, so it was given nothing.

Change: a sequence names the incarnation of its engine; frames carry the starts after all else, as those of registrations, and only if one is stated. Which start counts is told by registrations alone: an announcement of an earlier start never counts, one of a later start counts and stays when that start is registered. Sequences announced without a start by instances of an earlier version are ended by a new start, however long they are announced; those first heard of after it count. A run whose engine has started again does not keep its place. In the directory an earlier start follows one that has left, as in the registry that feeds it.

Ruled out: letting announcements end earlier starts (a start too far in the future would come back by them after it was given up); ending by the silence of 5 s (instances that wait for the old start are not silent).

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -58,14 +58,16 @@
                         7, QuotaAnswer.exceeded(Duration.ofMillis(1_250)), "10.0.0.1:1"),
                 new ClusterMessage.QuotaReturn("mill", 3_200),
                 new ClusterMessage.InFlightSequences(
-                        List.of(new InFlightSequence("i-1", "r-1", 5, 70, 99, 12, true))),
+                        List.of(sequence(engine("i-1").incarnation()))),
                 replication(new ReplicaMessage.VoteRequest(5, "a/first", ENTRY, true)),
                 replication(new ReplicaMessage.VoteReply(5, "a/first", true, false)),
                 replication(new ReplicaMessage.Append(5, A, ENTRY, STATE, ENTRY, 8)),
                 replication(new ReplicaMessage.Append(5, A, ENTRY, null, ENTRY, 8)),
                 replication(new ReplicaMessage.AppendReply(5, "a/first", ENTRY, 8)),
                 replication(new ReplicaMessage.Hello(5, A, ENTRY)),
-                new ClusterMessage.Registrations(3, List.of(engine("i-1"), startedEngine("i-2"))));
+                new ClusterMessage.Registrations(3, List.of(engine("i-1"), startedEngine("i-2"))),
+                new ClusterMessage.InFlightSequences(
+                        List.of(sequence(startedEngine("i-2").incarnation()))));
     }
 
     private static Registration engine(String id) {
@@ -80,6 +82,10 @@
                 7);
     }
 
+    private static InFlightSequence sequence(Incarnation engine) {
+        return new InFlightSequence(engine, "r-1", 5, 70, 99, 12, true);
+    }
+
     private static Registration startedEngine(String id) {
         return engine(id).by(Incarnation.startedAt(id, 1_700_000_000_000L));
     }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
@@ -39,6 +39,7 @@
 import org.orchidmount.junit.Await;
 import org.orchidmount.junit.ManualClock;
 import org.orchidmount.load.InFlightSequence;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.quota.QuotaAnswer;
 import org.orchidmount.quota.QuotaAsk;
@@ -220,7 +221,8 @@
         put(1);
         Await.until("table in force", LONGEST, () -> versionInForce() == 1);
         InFlightSequence sequence =
-                new InFlightSequence("i-1", "r-1", 5_000, 4_000, 10_000, 0, false);
+                new InFlightSequence(
+                        Incarnation.ofUnstatedStart("i-1"), "r-1", 5_000, 4_000, 10_000, 0, false);
         try (EntryNode other = entry("other", ZONE, new ConcurrentLinkedQueue<>())) {
             Await.until("table in force", LONGEST, () -> other.table().isPresent());
             other.begin(sequence, () -> 700);
@@ -241,7 +243,8 @@
         put(1);
         Await.until("table in force", LONGEST, () -> versionInForce() == 1);
         InFlightSequence sequence =
-                new InFlightSequence("i-1", "r-1", 5_000, 4_000, 10_000, 0, false);
+                new InFlightSequence(
+                        Incarnation.ofUnstatedStart("i-1"), "r-1", 5_000, 4_000, 10_000, 0, false);
         try (EntryNode other = entry("other", zone, new ConcurrentLinkedQueue<>())) {
             Await.until("table in force", LONGEST, () -> other.table().isPresent());
             other.begin(sequence, () -> 700);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/load/EngineLoadsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/load/EngineLoadsTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.orchidmount.junit.ManualClock;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.routing.EnginePace;
 import org.orchidmount.routing.MemoryForecast;
 
@@ -27,6 +28,9 @@
     /** Outputs grow by 1.3 tokens a millisecond from 150 ms on, for 3 s. */
     private static final EnginePace PACE = new EnginePace(0.02, 0.04, 1.3, 150, 3_000);
 
+    private static final Incarnation OLD = Incarnation.startedAt("i-1", 10);
+    private static final Incarnation NEW = Incarnation.startedAt("i-1", 11);
+
     private final ManualClock mClock = new ManualClock();
     private final EngineLoads mLoads = new EngineLoads(mClock);
 
@@ -121,6 +125,94 @@
         assertThat(peak).isAtMost((double) PROMPT + MOST);
     }
 
+    /**
+     * An engine that starts again holds nothing of what it held before.
+     *
+     * <p>Seen: nothing was given to an engine that had just started again. How it comes about: what
+     * instances had announced for it went on to count, and instances that still waited for its old
+     * answers announced it again. Cause: announcements named no more than the identity. What proves
+     * it: announcements of the earlier start do not count, before and after the new one is known.
+     */
+    @Test
+    void aNewStartHoldsNothingOfWhatTheOneBeforeHeld() {
+        fill(OLD);
+        assertThat(isCrowded("i-1")).isTrue();
+        mLoads.registered(NEW);
+        assertThat(isCrowded("i-1")).isFalse();
+        fill(OLD);
+        assertThat(isCrowded("i-1")).isFalse();
+        assertThat(mLoads.usedMemoryTokens("i-1", PACE)).isEqualTo(0);
+        fill(NEW);
+        assertThat(isCrowded("i-1")).isTrue();
+        mLoads.registered(NEW);
+        assertThat(isCrowded("i-1")).isTrue();
+    }
+
+    /** An announcement may come before the registration of the start that it is made for. */
+    @Test
+    void anAnnouncementThatComesBeforeTheNewStartCounts() {
+        mLoads.registered(OLD);
+        fill(OLD);
+        mLoads.update(run("i-1", "r-new").at(NEW));
+        mLoads.registered(NEW);
+        assertThat(mLoads.usedMemoryTokens("i-1", PACE)).isEqualTo(PROMPT);
+    }
+
+    /** A start too far in the future is taken until it has left and is forgotten. */
+    @Test
+    void anEarlierStartThatIsRegisteredAfterAllTakesThePlaceOfALaterOne() {
+        mLoads.registered(NEW);
+        mLoads.registered(OLD);
+        InFlightSequence run = run("i-1", "r-1").at(OLD);
+        mLoads.update(run);
+        assertThat(mLoads.usedMemoryTokens("i-1", PACE)).isEqualTo(PROMPT);
+        assertThat(mLoads.keepsPlace(run, MEMORY, PACE)).isTrue();
+    }
+
+    /** The prompts that the one before was given are not waited for. */
+    @Test
+    void aNewStartHasNoPromptsToPrefill() {
+        InFlightSequence prefill = InFlightSequence.ofPrefill("r-1", PROMPT);
+        mLoads.update(prefill.placedAt(OLD, 1));
+        assertThat(mLoads.prefillBacklogTokens("i-1")).isEqualTo(PROMPT);
+        mLoads.registered(NEW);
+        assertThat(mLoads.prefillBacklogTokens("i-1")).isEqualTo(0);
+    }
+
+    /**
+     * An instance of an earlier version states no start. What it announced before the new start was
+     * known belongs to the one before, however long it is announced; what comes after counts.
+     */
+    @Test
+    void announcementsWithoutAStartCountOnlyIfTheyBeginAfterIt() {
+        Incarnation unstated = Incarnation.ofUnstatedStart("i-1");
+        fill(unstated);
+        mLoads.registered(NEW);
+        for (int i = 0; i < 10; i++) {
+            fill(unstated);
+            assertThat(isCrowded("i-1")).isFalse();
+            mClock.advance(Duration.ofMillis(1_500));
+        }
+        mLoads.update(run("i-1", "r-later"));
+        assertThat(mLoads.usedMemoryTokens("i-1", PACE)).isEqualTo(PROMPT);
+    }
+
+    @Test
+    void aRunWhoseEngineHasStartedAgainDoesNotKeepItsPlace() {
+        InFlightSequence own = run("i-1", "r-own").at(OLD);
+        mLoads.update(own);
+        assertThat(mLoads.keepsPlace(own, MEMORY, PACE)).isTrue();
+        mLoads.registered(NEW);
+        assertThat(mLoads.keepsPlace(own, MEMORY, PACE)).isFalse();
+    }
+
+    /** Announces 40 runs, far more than an engine bears. */
+    private void fill(Incarnation engine) {
+        for (int i = 0; i < 40; i++) {
+            mLoads.update(run("i-1", "r-" + i).at(engine));
+        }
+    }
+
     /** Lets runs begin one after another until the engine is full; returns how many it took. */
     private int admitted(Duration apart) {
         List<InFlightSequence> admitted = new ArrayList<>();
@@ -138,6 +230,13 @@
     }
 
     private static InFlightSequence run(String upstreamId, String requestId) {
-        return new InFlightSequence(upstreamId, requestId, PROMPT, EXPECTED, MOST, 0, false);
+        return new InFlightSequence(
+                Incarnation.ofUnstatedStart(upstreamId),
+                requestId,
+                PROMPT,
+                EXPECTED,
+                MOST,
+                0,
+                false);
     }
 }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/load/EngineMemoryPinTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/load/EngineMemoryPinTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.orchidmount.junit.ManualClock;
 import org.orchidmount.junit.Pin;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.routing.EnginePaceEstimator;
 import org.orchidmount.routing.MemoryForecast;
 
@@ -78,12 +79,19 @@
         int prompt = 200 + random.nextInt(9_000);
         if (random.nextInt(4) == 0) {
             return InFlightSequence.ofPrefill("p-" + number, prompt)
-                    .placedAt("e-" + random.nextInt(3), 1);
+                    .placedAt(Incarnation.ofUnstatedStart("e-" + random.nextInt(3)), 1);
         }
         int expected = 50 + random.nextInt(5_000);
         int most = expected + random.nextInt(6_000);
         String engine = "e-" + random.nextInt(3);
-        return new InFlightSequence(engine, "r-" + number, prompt, expected, most, 0, false);
+        return new InFlightSequence(
+                Incarnation.ofUnstatedStart(engine),
+                "r-" + number,
+                prompt,
+                expected,
+                most,
+                0,
+                false);
     }
 
     @Test
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -283,6 +283,16 @@
         assertThat(assignment.peer().host()).isEqualTo("10.0.0.2");
     }
 
+    /** One that was too far in the future, and has left and been forgotten by the registry. */
+    @Test
+    void anEarlierStartIsTakenOnceTheLaterOneHasLeft() {
+        mDirectory.update(started("i-a", 1, 11));
+        mDirectory.update(started("i-a", 1, 11).in(State.GONE));
+        mDirectory.update(started("i-a", 2, 10));
+        Assignment assignment = mDirectory.assign(NEED, Set.of()).get();
+        assertThat(assignment.peer().host()).isEqualTo("10.0.0.2");
+    }
+
     /** An answer of another upstream at the old address says nothing of the new start. */
     @Test
     void whatIsLearnedOfTheOneBeforeDoesNotConcernTheNewStart() {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -266,6 +266,11 @@
                 for (int left = readSize(in); left > 0; left--) {
                     sequences.add(readSequence(in));
                 }
+                List<OptionalLong> starts = readStarts(in, sequences.size());
+                for (int i = 0; i < starts.size(); i++) {
+                    InFlightSequence read = sequences.get(i);
+                    sequences.set(i, read.at(incarnation(read.upstreamId(), starts.get(i))));
+                }
                 yield new InFlightSequences(sequences);
             }
             default -> readReplication(in, type);
@@ -443,11 +448,12 @@
             out.packInt(sequence.maxOutputTokens()).packInt(sequence.generatedTokens());
             out.packBoolean(sequence.ended());
         }
+        writeStarts(out, sequences.stream().map(InFlightSequence::engine).toList());
     }
 
     private static InFlightSequence readSequence(MessageUnpacker in) throws IOException {
         return new InFlightSequence(
-                in.unpackString(),
+                Incarnation.ofUnstatedStart(in.unpackString()),
                 in.unpackString(),
                 in.unpackInt(),
                 in.unpackInt(),
--- a/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
@@ -17,6 +17,7 @@
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.lock.LockRank;
 import org.orchidmount.internal.lock.OrderedLock;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.routing.EnginePace;
 import org.orchidmount.routing.MemoryForecast;
 import org.orchidmount.routing.MemoryRule;
@@ -25,17 +26,26 @@
  * What this instance knows of the sequences in flight at engines, its own and those of the others.
  *
  * <p>It keeps the facts; {@link MemoryRule} decides by them. Invariants: a sequence counts until
- * its end is announced, or nothing is received of it for a while; once its end was announced, an
- * older announcement that took another way does not bring it back. Thread-safe.
+ * its end is announced, its engine starts again, or nothing is received of it for a while; once it
+ * has ended, an older announcement that took another way does not bring it back. Of an engine whose
+ * start is known, announcements of an earlier start never count. One that states no start, as from
+ * an instance that knows none, counts if the sequence was first received after that start.
+ * Thread-safe.
  */
 public final class EngineLoads {
     /** Three announcements missed: a sequence so silent has ended with its instance. */
     private static final Duration FORGET_AFTER = Duration.ofSeconds(5);
 
+    /** Engines beyond which the starts of those without sequences are forgotten. Chosen. */
+    private static final int FORGET_STARTS_COUNT = 4_096;
+
     private final OrderedLock mLock = new OrderedLock(LockRank.LOADS);
     private final MonotonicClock mClock;
     private final Map<String, Map<String, Known>> mSequences = new HashMap<>();
 
+    /** The registered start of each engine that has stated one. */
+    private final Map<String, Incarnation> mStarted = new HashMap<>();
+
     /**
      * A sequence as it was last announced.
      *
@@ -44,14 +54,34 @@
      * @param updatedNanos when it was last received
      */
     private record Known(InFlightSequence sequence, long sinceNanos, long updatedNanos) {
-        boolean isFollowedBy(Known next) {
+        boolean isWithoutStart() {
+            return !sequence.engine().isStartStated();
+        }
+
+        boolean isAnnouncedBefore(Incarnation engine) {
+            return !isWithoutStart() && engine.isNewerThan(sequence.engine());
+        }
+
+        Known asEnded() {
+            return new Known(sequence.asEnded(), sinceNanos, updatedNanos);
+        }
+
+        Known followedBy(Known next) {
+            if (sequence.ended()) {
+                // Announced once more: it is remembered as ended for as long as that goes on.
+                return new Known(sequence, sinceNanos, next.updatedNanos);
+            }
+            return isFollowedBy(next) ? next.since(this) : this;
+        }
+
+        private boolean isFollowedBy(Known next) {
             boolean older =
                     next.sequence.generatedTokens() < sequence.generatedTokens()
                             && !next.sequence.ended();
-            return !sequence.ended() && !older;
+            return !older;
         }
 
-        Known since(Known before) {
+        private Known since(Known before) {
             return new Known(sequence, before.sinceNanos, updatedNanos);
         }
     }
@@ -65,6 +95,38 @@
         mClock = clock;
     }
 
+    /**
+     * Takes which start of an engine is registered now. What was given to it before an earlier
+     * start has ended. Announcements do not tell: they may be of a start that has been given up.
+     *
+     * @param engine the engine
+     */
+    public void registered(Incarnation engine) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            if (mStarted.size() > FORGET_STARTS_COUNT) {
+                mStarted.keySet().retainAll(mSequences.keySet());
+            }
+            if (!engine.isStartStated()) {
+                mStarted.remove(engine.id());
+            } else if (!engine.equals(mStarted.put(engine.id(), engine))) {
+                endBefore(engine);
+            }
+        }
+    }
+
+    private void endBefore(Incarnation engine) {
+        Map<String, Known> atEngine = mSequences.getOrDefault(engine.id(), new HashMap<>());
+        atEngine.values().removeIf(old -> old.isAnnouncedBefore(engine));
+        // Those without a start may be announced again as such, so they are kept as ended.
+        atEngine.replaceAll((id, old) -> old.isWithoutStart() ? old.asEnded() : old);
+    }
+
+    /** Tells whether the engine of a sequence has started again, as far as its start is stated. */
+    private boolean isOfEarlierStart(InFlightSequence sequence) {
+        Incarnation registered = mStarted.get(sequence.upstreamId());
+        return registered != null && registered.isNewerThan(sequence.engine());
+    }
+
     /**
      * Takes what was announced of a sequence.
      *
@@ -72,14 +134,16 @@
      */
     public void update(InFlightSequence sequence) {
         try (OrderedLock.Held _ = mLock.hold()) {
+            if (sequence.engine().isStartStated() && isOfEarlierStart(sequence)) {
+                return;
+            }
             long nowNanos = mClock.nanoTime();
             mSequences
                     .computeIfAbsent(sequence.upstreamId(), id -> new HashMap<>())
                     .merge(
                             sequence.id(),
                             new Known(sequence, nowNanos, nowNanos),
-                            (before, next) ->
-                                    before.isFollowedBy(next) ? next.since(before) : before);
+                            Known::followedBy);
         }
     }
 
@@ -154,10 +218,13 @@
      * @param sequence the sequence, which is known here
      * @param memoryTokens the memory of the engine
      * @param pace how fast the engines are
-     * @return false if it has to go elsewhere
+     * @return false if it has to go elsewhere, also because the engine has started again
      */
     public boolean keepsPlace(InFlightSequence sequence, long memoryTokens, EnginePace pace) {
         try (OrderedLock.Held _ = mLock.hold()) {
+            if (isOfEarlierStart(sequence)) {
+                return false;
+            }
             Map<String, Known> atEngine = mSequences.getOrDefault(sequence.upstreamId(), Map.of());
             Known own = atEngine.get(sequence.id());
             if (own == null) {
--- a/org.orchidmount/src/main/java/org/orchidmount/load/InFlightSequence.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/InFlightSequence.java
@@ -5,13 +5,14 @@
  */
 package org.orchidmount.load;
 
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.routing.MemoryForecast;
 
 /**
  * A sequence that an engine works on, as the instance that placed it announces it: either the
  * prefill of a prompt, or an output being generated. Immutable.
  *
- * @param upstreamId the engine; empty until it is placed
+ * @param engine the engine, and which start of it; of an empty identity until it is placed
  * @param id the request, and which of its placements this is
  * @param promptTokens the tokens in memory before the first one is generated
  * @param expectedTokens the median of the tokens that will be generated
@@ -20,13 +21,24 @@
  * @param ended true once the engine no longer works on it
  */
 public record InFlightSequence(
-        String upstreamId,
+        Incarnation engine,
         String id,
         int promptTokens,
         int expectedTokens,
         int maxOutputTokens,
         int generatedTokens,
         boolean ended) {
+    private static final Incarnation NOT_PLACED = Incarnation.ofUnstatedStart("");
+
+    /**
+     * Returns the identity of the engine, which later starts of it may have too.
+     *
+     * @return the identity; empty until the sequence is placed
+     */
+    public String upstreamId() {
+        return engine.id();
+    }
+
     /**
      * Describes the prefill of a prompt.
      *
@@ -35,7 +47,7 @@
      * @return the sequence, not yet placed
      */
     public static InFlightSequence ofPrefill(String requestId, int promptTokens) {
-        return new InFlightSequence("", requestId, promptTokens, 0, 0, 0, false);
+        return new InFlightSequence(NOT_PLACED, requestId, promptTokens, 0, 0, 0, false);
     }
 
     /**
@@ -50,7 +62,7 @@
     public static InFlightSequence ofOutput(
             String requestId, int promptTokens, int expectedTokens, int maxOutputTokens) {
         return new InFlightSequence(
-                "", requestId, promptTokens, expectedTokens, maxOutputTokens, 0, false);
+                NOT_PLACED, requestId, promptTokens, expectedTokens, maxOutputTokens, 0, false);
     }
 
     /**
@@ -79,13 +91,7 @@
      */
     public InFlightSequence asEnded() {
         return new InFlightSequence(
-                upstreamId,
-                id,
-                promptTokens,
-                expectedTokens,
-                maxOutputTokens,
-                generatedTokens,
-                true);
+                engine, id, promptTokens, expectedTokens, maxOutputTokens, generatedTokens, true);
     }
 
     /**
@@ -96,19 +102,30 @@
      */
     public InFlightSequence withGenerated(int tokens) {
         return new InFlightSequence(
-                upstreamId, id, promptTokens, expectedTokens, maxOutputTokens, tokens, ended);
+                engine, id, promptTokens, expectedTokens, maxOutputTokens, tokens, ended);
+    }
+
+    /**
+     * Returns a copy at another start of its engine.
+     *
+     * @param place the engine
+     * @return the sequence there, under the same identity
+     */
+    public InFlightSequence at(Incarnation place) {
+        return new InFlightSequence(
+                place, id, promptTokens, expectedTokens, maxOutputTokens, generatedTokens, ended);
     }
 
     /**
      * Returns the sequence at an engine, under an identity of its own.
      *
-     * @param engine the engine's identity
+     * @param place the engine
      * @param placement the number of the placement
      * @return the sequence there
      */
-    public InFlightSequence placedAt(String engine, int placement) {
+    public InFlightSequence placedAt(Incarnation place, int placement) {
         return new InFlightSequence(
-                engine,
+                place,
                 id + "/" + placement,
                 promptTokens,
                 expectedTokens,
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/SequenceTracker.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/SequenceTracker.java
@@ -36,7 +36,7 @@
     /** Announces that an engine works on a sequence from now on; returns it as announced. */
     InFlightSequence begin(InFlightSequence unplaced, Assignment assignment) {
         mGeneratedTokens.set(0);
-        InFlightSequence sequence = unplaced.placedAt(assignment.id(), ++mPlacements);
+        InFlightSequence sequence = unplaced.placedAt(assignment.incarnation(), ++mPlacements);
         mContext.loads().update(sequence);
         mContext.announcer().begin(sequence, mGeneratedTokens::get);
         return sequence;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -48,6 +48,10 @@
         return mRegistration.state() == State.READY;
     }
 
+    boolean isGone() {
+        return mRegistration.state() == State.GONE;
+    }
+
     void update(Registration registration) {
         mRegistration = mRegistration.merge(registration);
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -21,6 +21,7 @@
 import org.orchidmount.internal.lock.LockRank;
 import org.orchidmount.internal.lock.OrderedLock;
 import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
@@ -75,7 +76,7 @@
             Upstream known = mUpstreams.get(registration.id());
             if (known == null) {
                 begin(registration);
-            } else if (registration.incarnation().isNewerThan(known.incarnation())) {
+            } else if (isNextStart(registration, known)) {
                 known.startedAgain();
                 begin(registration);
             } else {
@@ -84,6 +85,13 @@
         }
     }
 
+    /** One that has left may be followed by an earlier start, if the registry forgot it first. */
+    private static boolean isNextStart(Registration registration, Upstream known) {
+        Incarnation incarnation = registration.incarnation();
+        boolean isOther = !incarnation.equals(known.incarnation());
+        return isOther && (incarnation.isNewerThan(known.incarnation()) || known.isGone());
+    }
+
     private void begin(Registration registration) {
         if (mUpstreams.size() > FORGET_COUNT) {
             mUpstreams.values().removeIf(upstream -> !upstream.isReady());
