An order is given only to the start of an engine that was chosen for it

Cause: the sequence that an order expects is read from the report of the engine, which counts anew after a start, and nothing asked which start the report is of. So an order planned for one start was given to the next, which had just begun another stage; and an order that an engine had taken was waited for up to 16 s after the engine had started again and forgotten it.

An order whose engine has started again is not sent if it was not yet, and not waited for. The pause after an order without an answer stays 16 s: it may yet reach the new start, whose sequence may be the one expected.

Ruled out: taking the order's fate from the stage that the new start reports (it is not by that order); an order that names a start (the platform has no field for it), so one that is under way while its engine starts again may still be taken by the new start.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StageControllerTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StageControllerTest.java
@@ -13,8 +13,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 import org.orchidmount.junit.Await;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
@@ -108,6 +110,76 @@
         assertThat(orders.poll(10, TimeUnit.SECONDS).fence()).isEqualTo(TERM + 1);
     }
 
+    /**
+     * An order ends with the start of the engine that it was given to.
+     *
+     * <p>Seen: no order was given for 16 s after an engine that had taken one had started again.
+     * How it comes about: the order was waited for, though the engine had forgotten it. Cause: what
+     * an engine had taken was told by its identity. What proves it: the next order is given after
+     * the pause that follows each order.
+     */
+    @Test
+    void anOrderThatAnEngineTookBeforeItStartedAgainIsNotWaitedFor() throws InterruptedException {
+        pass(TERM, 6_000);
+        StageOrders.Order taken = mOrders.poll(10, TimeUnit.SECONDS);
+        List<Registration> engines = startedAgain(taken.engine().id());
+        pass(TERM, 1_000, engines);
+        assertThat(mOrders).isEmpty();
+        pass(TERM, 6_000, engines);
+        assertThat(mOrders.poll(10, TimeUnit.SECONDS)).isNotNull();
+    }
+
+    /** An order that may have been taken may yet be done by the start that follows. */
+    @Test
+    void anOrderWithoutAnAnswerIsWaitedForAlsoIfItsEngineStartsAgain() throws InterruptedException {
+        mResult = StageOrders.Result.UNKNOWN;
+        pass(TERM, 6_000);
+        StageOrders.Order unknown = mOrders.poll(10, TimeUnit.SECONDS);
+        pass(TERM, 12_000, startedAgain(unknown.engine().id()));
+        assertThat(mOrders).isEmpty();
+    }
+
+    @Test
+    void anOrderIsNotSentOnceItsEngineHasStartedAgain() {
+        BlockingQueue<BooleanSupplier> held = new LinkedBlockingQueue<>();
+        CountDownLatch answer = new CountDownLatch(1);
+        StageController controller =
+                new StageController(
+                        stages(
+                                (order, stillHeld) -> {
+                                    held.add(stillHeld);
+                                    awaitUninterruptibly(answer);
+                                    return StageOrders.Result.REFUSED;
+                                }),
+                        "voter-1");
+        long millis = 0;
+        while (held.isEmpty()) {
+            controller.tick(TERM, ENGINES, List.of(), () -> true, millis * MILLI);
+            millis += 50;
+            Await.until("asked", WAIT, () -> !held.isEmpty() || !controller.isCalling());
+        }
+        BooleanSupplier stillHeld = held.remove();
+        controller.tick(TERM, ENGINES, List.of(), () -> true, millis * MILLI);
+        assertThat(stillHeld.getAsBoolean()).isTrue();
+        List<Registration> engines =
+                ENGINES.stream().map(StageControllerTest::startedAgain).toList();
+        controller.tick(TERM, engines, List.of(), () -> true, millis * MILLI);
+        assertThat(stillHeld.getAsBoolean()).isFalse();
+        answer.countDown();
+        Await.until("ended", WAIT, () -> !controller.isCalling());
+    }
+
+    private static List<Registration> startedAgain(String id) {
+        return ENGINES.stream()
+                .map(engine -> engine.id().equals(id) ? startedAgain(engine) : engine)
+                .toList();
+    }
+
+    private static Registration startedAgain(Registration engine) {
+        long startMillis = engine.incarnation().startMillis().getAsLong();
+        return engine.by(Incarnation.startedAt(engine.id(), startMillis + 1));
+    }
+
     private static void awaitUninterruptibly(CountDownLatch latch) {
         try {
             latch.await();
@@ -123,8 +195,12 @@
 
     /** Ticks every 50 ms; where an order is due, it has been given when this returns. */
     private void pass(long term, long millis) {
+        pass(term, millis, ENGINES);
+    }
+
+    private void pass(long term, long millis, List<Registration> engines) {
         for (long end = mNowMillis + millis; mNowMillis < end; mNowMillis += 50) {
-            mController.tick(term, ENGINES, List.of(), () -> true, mNowMillis * MILLI);
+            mController.tick(term, engines, List.of(), () -> true, mNowMillis * MILLI);
             Await.until("order ended", Duration.ofSeconds(10), () -> !mController.isCalling());
         }
     }
@@ -139,6 +215,7 @@
                     engine("f", Stage.DECODE));
 
     private static Registration engine(String id, Stage stage) {
-        return new Registration(id, "s", "10.0.0.9:80", "a", 4, stage, State.READY, 1);
+        Incarnation incarnation = Incarnation.startedAt(id, 1_700_000_000_000L);
+        return new Registration(incarnation, "s", "10.0.0.9:80", "a", 4, stage, State.READY, 1);
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.routing.EngineStagePlan;
 
@@ -20,7 +21,8 @@
  *
  * <p>Invariants: the fencing token is the leader's term, so no two holders share one; a leader
  * waits until the lease of the one before must be out; one order is under way at a time, and one
- * that may yet be done is waited for before the next. All state belongs to the voter's thread; an
+ * that may yet be done is waited for before the next; an order ends with the start of the engine
+ * that it was meant for, and is not sent after that. All state belongs to the voter's thread; an
  * order runs on a thread of its own, which only hands over how it ended.
  */
 final class StageController {
@@ -68,6 +70,9 @@
     private long mGivenNanos;
     private StageOrders.Order mPending;
 
+    /** True once the engine of the order that was given last has started again. */
+    private AtomicBoolean mStartedAgain = new AtomicBoolean();
+
     /** How an order ended, and when it was given. */
     private record Ended(StageOrders.Order order, StageOrders.Result result, long givenNanos) {}
 
@@ -109,6 +114,7 @@
             BooleanSupplier stillHeld,
             long nowNanos) {
         follow(term, nowNanos);
+        dropOfEarlierStart(current);
         if (mCalling.get()) {
             return;
         }
@@ -141,6 +147,27 @@
         }
     }
 
+    /**
+     * Drops the order whose engine has started again: it knows of none. The pause after an order
+     * stays, since one without an answer may yet reach the new start, which takes it for its own.
+     */
+    private void dropOfEarlierStart(List<Registration> current) {
+        if (mPending == null) {
+            return;
+        }
+        Incarnation ordered = mPending.engine().incarnation();
+        Optional<Incarnation> next =
+                current.stream()
+                        .map(Registration::incarnation)
+                        .filter(incarnation -> incarnation.isNewerThan(ordered))
+                        .findAny();
+        if (next.isPresent()) {
+            LOG.info("engine %s has started again as %s; its order ends", ordered, next.get());
+            mStartedAgain.set(true);
+            mPending = null;
+        }
+    }
+
     /** Tells whether the lease of every leader before must be out. */
     private boolean holds(long nowNanos) {
         Duration wait = mConfig.lease().plus(LEASE_MARGIN);
@@ -175,10 +202,13 @@
         mGivenNanos = nowNanos;
         mDue = null;
         mCalling.set(true);
+        AtomicBoolean startedAgain = new AtomicBoolean();
+        mStartedAgain = startedAgain;
+        BooleanSupplier maySend = () -> !startedAgain.get() && stillHeld.getAsBoolean();
         LOG.info(
                 "engine %s at %s is to be %s, fence %d",
                 order.engine().id(), order.engine().address(), order.stage(), order.fence());
-        Thread.ofVirtual().name("order").start(() -> call(order, stillHeld, nowNanos));
+        Thread.ofVirtual().name("order").start(() -> call(order, maySend, nowNanos));
     }
 
     /** Runs on a thread of its own. */
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/StageOrders.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/StageOrders.java
@@ -8,7 +8,10 @@
 import java.util.function.BooleanSupplier;
 import org.orchidmount.membership.Registration;
 
-/** Gives orders to upstreams. Implementations translate only; they block and are thread-safe. */
+/**
+ * Gives orders to upstreams. Implementations translate only; they block and are thread-safe. They
+ * refuse an order whose engine has started again since it was registered.
+ */
 @FunctionalInterface
 public interface StageOrders {
     /**
