What a request holds at an engine ends when the engine starts again

Cause: a request kept the names of its KV cache and of its reservation by where the engine listens. After a start of the engine the next start got them: to go on from, to be used as room, and to be freed and dropped, though names may come again there and be those of other requests.

Change: a KV cache whose prefill engine has started again is neither sent nor freed, and a refusal with it does not count against the cache; the prompt is prefilled anew within the retry budget. A reservation at an engine that has started again is not released. A request for which a place was prepared there is not sent with it: nothing was reached, and it is placed again, at the new start or elsewhere.

Ruled out: telling a start by a connection that drops or by an address; a shorter life of what is kept.

Measured: RestartedEngineTest failed in 4 of 5 cases before (the fifth, on connections, holds since the start is part of the peer's name); all pass, as do KvCacheReuseTest, AttemptsPinTest, DepartureTest, TriedEngineTest, PathTest, UpstreamDirectoryTest, RelayRulesPinTest.

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -31,7 +31,8 @@
  * what the attempt proves. It decides nothing; {@link RequestRelay} does.
  *
  * <p>Invariants: only a whole response, or whole events in rising order, reach the caller; what the
- * caller has in part is continued only with what follows it. Used by one virtual thread.
+ * caller has in part is continued only with what follows it; what was prepared at an upstream is
+ * used at that start of it only. Used by one virtual thread.
  */
 final class AttemptRunner {
     private static final PartLog LOG = PartLog.of("relay");
@@ -137,6 +138,10 @@
             throws IOException, TimeoutException, InterruptedException {
         mHasResponse = false;
         Assignment assignment = placement.assignment();
+        if (mContext.upstreams().hasStartedAgain(assignment)) {
+            mLastFailure = "the upstream has started again";
+            return AttemptOutcome.NOT_REACHED;
+        }
         UpstreamCall upstreamCall =
                 new UpstreamCall(
                         assignment.id(),
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
@@ -80,8 +80,14 @@
         return Optional.empty();
     }
 
-    /** Releases the memory of a placement that the request did not use. */
+    /**
+     * Releases the memory of a placement that the request did not use. If the engine has started
+     * again, it is lost, and its name may be that of another reservation now.
+     */
     void release(Placement placement) {
+        if (mContext.upstreams().hasStartedAgain(placement.assignment())) {
+            return;
+        }
         placement
                 .reservation()
                 .ifPresent(
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
@@ -33,7 +33,8 @@
 /**
  * Has the prompt of one request prefilled by prefill engines.
  *
- * <p>Invariant: a KV cache that no engine has taken is freed. Used by one virtual thread.
+ * <p>Invariants: a KV cache that no engine has taken is freed; one whose engine has started again
+ * is lost, and its name is neither sent nor freed. Used by one virtual thread.
  */
 final class Prefiller {
     private static final PartLog LOG = PartLog.of("prefill");
@@ -130,6 +131,7 @@
      * @return where the KV cache is; nothing if no engine has prefilled the prompt
      */
     Optional<KvCacheRef> prefill() {
+        forgetIfLost();
         boolean fresh = mContext.clock().nanoTime() - mPrefilledNanos < REUSE_WITHIN.toNanos();
         if (mUnused.isPresent() && fresh) {
             return mUnused;
@@ -143,10 +145,17 @@
             }
             asked.add(assignment.get().id());
             mUnused = prefillAt(assignment.get());
+            forgetIfLost();
         }
         return mUnused;
     }
 
+    private void forgetIfLost() {
+        if (mPrefilledAt.filter(mContext.upstreams()::hasStartedAgain).isPresent()) {
+            mUnused = Optional.empty();
+        }
+    }
+
     /** Every call but the request's first takes from the retry budget. */
     private boolean mayAsk(int asked) {
         return !mCancel.isCancelled()
@@ -243,6 +252,7 @@
 
     /** Frees a KV cache that no engine has taken. */
     void freeUnused() {
+        forgetIfLost();
         mUnused.ifPresent(
                 cache -> {
                     HostPort address = HostPort.parse(cache.address());
@@ -256,9 +266,11 @@
      * Notes that a decode engine has refused the request with its KV cache. That may be for the
      * engine's own sake; but a cache that two have refused cannot be fetched, because the prefill
      * engine no longer has it or cannot send it. So it is given up, that engine counts as failed,
-     * and the request is prefilled where it runs: another prefill would be for nothing too.
+     * and the request is prefilled where it runs: another prefill would be for nothing too. A cache
+     * whose engine has started again is lost for a known reason and does not count.
      */
     void cacheRefused() {
+        forgetIfLost();
         if (mUnused.isEmpty()) {
             return;
         }
