A new start of an upstream that a request has tried is untried

Cause: a request kept the identities of those it had tried, so one that had failed under it and had started again was chosen only if there was no other. Change: it keeps incarnations. Two tests give starts in place of identities, with the same meaning. Ruled out: clearing what was tried at a start (others may be meant).

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/RelayRulesPinTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/RelayRulesPinTest.java
@@ -18,6 +18,7 @@
 import org.orchidmount.junit.ManualClock;
 import org.orchidmount.junit.Pin;
 import org.orchidmount.limits.WindowRetryBudget;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
@@ -51,7 +52,8 @@
         for (int i = 0; i < 500; i++) {
             clock.advance(Duration.ofMillis(random.nextInt(90)));
             double work = 20 + random.nextInt(150);
-            Set<String> avoided = random.nextInt(4) == 0 ? Set.of("u-0", "u-1") : Set.of();
+            Set<Incarnation> avoided =
+                    random.nextInt(4) == 0 ? Set.of(incarnation(0), incarnation(1)) : Set.of();
             Set<String> excluded = random.nextInt(5) == 0 ? Set.of("u-2") : Set.of();
             UpstreamDirectory.Backlog queue =
                     random.nextInt(3) == 0
@@ -101,10 +103,14 @@
         return ", " + assignment.id() + " " + text;
     }
 
+    private static Incarnation incarnation(int number) {
+        return Incarnation.ofUnstatedStart("u-" + number);
+    }
+
     private static Registration registration(int number, Stage stage) {
         String address = "10.0.0." + number + ":80";
         String zone = "zone-" + number % 2;
-        return new Registration("u-" + number, "s", address, zone, 4, stage, State.READY, 1);
+        return new Registration(incarnation(number), "s", address, zone, 4, stage, State.READY, 1);
     }
 
     @Test
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -117,7 +117,7 @@
     void anUpstreamThatRefusesDespiteRoomIsLeftAloneAtOnce() {
         mDirectory.update(ready("i-a", "a", 1));
         mDirectory.update(ready("i-b", "b", 2));
-        Assignment assignment = mDirectory.assign(NEED, Set.of("i-b")).get();
+        Assignment assignment = mDirectory.assign(NEED, tried("i-b")).get();
         mDirectory.refusedDespiteRoom(assignment);
         mClock.advance(Duration.ofMillis(239));
         assertThat(mDirectory.avoided("s", Stage.NONE)).containsExactly("i-a");
@@ -126,7 +126,7 @@
     }
 
     private void refuse() {
-        Assignment assignment = mDirectory.assign(NEED, Set.of("i-b")).get();
+        Assignment assignment = mDirectory.assign(NEED, tried("i-b")).get();
         mDirectory.refused(assignment);
         mDirectory.release(assignment);
     }
@@ -231,7 +231,7 @@
     void aNewStartBeginsWithoutTheFailuresOfTheOneBefore() {
         mDirectory.update(started("i-a", 1, 10));
         mDirectory.update(ready("i-b", "a", 2));
-        Assignment before = mDirectory.assign(NEED, Set.of("i-b")).get();
+        Assignment before = mDirectory.assign(NEED, tried("i-b")).get();
         mDirectory.unreachable(before);
         mDirectory.update(started("i-a", 1, 10));
         assertThat(mDirectory.avoided("s", Stage.NONE)).containsExactly("i-a");
@@ -271,7 +271,8 @@
         mDirectory.update(ready("i-b", "a", 1));
         mDirectory.update(started("i-a", 1, 11));
         assertThat(mDirectory.assign(NEED, Set.of()).get().id()).isEqualTo("i-a");
-        assertThat(mDirectory.assign(NEED, Set.of("i-a")).get().id()).isEqualTo("i-a");
+        assertThat(mDirectory.assign(NEED, Set.of(Incarnation.startedAt("i-a", 11))).get().id())
+                .isEqualTo("i-a");
     }
 
     @Test
@@ -315,6 +316,19 @@
         assertThat(mDirectory.hasStartedAgain(mDirectory.assign(NEED, Set.of()).get())).isFalse();
     }
 
+    /** A request that failed at the one before may go to the new start as to any other. */
+    @Test
+    void aNewStartOfOneThatWasTriedIsUntried() {
+        mDirectory.update(started("i-a", 1, 10));
+        mDirectory.update(ready("i-b", "b", 2));
+        Assignment before = mDirectory.assign(NEED, Set.of()).get();
+        assertThat(before.id()).isEqualTo("i-a");
+        Set<Incarnation> tried = Set.of(before.incarnation());
+        assertThat(mDirectory.assign(NEED, tried).get().id()).isEqualTo("i-b");
+        mDirectory.update(started("i-a", 1, 11));
+        assertThat(mDirectory.assign(NEED, tried).get().id()).isEqualTo("i-a");
+    }
+
     /** A connection to the one before must not carry a request to the new start. */
     @Test
     void connectionsOfTheOneBeforeAreNotThoseOfTheNewStart() {
@@ -326,6 +340,10 @@
         assertThat(after.id()).isEqualTo(before.id());
     }
 
+    private static Set<Incarnation> tried(String id) {
+        return Set.of(Incarnation.ofUnstatedStart(id));
+    }
+
     private static Registration started(String id, int machine, long startMillis) {
         return ready(id, "a", machine).by(Incarnation.startedAt(id, startMillis));
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.load.InFlightSequence;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.routes.Service;
@@ -113,7 +114,7 @@
      * @return the place; nothing if none was found in time
      * @throws InterruptedException if the thread is interrupted
      */
-    Optional<Placement> place(Set<String> tried) throws InterruptedException {
+    Optional<Placement> place(Set<Incarnation> tried) throws InterruptedException {
         mIsTooLarge = !canEverFit();
         if (mIsTooLarge) {
             return Optional.empty();
@@ -169,7 +170,7 @@
                 saturatedEngines());
     }
 
-    private Optional<Placement> placeByChoice(Set<String> tried) throws InterruptedException {
+    private Optional<Placement> placeByChoice(Set<Incarnation> tried) throws InterruptedException {
         PrefillRule.Choice choice = mPrefiller.choice();
         if (choice != PrefillRule.Choice.UNSPLIT_IF_IDLE_ELSE_SPLIT) {
             return placeNow(tried, choice);
@@ -179,10 +180,10 @@
     }
 
     /** Asks engines in turn, each once; one that was tried only if there is no other. */
-    private Optional<Placement> placeNow(Set<String> tried, PrefillRule.Choice choice)
+    private Optional<Placement> placeNow(Set<Incarnation> tried, PrefillRule.Choice choice)
             throws InterruptedException {
         Set<String> excluded = excluded(choice);
-        Set<String> refused = new HashSet<>(tried);
+        Set<Incarnation> refused = new HashSet<>(tried);
         boolean mayTakeTried = true;
         while (true) {
             Optional<Assignment> assignment =
@@ -195,7 +196,7 @@
                 return placement;
             }
             mContext.upstreams().release(assignment.get());
-            refused.add(assignment.get().id());
+            refused.add(assignment.get().incarnation());
             mayTakeTried = false;
         }
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
@@ -20,6 +20,7 @@
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.load.InFlightSequence;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.relay.UpstreamCall.Phase;
@@ -137,13 +138,13 @@
             return mUnused;
         }
         freeUnused();
-        Set<String> asked = new HashSet<>();
+        Set<Incarnation> asked = new HashSet<>();
         while (mUnused.isEmpty() && mayAsk(asked.size())) {
             Optional<Assignment> assignment = mContext.upstreams().assign(need(), asked);
             if (assignment.isEmpty()) {
                 break;
             }
-            asked.add(assignment.get().id());
+            asked.add(assignment.get().incarnation());
             mUnused = prefillAt(assignment.get());
             forgetIfLost();
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -15,6 +15,7 @@
 import java.util.function.BooleanSupplier;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.limits.RetryBudget;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.relay.AttemptRunner.HeldResponse;
 import org.orchidmount.relay.EndClassifier.End;
@@ -49,7 +50,7 @@
     private final RequestProgress mProgress;
     private final Optional<EnginePlacer> mEngines;
     private final AttemptRunner mAttempts;
-    private final Set<String> mTried = new HashSet<>();
+    private final Set<Incarnation> mTried = new HashSet<>();
     private AttemptRule.History mHistory = AttemptRule.History.NONE;
     private boolean mLastHadNoRoom;
     private final RequestReporter mReporter;
@@ -143,13 +144,13 @@
     }
 
     private void note(Placement placement, AttemptOutcome outcome) {
-        String upstreamId = placement.assignment().id();
-        mTried.add(upstreamId);
+        Incarnation upstream = placement.assignment().incarnation();
+        mTried.add(upstream);
         mLastHadNoRoom = outcome == AttemptOutcome.NOT_RUN;
         mHistory = mHistory.after(outcome);
         LOG.debug(
                 "%s: attempt %d at %s: %s, %s",
-                mRequest.id(), mHistory.attempts(), upstreamId, outcome, mAttempts.lastFailure());
+                mRequest.id(), mHistory.attempts(), upstream, outcome, mAttempts.lastFailure());
     }
 
     /** Finds a place at an upstream, with memory reserved where that is needed. */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -122,10 +122,10 @@
      * Gives work to the upstream with the least cost.
      *
      * @param need what is needed
-     * @param tried identities that the request has tried
+     * @param tried those that the request has tried; another start of one of them is untried
      * @return the assignment, or nothing if no upstream of the service takes work
      */
-    Optional<Assignment> assign(Need need, Set<String> tried) {
+    Optional<Assignment> assign(Need need, Set<Incarnation> tried) {
         try (OrderedLock.Held _ = mLock.hold()) {
             long nowNanos = mClock.nanoTime();
             Upstream best = null;
@@ -164,12 +164,12 @@
         }
     }
 
-    private List<Upstream> candidates(Need need, Set<String> tried) {
+    private List<Upstream> candidates(Need need, Set<Incarnation> tried) {
         List<Upstream> untriedOnes = new ArrayList<>();
         List<Upstream> triedOnes = new ArrayList<>();
         for (Upstream upstream : mUpstreams.values()) {
             if (isCandidate(upstream, need)) {
-                boolean wasTried = tried.contains(upstream.registration().id());
+                boolean wasTried = tried.contains(upstream.incarnation());
                 (wasTried ? triedOnes : untriedOnes).add(upstream);
             }
         }
