Drop a frame or an entry that cannot be used alone, not its link

Cause: a frame that could not be read, also one of a kind that only a later version knows, ended its link; the link was made anew and carried the same again, so that the peer's other frames came late or never. A registration without an address that can be called was taken, and each request that chose its upstream failed; negative counts of tokens went into the forecast of memory.

Change: the link drops such a frame and goes on; it ends where lengths make no sense, or if it does not begin with a frame that can be read. Entries of a list that cannot be used, or whose stage or state is unknown here, are left out, and the others hold. Lines are logged at the first, second, fourth refusal of a link, and so on.

Ruled out: a link made anew for each such frame, to be told its content again; a persistent one would end all links to its sender.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -10,6 +10,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -116,6 +117,24 @@
         }
     }
 
+    @ParameterizedTest
+    @MethodSource("messages")
+    void framesThatAreGarbledCutOrMadeLongerAreReadOrRefused(ClusterMessage message) {
+        SplittableRandom random = new SplittableRandom(11);
+        byte[] whole = ClusterCodec.encode(message);
+        for (int i = 0; i < 2_000; i++) {
+            byte[] garbled = Arrays.copyOf(whole, random.nextInt(2 * whole.length + 1));
+            for (int changes = random.nextInt(4); changes > 0 && garbled.length > 0; changes--) {
+                garbled[random.nextInt(garbled.length)] = (byte) random.nextInt();
+            }
+            try {
+                ClusterCodec.decode(garbled);
+            } catch (IOException expected) {
+                assertThat(expected).hasMessageThat().isNotEmpty();
+            }
+        }
+    }
+
     @Test
     void anUnknownTypeIsRefused() {
         assertThrows(IOException.class, () -> ClusterCodec.decode(new byte[] {99}));
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -11,6 +11,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
@@ -97,8 +99,19 @@
     }
 
     static ClusterMessage decode(byte[] frame) throws IOException {
+        return decode(frame, refusal -> {});
+    }
+
+    /**
+     * Reads a message. Of a list, the entries that cannot be used are left out.
+     *
+     * @param frame the encoded message
+     * @param refusals is told of each entry that is left out
+     * @throws IOException if the frame cannot be read
+     */
+    static ClusterMessage decode(byte[] frame, Consumer<String> refusals) throws IOException {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(frame)) {
-            return read(in);
+            return read(in, refusals);
         } catch (MessagePackException | IllegalArgumentException e) {
             throw new IOException("a garbled frame: " + e.getMessage(), e);
         }
@@ -176,7 +189,7 @@
     private static QuotaReply readQuotaReply(MessageUnpacker in) throws IOException {
         long number = in.unpackLong();
         QuotaAnswer.Outcome outcome = constant(QuotaAnswer.Outcome.values(), in.unpackInt());
-        Duration comeBackAfter = Duration.ofNanos(in.unpackLong());
+        Duration comeBackAfter = Duration.ofNanos(readCount(in));
         return new QuotaReply(number, new QuotaAnswer(outcome, comeBackAfter), in.unpackString());
     }
 
@@ -234,12 +247,13 @@
         }
     }
 
-    private static ClusterMessage read(MessageUnpacker in) throws IOException {
+    private static ClusterMessage read(MessageUnpacker in, Consumer<String> refusals)
+            throws IOException {
         int type = in.unpackInt();
         return switch (type) {
             case GREETING -> readGreeting(in);
             case KEEP_ALIVE -> new KeepAlive();
-            case VOTERS -> new Voters(readMembers(in));
+            case VOTERS -> new Voters(usable(readMembers(in), PeerRecords::isUsable, refusals));
             case TABLE_NOTICE ->
                     new TableNotice(in.unpackLong(), in.unpackBoolean(), in.unpackInt());
             case TABLE_REQUEST -> new TableRequest();
@@ -255,12 +269,13 @@
                     Registration read = registrations.get(i);
                     registrations.set(i, read.by(incarnation(read.id(), starts.get(i))));
                 }
-                yield new Registrations(number, registrations);
+                yield new Registrations(
+                        number, usable(registrations, ClusterCodec::isUsable, refusals));
             }
             case REGISTRATIONS_HELD -> new RegistrationsHeld(in.unpackLong());
             case QUOTA_REQUEST -> readQuotaRequest(in);
             case QUOTA_REPLY -> readQuotaReply(in);
-            case QUOTA_RETURN -> new QuotaReturn(in.unpackString(), in.unpackLong());
+            case QUOTA_RETURN -> new QuotaReturn(in.unpackString(), readCount(in));
             case ENGINE_RUNS -> {
                 List<InFlightSequence> sequences = new ArrayList<>();
                 for (int left = readSize(in); left > 0; left--) {
@@ -271,23 +286,36 @@
                     InFlightSequence read = sequences.get(i);
                     sequences.set(i, read.at(incarnation(read.upstreamId(), starts.get(i))));
                 }
-                yield new InFlightSequences(sequences);
+                yield new InFlightSequences(usable(sequences, PeerRecords::isUsable, refusals));
             }
             default -> readReplication(in, type);
         };
     }
 
+    private static <T> List<T> usable(
+            List<T> entries, Predicate<T> isUsable, Consumer<String> refusals) {
+        List<T> usable = new ArrayList<>(entries.size());
+        for (T entry : entries) {
+            if (isUsable.test(entry)) {
+                usable.add(entry);
+            } else {
+                refusals.accept("an entry that cannot be used: " + entry);
+            }
+        }
+        return usable;
+    }
+
     /** The zone came last; instances that do not send it yet are linked all the same. */
     private static Greeting readGreeting(MessageUnpacker in) throws IOException {
         int protocol = in.unpackInt();
         String node = in.unpackString();
-        Member voter = in.unpackBoolean() ? readMember(in) : null;
+        Member voter = in.unpackBoolean() ? PeerRecords.requireUsable(readMember(in)) : null;
         String zone = in.hasNext() ? in.unpackString() : "";
         return new Greeting(protocol, node, zone, voter);
     }
 
     private static Replication readReplication(MessageUnpacker in, int type) throws IOException {
-        Member sender = readMember(in);
+        Member sender = PeerRecords.requireUsable(readMember(in));
         long term = in.unpackLong();
         ReplicaMessage message =
                 switch (type) {
@@ -384,6 +412,7 @@
         out.packInt(registration.state().ordinal()).packLong(registration.sequence());
     }
 
+    /** Its stage or state is null if an instance of another version has sent one unknown here. */
     private static Registration readRegistration(MessageUnpacker in) throws IOException {
         return new Registration(
                 in.unpackString(),
@@ -391,8 +420,8 @@
                 in.unpackString(),
                 in.unpackString(),
                 in.unpackInt(),
-                constant(Registration.Stage.values(), in.unpackInt()),
-                constant(Registration.State.values(), in.unpackInt()),
+                constantOrNull(Registration.Stage.values(), in.unpackInt()),
+                constantOrNull(Registration.State.values(), in.unpackInt()),
                 in.unpackLong());
     }
 
@@ -462,11 +491,29 @@
                 in.unpackBoolean());
     }
 
+    private static boolean isUsable(Registration registration) {
+        boolean isKnown = registration.stage() != null && registration.state() != null;
+        return isKnown && PeerRecords.isUsable(registration);
+    }
+
+    private static <T> T constantOrNull(T[] values, int ordinal) {
+        return ordinal >= 0 && ordinal < values.length ? values[ordinal] : null;
+    }
+
     private static <T> T constant(T[] values, int ordinal) throws IOException {
-        if (ordinal < 0 || ordinal >= values.length) {
+        T constant = constantOrNull(values, ordinal);
+        if (constant == null) {
             throw new IOException("a frame holds the unknown constant " + ordinal);
         }
-        return values[ordinal];
+        return constant;
+    }
+
+    private static long readCount(MessageUnpacker in) throws IOException {
+        long count = in.unpackLong();
+        if (count < 0) {
+            throw new IOException("a frame holds the count " + count);
+        }
+        return count;
     }
 
     private static int readSize(MessageUnpacker in) throws IOException {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/Link.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/Link.java
@@ -24,7 +24,9 @@
  *
  * <p>Frames are a length of four bytes and a message. A link on which nothing arrives for {@link
  * #SILENCE} is closed, so one that is cut in silence is found. Sending never blocks: a peer that
- * does not read loses the link. Thread-safe.
+ * does not read loses the link. A frame that cannot be read is dropped alone, because its link
+ * would only be made anew and carry the same again; but a link begins with one that can.
+ * Thread-safe.
  */
 final class Link implements AutoCloseable {
     /** The longest pause of a sender; a third of the silence that ends a link. Chosen. */
@@ -38,6 +40,9 @@
     /** The largest frame: a table document and its envelope. Chosen, not measured. */
     private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
+    /** The longest foreign text in a line. Chosen, not measured. */
+    private static final int MAX_LOGGED_CHARACTERS = 300;
+
     /** Messages queued for a peer that reads too slowly, until the link ends. Chosen. */
     private static final int MAX_QUEUED = 512;
 
@@ -48,6 +53,11 @@
     private final BlockingQueue<Frame> mQueue = new ArrayBlockingQueue<>(MAX_QUEUED);
     private final AtomicBoolean mClosed = new AtomicBoolean();
 
+    /** What could not be read or used; confined to the reader thread, as is the next. */
+    private long mRefusals;
+
+    private boolean mHasBegun;
+
     /** Takes what arrives; called on the link's reader thread. */
     interface Handler {
         /** Takes a message. */
@@ -70,15 +80,7 @@
         try (DataInputStream in =
                 new DataInputStream(new BufferedInputStream(mSocket.getInputStream()))) {
             while (!mClosed.get()) {
-                int length = in.readInt();
-                if (length <= 0 || length > MAX_FRAME_BYTES) {
-                    throw new IOException("a frame of " + length + " bytes");
-                }
-                byte[] frame = in.readNBytes(length);
-                if (frame.length < length) {
-                    throw new IOException("a frame was cut off");
-                }
-                mHandler.received(this, ClusterCodec.decode(frame));
+                receive(readFrame(in));
             }
         } catch (IOException e) {
             logEnd("cannot be read", e);
@@ -88,6 +90,47 @@
         }
     }
 
+    private static byte[] readFrame(DataInputStream in) throws IOException {
+        int length = in.readInt();
+        if (length <= 0 || length > MAX_FRAME_BYTES) {
+            throw new IOException("a frame of " + length + " bytes");
+        }
+        byte[] frame = in.readNBytes(length);
+        if (frame.length < length) {
+            throw new IOException("a frame was cut off");
+        }
+        return frame;
+    }
+
+    private void receive(byte[] frame) throws IOException {
+        ClusterMessage message;
+        try {
+            message = ClusterCodec.decode(frame, this::refused);
+        } catch (IOException e) {
+            if (!mHasBegun) {
+                throw e;
+            }
+            refused(e.getMessage());
+            return;
+        }
+        mHasBegun = true;
+        mHandler.received(this, message);
+    }
+
+    /** Logs the first refusal, the second, the fourth and so on, so that lines stay few. */
+    private void refused(String what) {
+        mRefusals++;
+        if (Long.bitCount(mRefusals) == 1) {
+            LOG.warn("from %s, %d refused so far: %s", peer(), mRefusals, printable(what));
+        }
+    }
+
+    /** Returns what holds foreign text as one line may: short, and in ASCII. */
+    private static String printable(String text) {
+        int length = Math.min(text.length(), MAX_LOGGED_CHARACTERS);
+        return text.substring(0, length).replaceAll("[^ -~]", "?");
+    }
+
     private void writeAll() {
         try (DataOutputStream out = new DataOutputStream(mSocket.getOutputStream())) {
             while (!mClosed.get()) {
