Keep what a JSON reader has met out of log lines as it was

Cause: the reason of a refusal repeated a token of the foreign text with its control characters, which went into a log line and an answer.

Change: a reason is printable ASCII.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/BadFrameTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/BadFrameTest.java
@@ -34,6 +34,7 @@
 import org.orchidmount.consensus.Member;
 import org.orchidmount.junit.Await;
 import org.orchidmount.load.InFlightSequence;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 
 /**
@@ -46,6 +47,7 @@
  * on the same link never arrived.
  */
 final class BadFrameTest {
+    private static final Incarnation ENGINE = Incarnation.ofUnstatedStart("i-1");
     private static final Duration LONGEST = Duration.ofSeconds(10);
     private static final Greeting GREETING = new Greeting(VoterNode.PROTOCOL, "peer", "zone", null);
     private static final int TABLE_DOCUMENT = 6;
@@ -231,11 +233,11 @@
     @Test
     void ofSequencesTheUsableOnesHold() throws IOException {
         List<InFlightSequence> sequences = new ArrayList<>();
-        InFlightSequence usable = InFlightSequence.ofOutput("r-1", 5, 70, 99).placedAt("i-1", 1);
+        InFlightSequence usable = InFlightSequence.ofOutput("r-1", 5, 70, 99).placedAt(ENGINE, 1);
         sequences.add(usable);
-        sequences.add(InFlightSequence.ofOutput("r-2", -5, 70, 99).placedAt("i-1", 1));
-        sequences.add(InFlightSequence.ofOutput("r-3", 5, -70, 99).placedAt("i-1", 1));
-        sequences.add(InFlightSequence.ofOutput("r-4", 5, 70, -99).placedAt("i-1", 1));
+        sequences.add(InFlightSequence.ofOutput("r-2", -5, 70, 99).placedAt(ENGINE, 1));
+        sequences.add(InFlightSequence.ofOutput("r-3", 5, -70, 99).placedAt(ENGINE, 1));
+        sequences.add(InFlightSequence.ofOutput("r-4", 5, 70, -99).placedAt(ENGINE, 1));
         sequences.add(usable.withGenerated(-1));
         sequences.add(usable.asEnded());
         assertThat(decoded(new InFlightSequences(sequences)))
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/json/StrictJson.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/json/StrictJson.java
@@ -51,14 +51,14 @@
      * @param utf8 the text
      * @return the tree
      * @throws IOException if the text is not one whole JSON value in UTF-8; the message says what
-     *     is wrong and holds no line breaks
+     *     is wrong, in printable ASCII
      */
     public static JsonNode parse(byte[] utf8) throws IOException {
         JsonNode node;
         try {
             node = MAPPER.readTree(decode(utf8));
         } catch (JsonProcessingException e) {
-            throw new IOException(e.getOriginalMessage().replaceAll("\\s+", " "), e);
+            throw new IOException(e.getOriginalMessage().replaceAll("[^ -~]+", "?"), e);
         }
         if (node.isMissingNode()) {
             throw new IOException("the text is empty");
