--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/StutteringUpstream.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/StutteringUpstream.java
@@ -346,9 +346,14 @@
         return mOpen.size();
     }
 
-    /** Sends the surplus answers that are due while their connections rest. */
-    public void repeatAtRest() {
-        mOpen.forEach(Connection::repeatAtRest);
+    /**
+     * Sends the surplus answers that are due while their connections rest. None is sent on one that
+     * its caller has closed.
+     *
+     * @return how many were sent
+     */
+    public int repeatAtRest() {
+        return mOpen.stream().mapToInt(Connection::repeatAtRest).sum();
     }
 
     @Override
@@ -542,15 +547,19 @@
             return taken;
         }
 
-        void repeatAtRest() {
+        int repeatAtRest() {
+            int sent = 0;
             try {
                 for (Due due = mDue.poll(); due != null; due = mDue.poll()) {
-                    mSurpluses.add(new Surplus(due.of(), due.of(), Moment.AT_REST));
                     write(due.bytes());
+                    mSurpluses.add(new Surplus(due.of(), due.of(), Moment.AT_REST));
+                    sent++;
                 }
             } catch (IOException e) {
-                throw new UncheckedIOException("the caller has closed a kept connection", e);
+                // The caller has closed the connection, so nothing more can reach it there.
+                mDue.clear();
             }
+            return sent;
         }
 
         private void write(byte[] bytes) throws IOException {
