Calls to an upstream end when it starts again

Cause: only a connection that broke ended a call. Behind a cut neither the end of the old process nor that of its connections is seen, while the next start registers elsewhere; requests waited to their deadline for an engine that was long back.

Change: an incarnation has an end, which is cancelled when a newer one takes its place. A request's call and a prefill are broken off by it as by the request's own cancel, and count as lost: what may be resumed is, elsewhere or at the new start.

Ruled out: forgetting connections alone (those in use are not idle); waiting for the silence limit.

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Assignment.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Assignment.java
@@ -8,6 +8,7 @@
 import org.orchidmount.cluster.HostPort;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.membership.Incarnation;
+import org.orchidmount.upstream.CancelSignal;
 
 /**
  * Work that this instance has given to an upstream. Guarded by the lock of {@link
@@ -51,6 +52,19 @@
         return mPeer;
     }
 
+    /** Returns what is cancelled once the upstream has started again. */
+    CancelSignal end() {
+        return mUpstream.end();
+    }
+
+    /**
+     * Tells whether the upstream has started again since. Then this work is lost: what it had
+     * reserved or made there is no longer, and its names may be those of others now.
+     */
+    boolean hasStartedAgain() {
+        return end().isCancelled();
+    }
+
     /** Returns after what time an upstream of ordinary speed would have done the work. */
     double ordinaryMillis() {
         return mOrdinaryMillis;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -138,7 +138,7 @@
             throws IOException, TimeoutException, InterruptedException {
         mHasResponse = false;
         Assignment assignment = placement.assignment();
-        if (mContext.upstreams().hasStartedAgain(assignment)) {
+        if (assignment.hasStartedAgain()) {
             mLastFailure = "the upstream has started again";
             return AttemptOutcome.NOT_REACHED;
         }
@@ -152,7 +152,8 @@
                         mStream.map(StreamForward::last).orElse(0L));
         HttpHead head = mContext.protocol().head(mRequest, upstreamCall);
         mProgress.waitsFor(Activity.SENDING, assignment.id());
-        try (HttpCall call = open(assignment, head)) {
+        try (CallCancel cancel = new CallCancel(mCancel, assignment);
+                HttpCall call = open(assignment, head, cancel.signal())) {
             mProgress.waitsFor(Activity.RESPONSE, assignment.id());
             Duration silenceLimit =
                     AttemptRule.silenceLimit(
@@ -167,12 +168,13 @@
         }
     }
 
-    private HttpCall open(Assignment assignment, HttpHead head) throws CallFailedException {
+    private HttpCall open(Assignment assignment, HttpHead head, CancelSignal cancel)
+            throws CallFailedException {
         HttpConnections connections = mContext.connections();
         byte[] body = mRequest.body();
         return body.length == 0
-                ? connections.call(assignment.peer(), Step.FORWARD, head, mCancel)
-                : connections.call(assignment.peer(), Step.FORWARD, head, body, left(), mCancel);
+                ? connections.call(assignment.peer(), Step.FORWARD, head, cancel)
+                : connections.call(assignment.peer(), Step.FORWARD, head, body, left(), cancel);
     }
 
     private Duration left() {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
@@ -85,7 +85,7 @@
      * again, it is lost, and its name may be that of another reservation now.
      */
     void release(Placement placement) {
-        if (mContext.upstreams().hasStartedAgain(placement.assignment())) {
+        if (placement.assignment().hasStartedAgain()) {
             return;
         }
         placement
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
@@ -152,7 +152,7 @@
     }
 
     private void forgetIfLost() {
-        if (mPrefilledAt.filter(mContext.upstreams()::hasStartedAgain).isPresent()) {
+        if (mPrefilledAt.filter(Assignment::hasStartedAgain).isPresent()) {
             mUnused = Optional.empty();
         }
     }
@@ -198,15 +198,16 @@
                         0);
         HttpHead head = protocol.head(mRequest, prefill);
         mProgress.waitsFor(Activity.PREFILL, assignment.id());
-        try (HttpCall call =
-                mContext.connections()
-                        .call(
-                                assignment.peer(),
-                                Step.PREFILL,
-                                head,
-                                mRequest.body(),
-                                left(),
-                                mCancel)) {
+        try (CallCancel cancel = new CallCancel(mCancel, assignment);
+                HttpCall call =
+                        mContext.connections()
+                                .call(
+                                        assignment.peer(),
+                                        Step.PREFILL,
+                                        head,
+                                        mRequest.body(),
+                                        left(),
+                                        cancel.signal())) {
             ClientResponse response = call.awaitResponse(silenceLimit(assignment));
             call.limitIdle(protocol.idleTimeout(response));
             return onHead(assignment, call, response);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -11,6 +11,7 @@
 import org.orchidmount.membership.Registration.State;
 import org.orchidmount.routing.UpstreamCost;
 import org.orchidmount.routing.UpstreamHealth;
+import org.orchidmount.upstream.CancelSignal;
 
 /**
  * One incarnation of an upstream as this instance sees it: one that starts again is another object,
@@ -21,7 +22,7 @@
     private Registration mRegistration;
     private double mPendingMillis;
     private UpstreamHealth mHealth = UpstreamHealth.UNKNOWN;
-    private boolean mHasStartedAgain;
+    private final CancelSignal mEnd = new CancelSignal();
 
     Upstream(Registration registration) {
         mRegistration = registration;
@@ -35,13 +36,9 @@
         return mRegistration.incarnation();
     }
 
-    /** Notes that a newer incarnation has taken its place. */
-    void startedAgain() {
-        mHasStartedAgain = true;
-    }
-
-    boolean hasStartedAgain() {
-        return mHasStartedAgain;
+    /** Returns what is cancelled once a newer incarnation has taken its place; needs no lock. */
+    CancelSignal end() {
+        return mEnd;
     }
 
     boolean isReady() {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -27,6 +27,7 @@
 import org.orchidmount.membership.Registration.State;
 import org.orchidmount.routing.UpstreamCost;
 import org.orchidmount.routing.UpstreamHealth;
+import org.orchidmount.upstream.CancelSignal;
 
 /**
  * The blackboard of the relay: the upstreams known here, the work this instance has given them, and
@@ -67,21 +68,26 @@
     }
 
     /**
-     * Takes a registration.
+     * Takes a registration. If it is of a new start of an upstream, the calls to the one before
+     * end.
      *
      * @param registration the registration
      */
     public void update(Registration registration) {
+        take(registration)
+                .ifPresent(ended -> ended.end().cancel(CancelSignal.Reason.UPSTREAM_STARTED_AGAIN));
+    }
+
+    /** Takes a registration; returns the incarnation that it ends, if any. */
+    private Optional<Upstream> take(Registration registration) {
         try (OrderedLock.Held _ = mLock.hold()) {
             Upstream known = mUpstreams.get(registration.id());
-            if (known == null) {
-                begin(registration);
-            } else if (isNextStart(registration, known)) {
-                known.startedAgain();
+            if (known == null || isNextStart(registration, known)) {
                 begin(registration);
-            } else {
-                known.update(registration);
+                return Optional.ofNullable(known);
             }
+            known.update(registration);
+            return Optional.empty();
         }
     }
 
@@ -100,16 +106,6 @@
         mIdByAddress.put(registration.address(), registration.id());
     }
 
-    /**
-     * Tells whether the upstream that was given work has started again since. That work is lost:
-     * what it had reserved or made there is no longer, and its names may be those of others now.
-     */
-    boolean hasStartedAgain(Assignment assignment) {
-        try (OrderedLock.Held _ = mLock.hold()) {
-            return assignment.upstream().hasStartedAgain();
-        }
-    }
-
     /** Notes that another upstream answered at the address of this one, which is therefore gone. */
     void misdirected(Assignment assignment) {
         try (OrderedLock.Held _ = mLock.hold()) {
--- a/org.orchidmount/src/main/java/org/orchidmount/upstream/CancelSignal.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/upstream/CancelSignal.java
@@ -102,7 +102,9 @@
         /** Nobody waits for the answer. */
         CALLER_GONE,
         /** The instance stops and will not wait for the work; the caller gets that answer. */
-        INSTANCE_STOPPING
+        INSTANCE_STOPPING,
+        /** The upstream that did the work has started again and knows nothing of it. */
+        UPSTREAM_STARTED_AGAIN
     }
 
     /** A registered action. */
