A start that becomes known ends no work

Cause: in a rolling upgrade an entry hears of an upstream first from voters that pass no starts on and then from others that do. The first start that is stated took the place of none as a newer one does, so each upstream's calls under way would have been broken off, its loads dropped and its order given up, once an entry, though it had not started again.

Change: only a start that is newer than one that is stated proves the end of an incarnation. The first that is stated takes the place of what states none, in the registration alone. An address that changes with it is noted.

Measured: two new cases failed before (EngineLoadsTest, UpstreamDirectoryTest); both classes pass, as do RelayRulesPinTest, EngineMemoryPinTest, KvCacheReuseTest, StageControllerTest, IncarnationTest, RestartedEngineTest, RestartBehindCutTest, RestartedUpstreamTest.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/load/EngineLoadsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/load/EngineLoadsTest.java
@@ -185,6 +185,7 @@
      */
     @Test
     void announcementsWithoutAStartCountOnlyIfTheyBeginAfterIt() {
+        mLoads.registered(OLD);
         Incarnation unstated = Incarnation.ofUnstatedStart("i-1");
         fill(unstated);
         mLoads.registered(NEW);
@@ -197,6 +198,17 @@
         assertThat(mLoads.usedMemoryTokens("i-1", PACE)).isEqualTo(PROMPT);
     }
 
+    /** The first start that is stated is no proof that the engine has started again. */
+    @Test
+    void aStartThatBecomesKnownEndsNothing() {
+        Incarnation unstated = Incarnation.ofUnstatedStart("i-1");
+        fill(unstated);
+        mLoads.registered(OLD);
+        fill(unstated);
+        assertThat(isCrowded("i-1")).isTrue();
+        assertThat(mLoads.keepsPlace(run("i-1", "r-0"), MEMORY, PACE)).isTrue();
+    }
+
     @Test
     void aRunWhoseEngineHasStartedAgainDoesNotKeepItsPlace() {
         InFlightSequence own = run("i-1", "r-own").at(OLD);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -316,6 +316,26 @@
         assertThat(mDirectory.assign(NEED, Set.of()).get().hasStartedAgain()).isFalse();
     }
 
+    /**
+     * Instances of earlier versions pass no starts on, so a start may become known while work is
+     * under way. That is no proof that the upstream has started again.
+     */
+    @Test
+    void aStartThatBecomesKnownEndsNothing() {
+        mDirectory.update(ready("i-a", "a", 1));
+        mDirectory.update(ready("i-b", "a", 2));
+        Assignment assignment = mDirectory.assign(NEED, tried("i-b")).get();
+        mDirectory.unreachable(assignment);
+        mDirectory.update(started("i-a", 3, 10));
+        assertThat(assignment.hasStartedAgain()).isFalse();
+        assertThat(mDirectory.avoided("s", Stage.NONE)).containsExactly("i-a");
+        mClock.advance(Duration.ofSeconds(10));
+        Assignment next = mDirectory.assign(NEED, tried("i-b")).get();
+        assertThat(next.peer().host()).isEqualTo("10.0.0.3");
+        mDirectory.update(started("i-a", 3, 11));
+        assertThat(assignment.hasStartedAgain()).isTrue();
+    }
+
     /** A request that failed at the one before may go to the new start as to any other. */
     @Test
     void aNewStartOfOneThatWasTriedIsUntried() {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
@@ -159,7 +159,7 @@
         Optional<Incarnation> next =
                 current.stream()
                         .map(Registration::incarnation)
-                        .filter(incarnation -> incarnation.isNewerThan(ordered))
+                        .filter(incarnation -> incarnation.provesEndOf(ordered))
                         .findAny();
         if (next.isPresent()) {
             LOG.info("engine %s has started again as %s; its order ends", ordered, next.get());
--- a/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
@@ -29,8 +29,8 @@
  * its end is announced, its engine starts again, or nothing is received of it for a while; once it
  * has ended, an older announcement that took another way does not bring it back. Of an engine whose
  * start is known, announcements of an earlier start never count. One that states no start, as from
- * an instance that knows none, counts if the sequence was first received after that start.
- * Thread-safe.
+ * an instance that knows none, counts unless the engine has started again since the sequence was
+ * first received. Thread-safe.
  */
 public final class EngineLoads {
     /** Three announcements missed: a sequence so silent has ended with its instance. */
@@ -58,10 +58,6 @@
             return !sequence.engine().isStartStated();
         }
 
-        boolean isAnnouncedBefore(Incarnation engine) {
-            return !isWithoutStart() && engine.isNewerThan(sequence.engine());
-        }
-
         Known asEnded() {
             return new Known(sequence.asEnded(), sinceNanos, updatedNanos);
         }
@@ -96,8 +92,9 @@
     }
 
     /**
-     * Takes which start of an engine is registered now. What was given to it before an earlier
-     * start has ended. Announcements do not tell: they may be of a start that has been given up.
+     * Takes which start of an engine is registered now. What was given to it before another start
+     * that was registered has ended. Announcements do not tell: they may be of a start that has
+     * been given up.
      *
      * @param engine the engine
      */
@@ -108,23 +105,31 @@
             }
             if (!engine.isStartStated()) {
                 mStarted.remove(engine.id());
-            } else if (!engine.equals(mStarted.put(engine.id(), engine))) {
-                endBefore(engine);
+                return;
+            }
+            Incarnation before = mStarted.put(engine.id(), engine);
+            endStatedBefore(engine);
+            if (before != null && !before.equals(engine)) {
+                endUnstated(engine);
             }
         }
     }
 
-    private void endBefore(Incarnation engine) {
+    private void endStatedBefore(Incarnation engine) {
+        Map<String, Known> atEngine = mSequences.getOrDefault(engine.id(), new HashMap<>());
+        atEngine.values().removeIf(old -> engine.provesEndOf(old.sequence().engine()));
+    }
+
+    /** Those without a start may be announced again as such, so they are kept as ended. */
+    private void endUnstated(Incarnation engine) {
         Map<String, Known> atEngine = mSequences.getOrDefault(engine.id(), new HashMap<>());
-        atEngine.values().removeIf(old -> old.isAnnouncedBefore(engine));
-        // Those without a start may be announced again as such, so they are kept as ended.
         atEngine.replaceAll((id, old) -> old.isWithoutStart() ? old.asEnded() : old);
     }
 
-    /** Tells whether the engine of a sequence has started again, as far as its start is stated. */
+    /** Tells whether the engine of a sequence has started again since. */
     private boolean isOfEarlierStart(InFlightSequence sequence) {
         Incarnation registered = mStarted.get(sequence.upstreamId());
-        return registered != null && registered.isNewerThan(sequence.engine());
+        return registered != null && registered.provesEndOf(sequence.engine());
     }
 
     /**
@@ -134,7 +139,7 @@
      */
     public void update(InFlightSequence sequence) {
         try (OrderedLock.Held _ = mLock.hold()) {
-            if (sequence.engine().isStartStated() && isOfEarlierStart(sequence)) {
+            if (isOfEarlierStart(sequence)) {
                 return;
             }
             long nowNanos = mClock.nanoTime();
--- a/org.orchidmount/src/main/java/org/orchidmount/membership/Incarnation.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/membership/Incarnation.java
@@ -21,7 +21,9 @@
  *       and one whose sequence is lower came late.
  *   <li>A start that is not stated is older than any that is. So an instance that does not pass
  *       starts on, or an upstream that states none, neither ends an incarnation whose start is
- *       known nor brings one back that has ended. Two that state none are the same incarnation.
+ *       known nor brings one back that has ended. The first start that is stated takes the place of
+ *       what states none, but proves no end: what was under way goes on. Two that state none are
+ *       the same incarnation.
  * </ul>
  *
  * <p>Starts are compared with each other only, never with a clock of this system: the clocks of two
@@ -96,7 +98,7 @@
     }
 
     /**
-     * Tells whether this start ends another incarnation of the same identity.
+     * Tells whether this takes the place of another incarnation of the same identity.
      *
      * @param other the other incarnation
      * @return true if both have one identity and this start is newer
@@ -105,6 +107,17 @@
         return mId.equals(other.mId) && mStartMillis > other.mStartMillis;
     }
 
+    /**
+     * Tells whether this start proves that another incarnation of the same identity has ended, so
+     * that what was known of that is no longer true.
+     *
+     * @param other the other incarnation
+     * @return true if this start is newer than one that is stated
+     */
+    public boolean provesEndOf(Incarnation other) {
+        return other.isStartStated() && isNewerThan(other);
+    }
+
     @Override
     public boolean equals(Object other) {
         return other instanceof Incarnation that
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -86,7 +86,12 @@
                 begin(registration);
                 return Optional.ofNullable(known);
             }
+            String before = known.registration().address();
             known.update(registration);
+            String address = known.registration().address();
+            if (!address.equals(before)) {
+                mIdByAddress.put(address, registration.id());
+            }
             return Optional.empty();
         }
     }
@@ -95,7 +100,7 @@
     private static boolean isNextStart(Registration registration, Upstream known) {
         Incarnation incarnation = registration.incarnation();
         boolean isOther = !incarnation.equals(known.incarnation());
-        return isOther && (incarnation.isNewerThan(known.incarnation()) || known.isGone());
+        return isOther && (incarnation.provesEndOf(known.incarnation()) || known.isGone());
     }
 
     private void begin(Registration registration) {
