Keep registrations of services that no table names apart

Cause: a record of an unknown service was held like any other: under the address of a good upstream it owned that address, under its identity it counted by its sequence, and the good one got no more work.

Change: a voter keeps such records apart, bounded, and changes nothing by them; once its committed table names the service they are registered, in one message, and need not be sent again. An upstream that is held goes on if the table ceases to name its service. Before the first table all wait.

Ruled out: to refuse them, which would hold up upstreams that start ahead of the table that names them; to let entries sort them out, which cannot undo a merge by sequence at the voters.

--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -43,6 +43,7 @@
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
+import org.orchidmount.routes.RouteTableParser;
 
 /**
  * An instance that votes on the route table and passes registrations on.
@@ -96,6 +97,9 @@
     /** Announcements of entries that were not passed on yet. */
     private final List<InFlightSequence> mAnnounced = new ArrayList<>();
 
+    /** Keeps registrations of unknown services apart; null if all services count as known. */
+    private ServiceGate mGate;
+
     private GroupState mCommitted = new GroupState(List.of(), 0, new byte[0]);
     private boolean mWasInTouch;
     private Replica.Role mWasRole = Replica.Role.FOLLOWER;
@@ -268,6 +272,41 @@
 
     // ---- upstreams
 
+    /**
+     * From now on holds no registration of a service that the table in force does not name.
+     *
+     * @param parser reads the table
+     */
+    public void requireNamedServices(RouteTableParser parser) {
+        mTasks.post(
+                () -> {
+                    mGate = new ServiceGate(parser);
+                    mGate.follow(mCommitted);
+                });
+    }
+
+    /** An upstream that is held goes on, also if the table has ceased to name its service. */
+    private boolean hasToWait(Registration registration) {
+        if (mGate == null || mGate.isNamed(registration.service())) {
+            return false;
+        }
+        return mRegistry
+                .find(registration.id())
+                .filter(held -> held.service().equals(registration.service()))
+                .isEmpty();
+    }
+
+    /** Takes registrations that have waited, in one message, however many they are. */
+    private void registerNamed(List<Registration> named) {
+        List<Registration> changed = new ArrayList<>();
+        for (Registration registration : named) {
+            hold(registration).ifPresent(changed::add);
+        }
+        if (!changed.isEmpty()) {
+            forward(changed);
+        }
+    }
+
     /**
      * Takes what an upstream says of itself.
      *
@@ -278,15 +317,13 @@
         CompletableFuture<Boolean> done = new CompletableFuture<>();
         mTasks.post(
                 () -> {
-                    boolean leaving = registration.state() != Registration.State.READY;
-                    long nowNanos = mClock.nanoTime();
-                    Optional<Registration> changed =
-                            leaving
-                                    ? mRegistry.depart(registration, nowNanos)
-                                    : mRegistry.merge(registration, nowNanos);
-                    changed.ifPresent(VoterNode::logChange);
-                    noteReceived(registration);
-                    if (leaving) {
+                    if (hasToWait(registration)) {
+                        mGate.await(registration);
+                        done.complete(mReplica.isInTouch());
+                        return;
+                    }
+                    Optional<Registration> changed = hold(registration);
+                    if (isLeaving(registration)) {
                         replicateDeparture(
                                 mRegistry.find(registration.id()).orElse(registration), done);
                         return;
@@ -297,6 +334,22 @@
         return done;
     }
 
+    /** Returns the registration now held if it changed. */
+    private Optional<Registration> hold(Registration registration) {
+        long nowNanos = mClock.nanoTime();
+        Optional<Registration> changed =
+                isLeaving(registration)
+                        ? mRegistry.depart(registration, nowNanos)
+                        : mRegistry.merge(registration, nowNanos);
+        changed.ifPresent(VoterNode::logChange);
+        noteReceived(registration);
+        return changed;
+    }
+
+    private static boolean isLeaving(Registration registration) {
+        return registration.state() != Registration.State.READY;
+    }
+
     /** A late message of an earlier start must not keep back one of the start that is held. */
     private void noteReceived(Registration registration) {
         boolean isOfTheOneHeld =
@@ -319,6 +372,9 @@
         CompletableFuture<Boolean> done = new CompletableFuture<>();
         mTasks.post(
                 () -> {
+                    if (mGate != null) {
+                        mGate.leave(id);
+                    }
                     Registration gone = mRegistry.leave(id, mClock.nanoTime());
                     logChange(gone);
                     replicateDeparture(gone, done);
@@ -342,7 +398,11 @@
     }
 
     private void forward(Registration changed) {
-        Registrations message = new Registrations(0, List.of(changed));
+        forward(List.of(changed));
+    }
+
+    private void forward(List<Registration> changed) {
+        Registrations message = new Registrations(0, changed);
         mLinks.sendToVoters(message);
         mLinks.sendToEntries(message);
     }
@@ -595,6 +655,9 @@
             if (changed) {
                 LOG.info("table %d is committed at %s", state.tableVersion(), entry);
                 mLinks.sendToEntries(notice());
+                if (mGate != null) {
+                    registerNamed(mGate.follow(state));
+                }
             }
             if (voters) {
                 LOG.info("voters are %s", state.members());
