Read the table of the gate of services on a thread of its own

Cause: a voter read each committed table on the one thread that also answers its leader and calls elections.

Change: it is read on another thread; a table that was read late changes nothing.

Failed once: UnknownServiceTest.underTheAddressOfAGoodUpstreamItTakes- Nothing, "ready: not within 40000 ms", in one of eight runs of the class since the gate, beside a load near 40: the voter had answered, the entry never called itself ready. Its logs were gone with the folder; that another process had taken one of its free ports is not shown.

--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ServiceGate.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ServiceGate.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.orchidmount.consensus.GroupState;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.membership.Registration;
@@ -74,21 +75,34 @@
     }
 
     /**
-     * Follows the committed table.
+     * Reads a committed table. May take long, so it is called on any thread but the voter's.
      *
      * @param state what is committed
-     * @return the registrations that need not wait any longer
+     * @return the table; nothing if there is none or it cannot be read
      */
-    List<Registration> follow(GroupState state) {
+    Optional<RouteTable> read(GroupState state) {
         if (state.tableVersion() == 0) {
-            return List.of();
+            return Optional.empty();
         }
         try {
-            mTable = mParser.parse(state.tableDocument());
+            return Optional.of(mParser.parse(state.tableDocument()));
         } catch (IllegalArgumentException e) {
             LOG.error("table " + state.tableVersion() + " cannot be read", e);
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Follows the committed table; one that was read late changes nothing.
+     *
+     * @param table the table
+     * @return the registrations that need not wait any longer
+     */
+    List<Registration> follow(RouteTable table) {
+        if (mTable != null && table.version() < mTable.version()) {
             return List.of();
         }
+        mTable = table;
         List<Registration> named = new ArrayList<>(mWaiting.values());
         named.removeIf(registration -> !isNamed(registration.service()));
         mWaiting.keySet().removeIf(key -> isNamed(key.service()));
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -43,6 +43,7 @@
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
+import org.orchidmount.routes.RouteTable;
 import org.orchidmount.routes.RouteTableParser;
 
 /**
@@ -281,10 +282,27 @@
         mTasks.post(
                 () -> {
                     mGate = new ServiceGate(parser);
-                    mGate.follow(mCommitted);
+                    followServices(mGate, mCommitted);
                 });
     }
 
+    /**
+     * Reads the table on another thread: the first takes some 0.3 s, longer than a leader's pause.
+     */
+    private void followServices(ServiceGate gate, GroupState state) {
+        Thread.ofVirtual()
+                .name("services")
+                .start(
+                        () ->
+                                gate.read(state)
+                                        .ifPresent(
+                                                table -> mTasks.post(() -> follow(gate, table))));
+    }
+
+    private void follow(ServiceGate gate, RouteTable table) {
+        registerNamed(gate.follow(table));
+    }
+
     /** An upstream that is held goes on, also if the table has ceased to name its service. */
     private boolean hasToWait(Registration registration) {
         if (mGate == null || mGate.isNamed(registration.service())) {
@@ -656,7 +674,7 @@
                 LOG.info("table %d is committed at %s", state.tableVersion(), entry);
                 mLinks.sendToEntries(notice());
                 if (mGate != null) {
-                    registerNamed(mGate.follow(state));
+                    followServices(mGate, state);
                 }
             }
             if (voters) {
