A call has its connection only until it ends; unnumbered events are passed on

A cancel that was under way while its call ended closed the connection that another call had by then. A close behind a whole answer failed the write of the request's end, and the answer with it. An event without an id was held for one that the caller has, and dropped, while the stream ended as whole. Change: a connection is closed for a call only while that call has it, decided in one atomic step; the end of the body no longer fails a whole answer; only events that state an id are skipped. Ruled out: a lock around close and cancel, which would be held over callbacks.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ByteQueue.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ByteQueue.java
@@ -79,6 +79,16 @@
         }
     }
 
+    /** Tells whether the regular end has been reached, whatever was taken. */
+    boolean hasEndedWhole() {
+        mLock.lock();
+        try {
+            return mEnded && mError == null;
+        } finally {
+            mLock.unlock();
+        }
+    }
+
     /** Tells whether the regular end has been reached and all chunks were taken. */
     boolean isDrained() {
         mLock.lock();
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -156,7 +156,7 @@
         LOG.info(IDENTITIES, describeIdentities(response, received));
         mPool.surplusFrom(mPeer);
         failAll(new ForeignResponseException());
-        mPooled.closeLater();
+        mPooled.giveUp(this);
     }
 
     /** Names the connection, its use, and whose response this is. */
@@ -211,12 +211,25 @@
         guarded(
                 () -> {
                     await(mReady, timeout);
-                    mWriter.end(timeout);
+                    endWriting(timeout);
                     mRequestEnded = true;
                     return null;
                 });
     }
 
+    /** A peer may close the connection behind a whole answer before the end is written. */
+    private void endWriting(Duration timeout)
+            throws IOException, TimeoutException, InterruptedException {
+        try {
+            mWriter.end(timeout);
+        } catch (IOException e) {
+            if (!mBody.hasEndedWhole()) {
+                throw e;
+            }
+            LOG.debug("%s: a whole answer came before the end was written", mPeer.name());
+        }
+    }
+
     /**
      * Waits for the head of the answer.
      *
@@ -273,7 +286,7 @@
     /** Breaks the call off from any thread; a waiting reader or writer fails at once. */
     public void abort() {
         failAll(new IOException("call aborted"));
-        mPooled.closeLater();
+        mPooled.giveUp(this);
     }
 
     /** Ends the call: keeps its connection if the next response on it can be told apart. */
@@ -285,8 +298,8 @@
         mClosed = true;
         mCancelRegistration.close();
         boolean isWhole = mRequestEnded && mBody.isDrained();
-        if (isWhole && mIsShared && mIsIdentified && mPooled.isReusable()) {
-            mPooled.end();
+        boolean isKept = isWhole && mIsShared && mIsIdentified && mPooled.isReusable();
+        if (isKept && mPooled.end(this)) {
             mPool.release(mPeer, mPooled);
         } else {
             abort();
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
@@ -9,15 +9,17 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import org.orchidmount.internal.log.PartLog;
 import org.xnio.IoUtils;
 
 /**
  * A connection to an upstream that serves one call after another.
  *
- * <p>Invariant: the library is given one close listener for the life of the connection, however
- * many calls it serves, because it never lets go of one. Thread-safe; calls begin and end one after
- * another.
+ * <p>Invariants: at most one call has the connection; what a call does to it after it has ended has
+ * no effect, because another call may have it by then. The library is given one close listener for
+ * the life of the connection, however many calls it serves, because it never lets go of one.
+ * Thread-safe; calls begin one after another.
  */
 final class PooledConnection {
     private static final PartLog LOG = PartLog.of("connections");
@@ -29,10 +31,14 @@
     private final long mNumber;
     private final Runnable mOnSurplus;
 
-    /** Guarded by the hand-over: only the owner of the connection adds, only the pool asks. */
+    /**
+     * The call that has the connection adds, and the pool asks when no call has it; the pool's
+     * lock, under which it is handed over, orders the two.
+     */
     private final Set<String> mIdentities = new HashSet<>();
 
-    private volatile HttpCall mCurrent;
+    private final AtomicReference<HttpCall> mCurrent = new AtomicReference<>();
+    private volatile boolean mIsClosedHere;
     private volatile long mReceivedBytes;
     private volatile int mUses;
     private volatile long mIdleLimitNanos = Long.MAX_VALUE;
@@ -58,7 +64,7 @@
     /** Begins a call, which is notified if the connection closes. */
     void begin(HttpCall call) {
         mUses++;
-        mCurrent = call;
+        mCurrent.set(call);
     }
 
     /** Notes the identity of the call that is under way. */
@@ -74,10 +80,22 @@
         return mIdentities.contains(identity);
     }
 
-    /** Ends the call that is under way; its answer was read whole. */
-    void end() {
+    /**
+     * Ends a call whose answer was read whole.
+     *
+     * @param call the call
+     * @return false if it no longer had the connection, so that it cannot be used again
+     */
+    boolean end(HttpCall call) {
         mReceivedBytes = receivedBytes();
-        mCurrent = null;
+        return mCurrent.compareAndSet(call, null);
+    }
+
+    /** Closes the connection if a call still has it. */
+    void giveUp(HttpCall call) {
+        if (mCurrent.compareAndSet(call, null)) {
+            closeLater();
+        }
     }
 
     private long receivedBytes() {
@@ -115,8 +133,7 @@
 
     /** Closes the connection on its I/O thread. Nobody is notified, as it is closed from here. */
     void closeLater() {
-        mCurrent = null;
-        mReceivedBytes = Long.MAX_VALUE;
+        mIsClosedHere = true;
         closeLater(mConnection);
     }
 
@@ -144,8 +161,8 @@
      * answer that ends its connection the library closes the connection from within that read.
      */
     private void onClosed() {
-        HttpCall current = mCurrent;
-        if (current == null && receivedBytes() > mReceivedBytes) {
+        HttpCall current = mCurrent.get();
+        if (current == null && !mIsClosedHere && receivedBytes() > mReceivedBytes) {
             LOG.info("connection %d: bytes that no call has asked for; closed", mNumber);
             mOnSurplus.run();
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EventFramer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EventFramer.java
@@ -25,14 +25,16 @@
     private final ByteArrayOutputStream mEvent = new ByteArrayOutputStream();
     private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
     private long mId;
+    private boolean mIsNumbered;
 
     /**
      * A whole event.
      *
      * @param bytes its bytes with the empty line that ends it
      * @param id its id, or that of the event before if it has none
+     * @param isNumbered whether it states an id of its own
      */
-    record Event(byte[] bytes, long id) {}
+    record Event(byte[] bytes, long id, boolean isNumbered) {}
 
     /** Feeds bytes and returns the events that they complete. */
     List<Event> feed(byte[] part) {
@@ -50,8 +52,9 @@
             if (line.startsWith(ID)) {
                 readId(line.substring(ID.length()).strip());
             } else if (line.isEmpty()) {
-                events.add(new Event(mEvent.toByteArray(), mId));
+                events.add(new Event(mEvent.toByteArray(), mId, mIsNumbered));
                 mEvent.reset();
+                mIsNumbered = false;
             }
         }
         return events;
@@ -60,6 +63,7 @@
     private void readId(String text) {
         try {
             mId = Long.parseLong(text);
+            mIsNumbered = true;
         } catch (NumberFormatException ignored) {
             // A stream cannot be resumed at an id that is no number, so the one before stands.
             // Not logged: it may happen with each event, and the caller gets the event unchanged.
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/StreamForward.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/StreamForward.java
@@ -45,7 +45,7 @@
     /** Passes on the events that a part completes. */
     void part(byte[] part) throws IOException, TimeoutException, InterruptedException {
         for (EventFramer.Event event : mFramer.feed(part)) {
-            if (event.id() != 0 && event.id() <= mLast) {
+            if (event.isNumbered() && event.id() <= mLast) {
                 continue;
             }
             mLast = Math.max(mLast, event.id());
