Close what is kept for upstreams that are called no more; names of the counters

Cause: connections kept for an upstream that has gone or started again were closed only by the next call to it, which never comes. The counter of responses of other calls also counts those without an identity. Change: now and then a release closes all that is kept beyond its time; the counter is of surplus responses; comments say what the review had to ask for. Ruled out: being told by the directory of upstreams, which would couple both.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
@@ -178,7 +178,7 @@
     private static void register(MetricRegistry metrics, ConnectionCounters counters) {
         metrics.gauge("upstream.connections.opened", () -> counters::openedCount);
         metrics.gauge("upstream.connections.reused", () -> counters::reusedCount);
-        metrics.gauge("upstream.responses.foreign", () -> counters::foreignCount);
+        metrics.gauge("upstream.responses.surplus", () -> counters::surplusCount);
     }
 
     /**
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/TestConnections.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/TestConnections.java
@@ -10,6 +10,7 @@
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
+import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.clock.SystemMonotonicClock;
 import org.orchidmount.internal.http.HttpConnections;
 import org.xnio.OptionMap;
@@ -33,6 +34,16 @@
      * @param connectTimeout the longest wait for a new connection
      */
     public TestConnections(Duration connectTimeout) {
+        this(connectTimeout, new SystemMonotonicClock());
+    }
+
+    /**
+     * Starts the I/O thread.
+     *
+     * @param connectTimeout the longest wait for a new connection
+     * @param clock tells how long a connection has been idle
+     */
+    public TestConnections(Duration connectTimeout, MonotonicClock clock) {
         try {
             mWorker =
                     Xnio.getInstance()
@@ -45,9 +56,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException("no I/O thread for connections", e);
         }
-        mConnections =
-                new HttpConnections(
-                        mWorker, new SystemMonotonicClock(), connectTimeout, IDENTITY_FIELD);
+        mConnections = new HttpConnections(mWorker, clock, connectTimeout, IDENTITY_FIELD);
     }
 
     /**
--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/HttpConnectionsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/HttpConnectionsTest.java
@@ -20,6 +20,9 @@
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
+import org.orchidmount.junit.Await;
+import org.orchidmount.junit.ManualClock;
+import org.orchidmount.junit.StutteringUpstream;
 import org.orchidmount.junit.TestConnections;
 
 /** Tests which calls share a connection, and which responses are taken for theirs. */
@@ -139,7 +142,7 @@
         Failure failure = failure(head("a").with(SENT_BACK, sentBack));
         assertThat(failure).isInstanceOf(Failure.Garbled.class);
         assertThat(failure.mayHaveRun()).isTrue();
-        assertThat(mConnections.counters().foreignCount()).isEqualTo(1);
+        assertThat(mConnections.counters().surplusCount()).isEqualTo(1);
     }
 
     @Test
@@ -161,11 +164,28 @@
         assertThat(opened()).isEqualTo(2);
     }
 
+    /** An upstream that started again or has gone is called no more, so nobody looks there. */
     @Test
-    void theConnectionsOfAForgottenPeerAreClosed() throws Exception {
-        call(head("a"));
-        mConnections.forget(mPeer);
-        call(head("b"));
-        assertThat(opened()).isEqualTo(2);
+    void whatIsKeptForPeersThatAreCalledNoMoreIsClosed() throws Exception {
+        ManualClock clock = new ManualClock();
+        try (StutteringUpstream gone =
+                        new StutteringUpstream(
+                                call ->
+                                        StutteringUpstream.Answer.of(200, "")
+                                                .with(
+                                                        IDENTITY.toString(),
+                                                        call.field(IDENTITY.toString())
+                                                                .orElseThrow()));
+                TestConnections connections = new TestConnections(TIMEOUT, clock)) {
+            mConnections = connections.get();
+            Peer live = mPeer;
+            mPeer = new Peer("gone", "127.0.0.1", gone.port());
+            call(head("a"));
+            assertThat(gone.openCount()).isEqualTo(1);
+            clock.advance(Duration.ofSeconds(6));
+            mPeer = live;
+            call(head("b"));
+            Await.until("the connection is closed", TIMEOUT, () -> gone.openCount() == 0);
+        }
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionCounters.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionCounters.java
@@ -16,7 +16,7 @@
 public final class ConnectionCounters {
     private final LongAdder mOpened = new LongAdder();
     private final LongAdder mReused = new LongAdder();
-    private final LongAdder mForeign = new LongAdder();
+    private final LongAdder mSurplus = new LongAdder();
 
     void opened() {
         mOpened.increment();
@@ -26,8 +26,8 @@
         mReused.increment();
     }
 
-    void foreign() {
-        mForeign.increment();
+    void surplus() {
+        mSurplus.increment();
     }
 
     /**
@@ -49,17 +49,19 @@
     }
 
     /**
-     * Returns how many responses were not those of the calls that were under way, or of no call.
+     * Returns how often an upstream sent more than it was asked for: a response with another
+     * identity than that of the call under way, one without any on a connection that was used
+     * before, or bytes while no call was under way.
      *
-     * @return a count of responses
+     * @return a count of occurrences
      */
-    public long foreignCount() {
-        return mForeign.sum();
+    public long surplusCount() {
+        return mSurplus.sum();
     }
 
     @Override
     public String toString() {
-        return "%d connections opened, %d calls on kept ones, %d responses of other calls"
-                .formatted(openedCount(), reusedCount(), foreignCount());
+        return "%d connections opened, %d calls on kept ones, %d surplus responses"
+                .formatted(openedCount(), reusedCount(), surplusCount());
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -143,8 +143,8 @@
 
     /**
      * An upstream may answer twice, the second time late, in the place of the next response. So the
-     * place proves nothing: on a connection that was used before, a response without an identity is
-     * nobody's. On a new connection it can only be that of its call.
+     * place proves nothing: where the call or the response has no identity, a response is that of
+     * the call on a new connection only, where there was no call before.
      */
     private boolean isForeign(Optional<String> received) {
         boolean isFirst = mPooled.uses() == 1;
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -62,6 +62,7 @@
 
     private final OrderedLock mLock = new OrderedLock(LockRank.CONNECTIONS);
     private final Map<Peer, Deque<Idle>> mIdle = new HashMap<>();
+    private long mLastSweepNanos;
     private final ReuseSuspensions mSuspensions = new ReuseSuspensions();
     private final XnioWorker mWorker;
     private final MonotonicClock mClock;
@@ -94,6 +95,7 @@
         mClock = clock;
         mConnectTimeout = connectTimeout;
         mIdentityField = identityField;
+        mLastSweepNanos = clock.nanoTime();
     }
 
     /**
@@ -212,7 +214,8 @@
     /**
      * Sends the head of a request, whose body may follow in parts, on a connection of its own: an
      * idle one that the peer has just closed would leave it open whether the call ran, and on a new
-     * one the first response is that of the call, whether or not it carries an identity.
+     * one the first response is that of the call, whether or not it carries an identity. The
+     * connection serves no other call after it.
      *
      * @param peer whom to call
      * @param step the step, for errors
@@ -318,6 +321,7 @@
                 connection.closeLater();
                 return;
             }
+            closeUnusable(nowNanos);
             Deque<Idle> idle = mIdle.computeIfAbsent(peer, p -> new ArrayDeque<>());
             if (idle.size() >= MAX_IDLE_PER_PEER) {
                 idle.pollFirst().connection().closeLater();
@@ -326,22 +330,32 @@
         }
     }
 
-    /** Notes that a peer has sent more responses than it was asked for. */
-    void surplusFrom(Peer peer) {
-        mCounters.foreign();
-        try (OrderedLock.Held _ = mLock.hold()) {
-            mSuspensions.suspend(peer, mClock.nanoTime());
-            closeIdle(peer);
+    /** Now and then closes what is kept for peers to which no more calls are made. */
+    private void closeUnusable(long nowNanos) {
+        if (nowNanos - mLastSweepNanos < MAX_IDLE_NANOS) {
+            return;
         }
+        mLastSweepNanos = nowNanos;
+        mIdle.values().forEach(this::closeUnusable);
+        mIdle.values().removeIf(Deque::isEmpty);
     }
 
-    /**
-     * Closes the connections to a peer that are not in use.
-     *
-     * @param peer the peer, which has ended or does not need them any more
-     */
-    public void forget(Peer peer) {
+    private void closeUnusable(Deque<Idle> idle) {
+        Iterator<Idle> each = idle.iterator();
+        while (each.hasNext()) {
+            Idle next = each.next();
+            if (!isUsable(next)) {
+                each.remove();
+                next.connection().closeLater();
+            }
+        }
+    }
+
+    /** Notes that a peer has sent more responses than it was asked for. */
+    void surplusFrom(Peer peer) {
+        mCounters.surplus();
         try (OrderedLock.Held _ = mLock.hold()) {
+            mSuspensions.suspend(peer, mClock.nanoTime());
             closeIdle(peer);
         }
     }
