An address is not lost to an upstream that leaves and names it

Cause: since a start may become known with another address, any message that named another address took it, also from the upstream that works there. Change: only a start that becomes known takes the address that it names, as a new one does. UpstreamDirectoryTest.anAddressIsNotLostToOneThatLeaves failed before and passes; RestartedEngineTest and RelayRulesPinTest pass.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -336,6 +336,17 @@
         assertThat(assignment.hasStartedAgain()).isTrue();
     }
 
+    /** One that leaves may name any address; the one that works there keeps it. */
+    @Test
+    void anAddressIsNotLostToOneThatLeaves() {
+        mDirectory.update(ready("i-a", "a", 1));
+        mDirectory.update(ready("i-b", "a", 2));
+        Registration leaving =
+                new Registration("i-b", "s", "10.0.0.1:80", "a", 4, Stage.NONE, State.DRAINING, 2);
+        mDirectory.update(leaving);
+        assertThat(mDirectory.assign(NEED, Set.of()).get().id()).isEqualTo("i-a");
+    }
+
     /** A request that failed at the one before may go to the new start as to any other. */
     @Test
     void aNewStartOfOneThatWasTriedIsUntried() {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -86,11 +86,10 @@
                 begin(registration);
                 return Optional.ofNullable(known);
             }
-            String before = known.registration().address();
+            Incarnation before = known.incarnation();
             known.update(registration);
-            String address = known.registration().address();
-            if (!address.equals(before)) {
-                mIdByAddress.put(address, registration.id());
+            if (!known.incarnation().equals(before)) {
+                mIdByAddress.put(registration.address(), registration.id());
             }
             return Optional.empty();
         }
