--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -106,7 +106,7 @@
      * Reads a message. Of a list, the entries that cannot be used are left out.
      *
      * @param frame the encoded message
-     * @param refusals is told of each entry that is left out
+     * @param refusals takes a message for each entry that is left out
      * @throws IOException if the frame cannot be read
      */
     static ClusterMessage decode(byte[] frame, Consumer<String> refusals) throws IOException {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/HostPort.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/HostPort.java
@@ -12,6 +12,9 @@
  * @param port the port
  */
 public record HostPort(String host, int port) {
+    /** The largest TCP port. */
+    public static final int MAX_PORT = 65_535;
+
     /**
      * Reads the form host:port.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/PeerRecords.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/PeerRecords.java
@@ -16,7 +16,6 @@
  * later, with each request or message that uses it. Stateless and thread-safe.
  */
 final class PeerRecords {
-    private static final int MAX_PORT = 65_535;
 
     private PeerRecords() {}
 
@@ -61,7 +60,7 @@
     private static boolean isAddress(String text) {
         try {
             int port = HostPort.parse(text).port();
-            return port >= 1 && port <= MAX_PORT;
+            return port >= 1 && port <= HostPort.MAX_PORT;
         } catch (IllegalArgumentException e) {
             return false;
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/PendingDepartures.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/PendingDepartures.java
@@ -16,7 +16,7 @@
  * that counts included. Confined to the voter's own thread.
  */
 final class PendingDepartures {
-    /** The number of a departure that is told again and that nobody waits for. */
+    /** The number of a departure that is announced again and that nobody waits for. */
     static final long NONE = -1;
 
     private final Map<Long, Pending> mPending = new HashMap<>();
--- a/org.orchidmount/src/main/java/org/orchidmount/membership/Incarnation.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/membership/Incarnation.java
@@ -28,8 +28,8 @@
  *
  * <p>Starts are compared with each other only, never with a clock of this system: the clocks of two
  * machines differ by any amount. The price: a start stated too far in the future counts as newer
- * than the true ones that follow. It holds until the upstream is told to have left and is forgotten
- * by {@link Registry}; after that any start is taken.
+ * than the true ones that follow. It holds until the departure of the upstream is received and it
+ * is forgotten by {@link Registry}; after that any start is taken.
  */
 public final class Incarnation {
     /** Less than any start that can be stated. */
