What an upstream states of the requests that it takes is read and logged

Callers saw nothing; operators could not tell whether any instance had heard that an upstream takes no more. The field went by with the others. Nothing is done by it yet.

A response of another upstream in its place (misdirected, or of another request) is not believed; a number that is none leaves what was known.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/lock/LockRank.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/lock/LockRank.java
@@ -27,5 +27,7 @@
     /** Crashes of upstreams that are not proved yet. */
     CRASHES,
     /** Records of requests that crash upstreams. */
-    QUARANTINE
+    QUARANTINE,
+    /** Limits that upstreams state. */
+    UPSTREAM_LIMITS
 }
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamLimits.java
@@ -0,0 +1,201 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.pacing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.function.Predicate;
+import org.orchidmount.clock.Millis;
+import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.internal.lock.LockRank;
+import org.orchidmount.internal.lock.OrderedLock;
+import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.membership.Incarnation;
+
+/**
+ * The limits of upstreams that one instance knows.
+ *
+ * <p>Invariants: a response changes what is known only if its request was sent after that was
+ * learned, so that one which comes late behind a newer one changes nothing; records of other
+ * instances merge to the same in any order; a limit in force is forgotten only with its upstream,
+ * or when there are more than {@link #CAPACITY} records and none of a limit that has ended.
+ * Thread-safe.
+ */
+public final class UpstreamLimits {
+    /** Records held at most: twice the upstreams of the target, some 100 bytes each. */
+    public static final int CAPACITY = 16_384;
+
+    /** A limit that has ended is remembered while older records may still be on their way. */
+    private static final Duration REMEMBER_ENDED = Duration.ofMinutes(10);
+
+    /** Smaller changes are not told to all instances; what upstreams bear is wider. */
+    private static final double LEAST_CHANGE_SHARE = 0.1;
+
+    private static final PartLog LOG = PartLog.of("pacing");
+
+    private final OrderedLock mLock = new OrderedLock(LockRank.UPSTREAM_LIMITS);
+    private final Map<Incarnation, Held> mHeld = new HashMap<>();
+    private final String mInstance;
+    private final MonotonicClock mClock;
+
+    /** Read without the lock, so that responses cost nothing while no limit is known. */
+    private volatile boolean mIsEmpty = true;
+
+    private record Held(UpstreamLimit limit, long learnedNanos) {
+        /** Orders what gives way first: what has ended, then the oldest. */
+        static final Comparator<Held> GIVES_WAY =
+                Comparator.comparing((Held held) -> held.limit.isInForce())
+                        .thenComparingLong(Held::learnedNanos);
+
+        boolean isOld(long nowNanos) {
+            boolean isLongAgo = nowNanos - learnedNanos > REMEMBER_ENDED.toNanos();
+            return isLongAgo && !limit.isInForce();
+        }
+    }
+
+    /**
+     * Creates it without any limits.
+     *
+     * @param instance the name of this instance
+     * @param clock orders what is learned and what is sent
+     */
+    public UpstreamLimits(String instance, MonotonicClock clock) {
+        mInstance = instance;
+        mClock = clock;
+    }
+
+    /**
+     * Learns from a response of an upstream.
+     *
+     * @param upstream the incarnation that responded
+     * @param stated the limit that the response states; nothing if it states none
+     * @param sentNanos when its request was sent, by the clock
+     * @return the new record, if this changes what is known
+     */
+    public Optional<UpstreamLimit> observe(
+            Incarnation upstream, OptionalDouble stated, long sentNanos) {
+        if (mIsEmpty && stated.isEmpty()) {
+            return Optional.empty();
+        }
+        try (OrderedLock.Held _ = mLock.hold()) {
+            Held held = mHeld.get(upstream);
+            boolean isNews =
+                    held == null
+                            ? stated.isPresent()
+                            : sentNanos - held.learnedNanos() >= 0 && differs(held.limit(), stated);
+            if (!isNews) {
+                return Optional.empty();
+            }
+            long version = held == null ? 1 : held.limit().version() + 1;
+            UpstreamLimit limit = new UpstreamLimit(upstream, stated, version, mInstance);
+            hold(limit);
+            LOG.info(
+                    "upstream %s, by the answer to a request sent %.0f ms ago",
+                    limit, Millis.ofNanos(mClock.nanoTime() - sentNanos));
+            return Optional.of(limit);
+        }
+    }
+
+    private static boolean differs(UpstreamLimit known, OptionalDouble stated) {
+        if (!known.isInForce() || stated.isEmpty()) {
+            return known.isInForce() != stated.isPresent();
+        }
+        double before = known.perSecond().getAsDouble();
+        double change = Math.abs(stated.getAsDouble() - before);
+        return change > LEAST_CHANGE_SHARE * before;
+    }
+
+    /**
+     * Merges records that were received.
+     *
+     * @param records the records
+     * @return those that were new
+     */
+    public List<UpstreamLimit> merge(Collection<UpstreamLimit> records) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            List<UpstreamLimit> changed = new ArrayList<>();
+            for (UpstreamLimit record : records) {
+                Held held = mHeld.get(record.upstream());
+                if (held == null || record.isNewerThan(held.limit())) {
+                    hold(record);
+                    LOG.info("upstream %s, as another instance says", record);
+                    changed.add(record);
+                }
+            }
+            return changed;
+        }
+    }
+
+    private void hold(UpstreamLimit limit) {
+        long nowNanos = mClock.nanoTime();
+        mHeld.put(limit.upstream(), new Held(limit, nowNanos));
+        mHeld.values().removeIf(held -> held.isOld(nowNanos));
+        while (mHeld.size() > CAPACITY) {
+            Held first = mHeld.values().stream().min(Held.GIVES_WAY).orElseThrow();
+            mHeld.remove(first.limit().upstream());
+        }
+        mIsEmpty = mHeld.isEmpty();
+    }
+
+    /**
+     * Tells whether no limit was ever heard of, or all are forgotten.
+     *
+     * @return true if it holds no records
+     */
+    public boolean isEmpty() {
+        return mIsEmpty;
+    }
+
+    /**
+     * Finds the limit of an upstream.
+     *
+     * @param upstream the incarnation
+     * @return its limit, if it states one
+     */
+    public Optional<UpstreamLimit> find(Incarnation upstream) {
+        if (mIsEmpty) {
+            return Optional.empty();
+        }
+        try (OrderedLock.Held _ = mLock.hold()) {
+            return Optional.ofNullable(mHeld.get(upstream))
+                    .map(Held::limit)
+                    .filter(UpstreamLimit::isInForce);
+        }
+    }
+
+    /**
+     * Returns all records, those of limits that have ended too.
+     *
+     * @return a copy
+     */
+    public List<UpstreamLimit> all() {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            return mHeld.values().stream().map(Held::limit).toList();
+        }
+    }
+
+    /**
+     * Forgets upstreams.
+     *
+     * @param hasEnded tells which
+     */
+    public void forget(Predicate<Incarnation> hasEnded) {
+        if (mIsEmpty) {
+            return;
+        }
+        try (OrderedLock.Held _ = mLock.hold()) {
+            mHeld.keySet().removeIf(hasEnded);
+            mIsEmpty = mHeld.isEmpty();
+        }
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -160,6 +160,7 @@
                         mFromPosition);
         HttpHead head = mContext.protocol().head(mRequest, upstreamCall);
         mProgress.waitsFor(Activity.SENDING, assignment.id());
+        long sentNanos = mContext.clock().nanoTime();
         try (CallCancel cancel = new CallCancel(mCancel, assignment);
                 HttpCall call = open(assignment, head, cancel.signal())) {
             mProgress.waitsFor(Activity.RESPONSE, assignment.id());
@@ -170,7 +171,7 @@
             mHasResponse = true;
             call.limitIdle(mContext.protocol().idleTimeout(response));
             mProgress.waitsFor(Activity.BODY, assignment.id());
-            return onHead(placement, call, response);
+            return onHead(placement, call, response, sentNanos);
         } catch (CallFailedException e) {
             return failed(assignment, e.failure());
         }
@@ -189,11 +190,13 @@
         return mRequest.left(mContext.clock().nanoTime());
     }
 
-    private AttemptOutcome onHead(Placement placement, HttpCall call, ClientResponse response)
+    private AttemptOutcome onHead(
+            Placement placement, HttpCall call, ClientResponse response, long sentNanos)
             throws CallFailedException, IOException, TimeoutException, InterruptedException {
         Assignment assignment = placement.assignment();
         return switch (mContext.protocol().classify(mRequest, response)) {
             case NOT_RUN -> {
+                mContext.responded(assignment, response, sentNanos);
                 if (placement.reservation().isPresent()) {
                     mContext.upstreams().refusedDespiteRoom(assignment);
                 } else {
@@ -214,7 +217,10 @@
                 call.abort();
                 yield AttemptOutcome.MAY_HAVE_RUN;
             }
-            case RESPONSE -> onResponse(placement, call, response);
+            case RESPONSE -> {
+                mContext.responded(assignment, response, sentNanos);
+                yield onResponse(placement, call, response);
+            }
         };
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
@@ -57,10 +57,12 @@
         HttpHead head = protocol.reserve(assignment.id());
         byte[] body = protocol.reservation(tokens, LIFE);
         mProgress.waitsFor(Activity.RESERVATION, assignment.id());
+        long sentNanos = mContext.clock().nanoTime();
         try (HttpCall call =
                 mContext.connections().call(assignment.peer(), Step.ADMIT, head, body, TIMEOUT)) {
             ClientResponse response = call.awaitResponse(TIMEOUT);
             call.limitIdle(protocol.idleTimeout(response));
+            mContext.responded(assignment, response, sentNanos);
             byte[] answer = call.readAll(TIMEOUT, RelayContext.MAX_CONTROL_BYTES);
             if (!HttpStatus.isOk(response.getResponseCode())) {
                 LOG.debug(
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
@@ -202,6 +202,7 @@
                         0);
         HttpHead head = protocol.head(mRequest, prefill);
         mProgress.waitsFor(Activity.PREFILL, assignment.id());
+        long sentNanos = mContext.clock().nanoTime();
         try (CallCancel cancel = new CallCancel(mCancel, assignment);
                 HttpCall call =
                         mContext.connections()
@@ -214,6 +215,7 @@
                                         cancel.signal())) {
             ClientResponse response = call.awaitResponse(silenceLimit(assignment));
             call.limitIdle(protocol.idleTimeout(response));
+            mContext.responded(assignment, response, sentNanos);
             return onHead(assignment, call, response);
         } catch (CallFailedException e) {
             mContext.callFailed(assignment, e.failure(), mCancel);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -15,6 +15,7 @@
 import org.orchidmount.limits.WindowRetryBudget;
 import org.orchidmount.load.EngineLoads;
 import org.orchidmount.load.SequenceAnnouncer;
+import org.orchidmount.pacing.UpstreamPace;
 import org.orchidmount.quarantine.CrashReports;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.ClientRetryDetector;
@@ -34,6 +35,7 @@
      * @param loads the sequences in flight at engines
      * @param announcer announces sequences to the other instances
      * @param crashes what is known of requests that crash upstreams
+     * @param pace the limits that upstreams state
      * @param connections connections to upstreams
      * @param protocol what upstreams speak
      * @param clock the clock
@@ -45,6 +47,7 @@
             EngineLoads loads,
             SequenceAnnouncer announcer,
             CrashReports crashes,
+            UpstreamPace pace,
             HttpConnections connections,
             UpstreamProtocol protocol,
             MonotonicClock clock) {
@@ -59,6 +62,7 @@
                         loads,
                         announcer,
                         crashes,
+                        pace,
                         connections,
                         protocol,
                         clock);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -5,6 +5,7 @@
  */
 package org.orchidmount.relay;
 
+import io.undertow.client.ClientResponse;
 import java.time.Duration;
 import java.util.concurrent.ConcurrentMap;
 import java.util.function.Supplier;
@@ -20,6 +21,7 @@
 import org.orchidmount.limits.RetryBudget;
 import org.orchidmount.load.EngineLoads;
 import org.orchidmount.load.SequenceAnnouncer;
+import org.orchidmount.pacing.UpstreamPace;
 import org.orchidmount.quarantine.CrashReports;
 import org.orchidmount.routing.ClientRetryDetector;
 import org.orchidmount.routing.EnginePaceEstimator;
@@ -38,6 +40,7 @@
  * @param loads the sequences in flight at engines
  * @param announcer announces sequences to the other instances
  * @param crashes what is known of requests that crash upstreams
+ * @param pace the limits that upstreams state
  * @param connections connections to upstreams
  * @param protocol what upstreams speak
  * @param clock the clock
@@ -52,6 +55,7 @@
         EngineLoads loads,
         SequenceAnnouncer announcer,
         CrashReports crashes,
+        UpstreamPace pace,
         HttpConnections connections,
         UpstreamProtocol protocol,
         MonotonicClock clock) {
@@ -86,6 +90,12 @@
         }
     }
 
+    /** Learns from the head of a response of an upstream to its request. */
+    void responded(Assignment assignment, ClientResponse response, long sentNanos) {
+        protocol.limit(response)
+                .ifPresent(stated -> pace.heard(assignment.incarnation(), stated, sentNanos));
+    }
+
     /** Makes a call whose answer does not matter, on a thread of its own. */
     void send(Peer peer, HttpHead head) {
         Thread.ofVirtual()
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamProtocol.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamProtocol.java
@@ -9,7 +9,9 @@
 import io.undertow.util.HeaderMap;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import org.orchidmount.internal.http.HttpHead;
+import org.orchidmount.pacing.LimitStatement;
 
 /**
  * What upstreams speak. Implementations translate only: they hold no state, decide nothing and are
@@ -42,6 +44,14 @@
      */
     ResponseKind classify(RelayRequest request, ClientResponse response);
 
+    /**
+     * Reads what a response states of the requests that its upstream takes from all instances.
+     *
+     * @param response the head of the response
+     * @return the statement; nothing if another upstream responds in its place
+     */
+    Optional<LimitStatement> limit(ClientResponse response);
+
     /**
      * Returns the fields of a response that are passed on to the caller.
      *
