--- /dev/null
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/pacing/UpstreamPaceTest.java
@@ -0,0 +1,239 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.pacing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.orchidmount.junit.ManualClock;
+import org.orchidmount.membership.Incarnation;
+import org.orchidmount.membership.Registration;
+import org.orchidmount.quota.QuotaAnswer;
+import org.orchidmount.quota.QuotaAsk;
+import org.orchidmount.quota.QuotaOwner;
+import org.orchidmount.quota.QuotaOwnerClient;
+import org.orchidmount.quota.SharedQuota;
+
+/** What one instance sends to upstreams that state limits. */
+final class UpstreamPaceTest {
+    private static final Incarnation UPSTREAM = Incarnation.startedAt("i-1", 1);
+    private static final Incarnation OTHER = Incarnation.startedAt("i-2", 1);
+    private static final Duration TARGET = Duration.ofMillis(400);
+    private static final Duration PATIENCE = Duration.ofSeconds(3);
+    private static final int INSTANCES = 4;
+
+    private final ManualClock mClock = new ManualClock();
+    private final UpstreamLimits mLimits = new UpstreamLimits("here", mClock);
+    private final Owner mOwner = new Owner();
+    private final List<UpstreamLimit> mAnnounced = new ArrayList<>();
+    private final UpstreamPace mPace =
+            new UpstreamPace(
+                    mLimits,
+                    mAnnounced::add,
+                    new SharedQuota(mOwner),
+                    () -> INSTANCES,
+                    new SplittableRandom(1),
+                    mClock);
+
+    /** Owns the buckets, or is silent. */
+    private final class Owner implements QuotaOwnerClient {
+        private final QuotaOwner mBuckets = new QuotaOwner();
+        private boolean mIsSilent;
+        private int mAsked;
+
+        @Override
+        public CompletableFuture<QuotaAnswer> askOwner(QuotaAsk ask) {
+            mAsked++;
+            return CompletableFuture.completedFuture(
+                    mIsSilent ? QuotaAnswer.NO_OWNER : mBuckets.ask(ask, mClock.nanoTime()));
+        }
+
+        @Override
+        public void giveBack(String key, long units) {
+            mBuckets.giveBack(key, units, mClock.nanoTime());
+        }
+    }
+
+    private void names(Incarnation upstream, double perSecond) {
+        mClock.advance(Duration.ofMillis(1));
+        mPace.heard(upstream, new LimitStatement.PerSecond(perSecond), mClock.nanoTime());
+    }
+
+    private boolean take() throws InterruptedException {
+        return mPace.take(UPSTREAM, TARGET).isGranted();
+    }
+
+    /** Takes what there is now. */
+    private int takeAll() throws InterruptedException {
+        int taken = 0;
+        while (take()) {
+            taken++;
+        }
+        return taken;
+    }
+
+    @Test
+    void nobodyIsAskedForAnUpstreamThatStatesNoLimit() throws InterruptedException {
+        names(OTHER, 1);
+        for (int i = 0; i < 100; i++) {
+            assertThat(take()).isTrue();
+        }
+        assertThat(mOwner.mAsked).isEqualTo(0);
+        assertThat(mPace.full()).isEmpty();
+    }
+
+    @Test
+    void oneThatHasGotWhatItTakesIsPassedOverUntilItHasRoom() throws InterruptedException {
+        names(UPSTREAM, 4);
+        takeAll();
+        int asked = mOwner.mAsked;
+        assertThat(mPace.full()).containsExactly("i-1");
+        assertThat(take()).isFalse();
+        assertThat(mOwner.mAsked).isEqualTo(asked);
+        mClock.advance(Duration.ofMillis(600));
+        assertThat(mPace.full()).isEmpty();
+        assertThat(take()).isTrue();
+    }
+
+    @Test
+    void whatWasNotSentIsGivenBack() throws InterruptedException {
+        names(UPSTREAM, 4);
+        SendPermit permit = mPace.take(UPSTREAM, TARGET);
+        takeAll();
+        mPace.giveBack(permit);
+        mPace.giveBack(SendPermit.FREE);
+        names(UPSTREAM, 8);
+        assertThat(takeAll()).isAtLeast(1);
+    }
+
+    /** One that takes nothing gets a request now and then, or its end would never be heard of. */
+    @Test
+    void anUpstreamThatTakesNothingIsAskedNowAndThen() throws InterruptedException {
+        names(UPSTREAM, 0);
+        int sent = 0;
+        for (int i = 0; i < 400; i++) {
+            sent += takeAll();
+            mClock.advance(Duration.ofMillis(100));
+        }
+        assertThat(sent).isAtLeast(7);
+        assertThat(sent).isAtMost(10);
+    }
+
+    @Test
+    void aChangeCountsAtOnceAndIsTold() throws InterruptedException {
+        names(UPSTREAM, 1);
+        takeAll();
+        names(UPSTREAM, 50);
+        assertThat(mPace.full()).isEmpty();
+        mClock.advance(Duration.ofMillis(100));
+        assertThat(take()).isTrue();
+        mPace.heard(UPSTREAM, LimitStatement.NONE, mClock.nanoTime());
+        assertThat(mAnnounced).hasSize(3);
+        assertThat(mAnnounced.getLast().isInForce()).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"many", "", "3.6, 3.6"})
+    void whatCannotBeReadChangesNothing(String text) {
+        names(UPSTREAM, 2);
+        mClock.advance(Duration.ofMillis(1));
+        mPace.heard(UPSTREAM, new LimitStatement.Unreadable(text), mClock.nanoTime());
+        assertThat(mLimits.find(UPSTREAM).orElseThrow().perSecond().getAsDouble()).isEqualTo(2.0);
+        assertThat(mPace.toString()).contains("1 statements unreadable");
+    }
+
+    /** Its part of half of what the upstream takes. */
+    @Test
+    void withoutAnOwnerAnInstanceSendsAnEqualPart() throws InterruptedException {
+        mOwner.mIsSilent = true;
+        names(UPSTREAM, 8);
+        int sent = 0;
+        for (int i = 0; i < 2_000; i++) {
+            sent += takeAll();
+            mClock.advance(Duration.ofMillis(10));
+        }
+        assertThat(sent).isAtLeast(18);
+        assertThat(sent).isAtMost(21);
+    }
+
+    @Test
+    void theOwnerIsAskedAgainSoonAfterItWasSilent() throws InterruptedException {
+        names(UPSTREAM, 1);
+        mOwner.mIsSilent = true;
+        takeAll();
+        mOwner.mIsSilent = false;
+        mClock.advance(Duration.ofMillis(200));
+        assertThat(take()).isTrue();
+    }
+
+    /** Though it has sent less than it may. */
+    @Test
+    void oneThatRefusesHasNoRoom() throws InterruptedException {
+        names(UPSTREAM, 4);
+        assertThat(mPace.refusedBy(OTHER)).isFalse();
+        assertThat(mPace.refusedBy(UPSTREAM)).isTrue();
+        assertThat(take()).isFalse();
+        mClock.advance(Duration.ofMillis(251));
+        assertThat(take()).isTrue();
+    }
+
+    @Test
+    void aNewStartIsNotHeldToTheLimitOfTheOneBefore() throws InterruptedException {
+        names(UPSTREAM, 1);
+        takeAll();
+        Incarnation next = Incarnation.startedAt("i-1", 2);
+        mPace.registered(
+                new Registration(
+                        next,
+                        "s",
+                        "127.0.0.1:1",
+                        "a",
+                        1,
+                        Registration.Stage.NONE,
+                        Registration.State.READY,
+                        1));
+        assertThat(mPace.full()).isEmpty();
+        assertThat(mLimits.isEmpty()).isTrue();
+        assertThat(mPace.take(next, TARGET).isGranted()).isTrue();
+    }
+
+    /**
+     * Two upstreams that take 4 a second together: an instance of four has room for one a second.
+     */
+    @Test
+    void thoseRefusedTogetherComeBackOneAfterTheOther() throws InterruptedException {
+        names(UPSTREAM, 1);
+        names(OTHER, 3);
+        takeAll();
+        List<Incarnation> both = List.of(UPSTREAM, OTHER);
+        Duration first = mPace.comeBackAfter("s", both, PATIENCE);
+        Duration second = mPace.comeBackAfter("s", both, PATIENCE);
+        Duration third = mPace.comeBackAfter("s", both, PATIENCE);
+        assertThat(second.minus(first)).isEqualTo(Duration.ofSeconds(1));
+        assertThat(third.minus(second)).isEqualTo(Duration.ofSeconds(1));
+    }
+
+    /** One that cannot wait so long takes no place, so others come back no later for it. */
+    @ParameterizedTest
+    @CsvSource({"100, 2", "4, 2"})
+    void onlyThoseWhoCanWaitTakePlacesInTheQueue(int refused, int seconds) {
+        names(UPSTREAM, 4);
+        for (int i = 0; i < refused; i++) {
+            mPace.comeBackAfter("s", List.of(UPSTREAM), PATIENCE);
+        }
+        mClock.advance(Duration.ofSeconds(seconds));
+        assertThat(mPace.comeBackAfter("s", List.of(UPSTREAM), PATIENCE))
+                .isAtMost(Duration.ofSeconds(2));
+    }
+}
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/EndClassifierTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/EndClassifierTest.java
@@ -95,6 +95,7 @@
                         isClientRetry,
                         false,
                         lacksPrefill,
+                        false,
                         route,
                         first,
                         pause,
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/Capability.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/Capability.java
@@ -15,7 +15,13 @@
  */
 enum Capability {
     /** Takes crash records. Where one does not, it runs requests that others refuse. */
-    CRASH_RECORDS(1);
+    CRASH_RECORDS(1),
+
+    /**
+     * Takes limits of upstreams, and as a voter counts what is sent to these. Where a voter does
+     * not, each entry keeps to an equal part of a limit; where an entry does not, it keeps to none.
+     */
+    UPSTREAM_LIMITS(2);
 
     private final int mBit;
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -33,6 +33,7 @@
 import org.orchidmount.cluster.ClusterMessage.TableDocument;
 import org.orchidmount.cluster.ClusterMessage.TableNotice;
 import org.orchidmount.cluster.ClusterMessage.TableRequest;
+import org.orchidmount.cluster.ClusterMessage.UpstreamLimitRecords;
 import org.orchidmount.cluster.ClusterMessage.Voters;
 import org.orchidmount.consensus.DurableState;
 import org.orchidmount.consensus.EntryId;
@@ -80,6 +81,7 @@
     private static final int QUOTA_REPLY = 11;
     private static final int QUOTA_RETURN = 12;
     private static final int CRASH_RECORDS = 13;
+    private static final int UPSTREAM_LIMITS = 14;
 
     /** The types of frames of the consensus. */
     private static final int VOTE_REQUEST = 20;
@@ -139,6 +141,9 @@
         } else if (message instanceof CrashRecords crashes) {
             out.packInt(CRASH_RECORDS);
             CrashRecordCodec.write(out, crashes.records());
+        } else if (message instanceof UpstreamLimitRecords records) {
+            out.packInt(UPSTREAM_LIMITS);
+            UpstreamLimitCodec.write(out, records.limits());
         } else if (message instanceof KeepAlive) {
             out.packInt(KEEP_ALIVE);
         } else if (message instanceof TableNotice notice) {
@@ -282,6 +287,7 @@
             }
             case REGISTRATIONS_HELD -> new RegistrationsHeld(in.unpackLong());
             case CRASH_RECORDS -> new CrashRecords(CrashRecordCodec.read(in));
+            case UPSTREAM_LIMITS -> new UpstreamLimitRecords(UpstreamLimitCodec.read(in));
             case QUOTA_REQUEST -> readQuotaRequest(in);
             case QUOTA_REPLY -> readQuotaReply(in);
             case QUOTA_RETURN -> new QuotaReturn(in.unpackString(), readCount(in));
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
@@ -11,6 +11,7 @@
 import org.orchidmount.consensus.ReplicaMessage;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
+import org.orchidmount.pacing.UpstreamLimit;
 import org.orchidmount.quarantine.CrashRecord;
 import org.orchidmount.quota.QuotaAnswer;
 import org.orchidmount.quota.QuotaAsk;
@@ -61,6 +62,17 @@
         }
     }
 
+    /**
+     * Carries what is known of limits that upstreams state.
+     *
+     * @param limits the limits, those that have ended too
+     */
+    record UpstreamLimitRecords(List<UpstreamLimit> limits) implements ClusterMessage {
+        public UpstreamLimitRecords {
+            limits = List.copyOf(limits);
+        }
+    }
+
     /** Shows that the sender lives. */
     record KeepAlive() implements ClusterMessage {}
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/CrashRecordCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/CrashRecordCodec.java
@@ -7,7 +7,6 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -17,10 +16,8 @@
 import org.orchidmount.quarantine.RequestFingerprint;
 
 /** Writes and reads crash records, in frames and in files. Stateless and thread-safe. */
-final class CrashRecordCodec {
-    private CrashRecordCodec() {}
-
-    static void write(MessageBufferPacker out, Collection<CrashRecord> records) throws IOException {
+final class CrashRecordCodec implements RecordFile.Codec<CrashRecord> {
+    static void write(MessageBufferPacker out, List<CrashRecord> records) throws IOException {
         out.packArrayHeader(records.size());
         for (CrashRecord record : records) {
             out.packString(record.fingerprint().hex()).packLong(record.epoch());
@@ -50,14 +47,16 @@
         return records;
     }
 
-    static byte[] encode(Collection<CrashRecord> records) throws IOException {
+    @Override
+    public byte[] encode(List<CrashRecord> records) throws IOException {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
             write(out, records);
             return out.toByteArray();
         }
     }
 
-    static List<CrashRecord> decode(byte[] body) throws IOException {
+    @Override
+    public List<CrashRecord> decode(byte[] body) throws IOException {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(body)) {
             return read(in);
         } catch (MessagePackException | IllegalArgumentException e) {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -29,6 +29,7 @@
 import org.orchidmount.cluster.ClusterMessage.TableDocument;
 import org.orchidmount.cluster.ClusterMessage.TableNotice;
 import org.orchidmount.cluster.ClusterMessage.TableRequest;
+import org.orchidmount.cluster.ClusterMessage.UpstreamLimitRecords;
 import org.orchidmount.cluster.ClusterMessage.Voters;
 import org.orchidmount.consensus.Member;
 import org.orchidmount.internal.log.PartLog;
@@ -36,6 +37,9 @@
 import org.orchidmount.load.SequenceAnnouncer;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
+import org.orchidmount.pacing.UpstreamLimit;
+import org.orchidmount.pacing.UpstreamLimitAnnouncer;
+import org.orchidmount.pacing.UpstreamLimits;
 import org.orchidmount.quarantine.CrashAnnouncer;
 import org.orchidmount.quarantine.CrashRecord;
 import org.orchidmount.quarantine.CrashRegistry;
@@ -53,7 +57,11 @@
  * state is confined to one thread; the public methods are thread-safe.
  */
 public final class EntryNode
-        implements SequenceAnnouncer, QuotaOwnerClient, CrashAnnouncer, AutoCloseable {
+        implements SequenceAnnouncer,
+                QuotaOwnerClient,
+                CrashAnnouncer,
+                UpstreamLimitAnnouncer,
+                AutoCloseable {
     private static final PartLog LOG = PartLog.of("entry");
 
     /** Pause between two looks at links and tables. Chosen, not measured. */
@@ -106,6 +114,7 @@
     private final Map<String, OwnSequence> mOwnSequences = new HashMap<>();
     private final QuotaRequests mQuotaRequests;
     private final CrashRegistry mCrashes;
+    private final UpstreamLimits mLimits;
     private final CountDownLatch mFirstTable = new CountDownLatch(1);
     private final long mStartNanos;
     private long mRequestedNanos;
@@ -167,6 +176,7 @@
         mSeeds = Set.copyOf(seeds);
         mQuotaRequests = new QuotaRequests(node.hashCode());
         mCrashes = new CrashRegistry(clock);
+        mLimits = new UpstreamLimits(node, clock);
         mStartNanos = clock.nanoTime();
         mRequestedNanos = mStartNanos - REQUEST_AGAIN_AFTER.toNanos();
         mUnlinkedNanos = mStartNanos;
@@ -324,6 +334,63 @@
         }
     }
 
+    /**
+     * Returns what is known here of limits that upstreams state.
+     *
+     * @return the limits, which go on changing
+     */
+    public UpstreamLimits limits() {
+        return mLimits;
+    }
+
+    /** Sends to every voter, since each change matters and there are few. */
+    @Override
+    public void announce(UpstreamLimit limit) {
+        mTasks.post(() -> mGreetings.keySet().forEach(link -> sendLimits(link, List.of(limit))));
+    }
+
+    private void sendLimits(Link voter, List<UpstreamLimit> limits) {
+        if (mGreetings.get(voter).knows(Capability.UPSTREAM_LIMITS)) {
+            voter.send(new UpstreamLimitRecords(limits));
+        }
+    }
+
+    /**
+     * Reaches the owner of what upstreams take. Voters of earlier builds know nothing of that;
+     * while one of them is linked, which may come to lead, there is no owner.
+     *
+     * @return the client
+     */
+    public QuotaOwnerClient upstreamOwner() {
+        return new UpstreamOwner();
+    }
+
+    private final class UpstreamOwner implements QuotaOwnerClient {
+        @Override
+        public CompletableFuture<QuotaAnswer> askOwner(QuotaAsk ask) {
+            CompletableFuture<QuotaAnswer> answer = new CompletableFuture<>();
+            mTasks.post(
+                    () -> {
+                        if (allVotersCount()) {
+                            mQuotaRequests.ask(ask, answer);
+                        } else {
+                            answer.complete(QuotaAnswer.NO_OWNER);
+                        }
+                    });
+            return answer;
+        }
+
+        @Override
+        public void giveBack(String key, long units) {
+            EntryNode.this.giveBack(key, units);
+        }
+    }
+
+    private boolean allVotersCount() {
+        return mGreetings.values().stream()
+                .allMatch(voter -> voter.knows(Capability.UPSTREAM_LIMITS));
+    }
+
     private void dial(HostPort address) {
         mDialers.computeIfAbsent(address, to -> new Dialer(to, mGreeting, mHandler));
     }
@@ -335,6 +402,8 @@
             mQuotaRequests.received(reply);
         } else if (message instanceof CrashRecords crashes) {
             mCrashes.merge(crashes.records());
+        } else if (message instanceof UpstreamLimitRecords records) {
+            mLimits.merge(records.limits());
         } else if (message instanceof Registrations registrations) {
             onRegistrations(link, registrations);
         } else if (message instanceof TableNotice notice) {
@@ -389,6 +458,9 @@
         if (!mCrashes.isEmpty()) {
             sendCrashes(link, mCrashes.all());
         }
+        if (!mLimits.isEmpty()) {
+            sendLimits(link, mLimits.all());
+        }
         learn(greeting.voter());
         LOG.info("voter %s is reached", greeting.node());
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterCrashes.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterCrashes.java
@@ -28,7 +28,7 @@
     private final Persister<List<CrashRecord>> mPersister;
 
     /** Creates it with the records on disk. */
-    VoterCrashes(CrashFile file, VoterLinks links, MonotonicClock clock) {
+    VoterCrashes(RecordFile<CrashRecord> file, VoterLinks links, MonotonicClock clock) {
         mRegistry = new CrashRegistry(clock);
         mLinks = links;
         mPersister = new Persister<>("crash-disk", file::write, written -> {});
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLimits.java
@@ -0,0 +1,81 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.cluster;
+
+import java.util.List;
+import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.cluster.ClusterMessage.UpstreamLimitRecords;
+import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.membership.Registry;
+import org.orchidmount.pacing.UpstreamLimit;
+import org.orchidmount.pacing.UpstreamLimits;
+
+/**
+ * The limits of upstreams at a voter, which passes what is new on to all instances and keeps it on
+ * disk, so that also an instance that has just started keeps to them.
+ *
+ * <p>No agreement is needed: records merge to the same in any order. Confined to the voter's
+ * thread.
+ */
+final class VoterLimits implements AutoCloseable {
+    private static final PartLog LOG = PartLog.of("pacing");
+
+    private final UpstreamLimits mLimits;
+    private final VoterLinks mLinks;
+    private final Persister<List<UpstreamLimit>> mPersister;
+
+    /** Creates it with the limits on disk. */
+    VoterLimits(
+            String instance,
+            RecordFile<UpstreamLimit> file,
+            VoterLinks links,
+            MonotonicClock clock) {
+        mLimits = new UpstreamLimits(instance, clock);
+        mLinks = links;
+        mPersister = new Persister<>("limit-disk", file::write, written -> {});
+        List<UpstreamLimit> limits = file.read();
+        mLimits.merge(limits);
+        if (!limits.isEmpty()) {
+            LOG.info("%d limits of upstreams are on disk", limits.size());
+        }
+    }
+
+    /** Greets a peer with all limits. */
+    void greet(Link link, ClusterMessage.Greeting peer) {
+        if (!mLimits.isEmpty() && peer.knows(Capability.UPSTREAM_LIMITS)) {
+            link.send(new UpstreamLimitRecords(mLimits.all()));
+        }
+    }
+
+    /** Takes limits of another instance. */
+    void received(UpstreamLimitRecords records) {
+        List<UpstreamLimit> changed = mLimits.merge(records.limits());
+        if (changed.isEmpty()) {
+            return;
+        }
+        mLinks.sendToAllKnowing(Capability.UPSTREAM_LIMITS, new UpstreamLimitRecords(changed));
+        mPersister.persist(mLimits.all());
+    }
+
+    /** Forgets upstreams that have left or started again. */
+    void forgetEnded(Registry registry) {
+        mLimits.forget(
+                upstream ->
+                        registry.find(upstream.id())
+                                .filter(held -> UpstreamLimits.isEnded(upstream, held))
+                                .isPresent());
+    }
+
+    /** Returns the limits in force. */
+    List<UpstreamLimit> inForce() {
+        return mLimits.all().stream().filter(UpstreamLimit::isInForce).toList();
+    }
+
+    @Override
+    public void close() {
+        mPersister.close();
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -19,7 +19,6 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.orchidmount.clock.MonotonicClock;
-import org.orchidmount.cluster.ClusterMessage.CrashRecords;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.InFlightSequences;
 import org.orchidmount.cluster.ClusterMessage.KeepAlive;
@@ -43,6 +42,7 @@
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
+import org.orchidmount.pacing.UpstreamLimit;
 import org.orchidmount.quarantine.CrashRecord;
 import org.orchidmount.quarantine.RequestFingerprint;
 import org.orchidmount.routes.RouteTable;
@@ -88,7 +88,7 @@
     private final Registry mRegistry = new Registry(REMEMBER_NANOS);
     private final PendingDepartures mDepartures = new PendingDepartures();
     private final VoterQuota mQuota;
-    private final VoterCrashes mCrashes;
+    private final VoterRecords mRecords;
 
     /** Registrations received here since the other voters were last sent any. */
     private final Map<String, Registration> mReceived = new HashMap<>();
@@ -130,7 +130,7 @@
                         greeting,
                         config.seeds().stream().map(VoterConfig.Seed::address).toList(),
                         handler);
-        mCrashes = new VoterCrashes(CrashFile.open(config.folder()), mLinks, clock);
+        mRecords = new VoterRecords(config.node(), config.folder(), mLinks, clock);
         mServer = new LinkServer(config.address(), greeting, handler);
         mStages = new StageController(config.stages(), config.node());
         mQuota = new VoterQuota(mReplica, mSelf, config.firstStart(), clock.nanoTime());
@@ -241,7 +241,7 @@
         mTasks.post(() -> seeds.forEach(mLinks::dial));
     }
 
-    // ---- requests that crash upstreams
+    // ---- crashes and limits of upstreams
 
     /**
      * Returns the requests that are not run, because upstreams have crashed under them.
@@ -249,7 +249,7 @@
      * @return their records, in time or not at all
      */
     public CompletableFuture<List<CrashRecord>> quarantined() {
-        return ask(mCrashes::quarantined);
+        return ask(mRecords.crashes()::quarantined);
     }
 
     /**
@@ -259,7 +259,16 @@
      * @return true if it was quarantined
      */
     public CompletableFuture<Boolean> liftQuarantine(RequestFingerprint fingerprint) {
-        return ask(() -> mCrashes.lift(fingerprint));
+        return ask(() -> mRecords.crashes().lift(fingerprint));
+    }
+
+    /**
+     * Returns the limits that upstreams state, as far as this voter knows them.
+     *
+     * @return the limits in force, in time or not at all
+     */
+    public CompletableFuture<List<UpstreamLimit>> upstreamLimits() {
+        return ask(mRecords.limits()::inForce);
     }
 
     /** Has the voter's own thread answer a question. */
@@ -455,14 +464,14 @@
             mQuota.giveBack(units, mClock.nanoTime());
         } else if (message instanceof Registrations registrations) {
             onRegistrations(link, registrations);
-        } else if (message instanceof CrashRecords crashes) {
-            mCrashes.received(crashes);
         } else if (message instanceof RegistrationsHeld held) {
             onRegistrationsHeld(link, held);
         } else if (message instanceof TableRequest) {
             link.send(new TableDocument(mCommitted.tableVersion(), mCommitted.tableDocument()));
         } else if (message instanceof Voters voters) {
             voters.members().forEach(this::learn);
+        } else {
+            mRecords.received(message);
         }
     }
 
@@ -487,8 +496,8 @@
             link.close();
             return;
         }
-        // An entry must know what it must not run before it has a table by which it serves.
-        mCrashes.greet(link, greeting);
+        // An entry must know what it must not run or send before it has a table to serve by.
+        mRecords.greet(link, greeting);
         if (greeting.voter() == null) {
             mLinks.entryGreeted(link, greeting);
             link.send(new Voters(knownVoters()));
@@ -617,6 +626,7 @@
         long nowNanos = mClock.nanoTime();
         mLinks.forgetOld(mReplica.state().members(), nowNanos);
         mRegistry.forgetOld(nowNanos);
+        mRecords.forgetEnded(mRegistry);
         mQuota.logUses();
         mLinks.sendToEntries(notice());
         if (!mReceived.isEmpty()) {
@@ -635,7 +645,7 @@
         mServer.close();
         mTasks.close();
         mPersister.close();
-        mCrashes.close();
+        mRecords.close();
         mLinks.close();
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterQuota.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterQuota.java
@@ -88,9 +88,9 @@
 
     private static void logUse(QuotaUse use) {
         LOG.info(
-                "%s: %d granted with %d units, %d refused in the last second; limit of table %d:"
-                        + " %.0f a second and %.0f at once",
-                use.key(),
+                "%s: %d granted with %d units, %d refused in the last second; limit %d:"
+                        + " %.1f a second and %.1f at once",
+                use.key().replace('\0', ' '),
                 use.granted(),
                 use.grantedUnits(),
                 use.refused(),
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamLimits.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamLimits.java
@@ -21,6 +21,7 @@
 import org.orchidmount.internal.lock.OrderedLock;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.membership.Incarnation;
+import org.orchidmount.membership.Registration;
 
 /**
  * The limits of upstreams that one instance knows.
@@ -184,6 +185,21 @@
         }
     }
 
+    /**
+     * Tells whether a registration says that an incarnation of an upstream has ended.
+     *
+     * @param upstream the incarnation
+     * @param registration the registration
+     * @return true if it has left, or another start has taken its place
+     */
+    public static boolean isEnded(Incarnation upstream, Registration registration) {
+        if (!upstream.id().equals(registration.id())) {
+            return false;
+        }
+        return registration.state() == Registration.State.GONE
+                || registration.incarnation().isNewerThan(upstream);
+    }
+
     /**
      * Forgets upstreams.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
@@ -5,29 +5,109 @@
  */
 package org.orchidmount.pacing;
 
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.membership.Incarnation;
+import org.orchidmount.membership.Registration;
+import org.orchidmount.quota.QuotaAnswer;
+import org.orchidmount.quota.QuotaAsk;
+import org.orchidmount.quota.QuotaLimit;
+import org.orchidmount.quota.SharedQuota;
 
-/** What the requests of one instance hear of limits of upstreams. Thread-safe. */
+/**
+ * Keeps the requests of one instance to the limits that upstreams state, which hold for all
+ * instances together.
+ *
+ * <p>One owner counts for all ({@link SharedQuota}); while there is none, each instance keeps to an
+ * equal part ({@link LonePace}). What is counted is a request that is about to be sent: first and
+ * further attempts, prefills, and a reservation together with the run that it is for. Releases,
+ * reports and orders are not: they take no work.
+ *
+ * <p>Invariants: nothing is asked for an upstream that states no limit; one that has no room is not
+ * asked for again here before the time that the owner named. Thread-safe.
+ */
 public final class UpstreamPace {
     private static final PartLog LOG = PartLog.of("pacing");
 
     /** The longest foreign text in a line. */
     private static final int MAX_LOGGED_CHARACTERS = 100;
 
+    /**
+     * An upstream that takes nothing gets a request every five seconds all the same: only an answer
+     * can tell that it takes some again.
+     */
+    private static final double LEAST_PER_SECOND = 0.2;
+
+    /** What may come at once beyond the rate: a part of a second, and one request. */
+    private static final double BURST_SECONDS = 0.25;
+
+    /** The span over which an upstream counts what it got. */
+    private static final Duration WINDOW = Duration.ofSeconds(4);
+
+    /** There may be an owner again this soon. */
+    private static final Duration ASK_AGAIN_AFTER = Duration.ofMillis(200);
+
+    /** The part of its target that a request may wait for the owner's answer, twice at most. */
+    private static final double OWNER_WAIT_SHARE = 0.06;
+
+    /** The longest time to come back; callers rarely wait for more. */
+    private static final Duration LONGEST_RETURN = Duration.ofSeconds(8);
+
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
     private final UpstreamLimits mLimits;
+    private final UpstreamLimitAnnouncer mAnnouncer;
+    private final SharedQuota mQuota;
+    private final IntSupplier mInstances;
+    private final MonotonicClock mClock;
+    private final LonePace mLonePace;
+    private final ReturnQueue mReturns;
+
+    /** Until when this instance does not ask for more. */
+    private final Map<Incarnation, Long> mFullUntilNanos = new ConcurrentHashMap<>();
+
     private final AtomicLong mChanges = new AtomicLong();
     private final AtomicLong mUnreadable = new AtomicLong();
+    private final AtomicLong mCounted = new AtomicLong();
+    private final AtomicLong mAlone = new AtomicLong();
+    private final AtomicLong mHeldBack = new AtomicLong();
 
     /**
      * Creates it.
      *
      * @param limits holds what is known
+     * @param announcer passes on what this instance hears
+     * @param quota reaches the owner
+     * @param instances how many instances send requests now, at least 1
+     * @param random spreads what instances do alone
+     * @param clock the clock
      */
-    public UpstreamPace(UpstreamLimits limits) {
+    public UpstreamPace(
+            UpstreamLimits limits,
+            UpstreamLimitAnnouncer announcer,
+            SharedQuota quota,
+            IntSupplier instances,
+            RandomGenerator random,
+            MonotonicClock clock) {
         mLimits = limits;
+        mAnnouncer = announcer;
+        mQuota = quota;
+        mInstances = instances;
+        mClock = clock;
+        mLonePace = new LonePace(instances, random, clock);
+        mReturns = new ReturnQueue(clock);
     }
 
     /**
@@ -46,8 +126,11 @@
                 statement instanceof LimitStatement.PerSecond limit
                         ? OptionalDouble.of(limit.perSecond())
                         : OptionalDouble.empty();
-        if (mLimits.observe(upstream, stated, sentNanos).isPresent()) {
+        Optional<UpstreamLimit> changed = mLimits.observe(upstream, stated, sentNanos);
+        if (changed.isPresent()) {
             mChanges.incrementAndGet();
+            mFullUntilNanos.remove(upstream);
+            mAnnouncer.announce(changed.get());
         }
     }
 
@@ -63,10 +146,170 @@
         }
     }
 
+    /**
+     * Takes the right to send one request.
+     *
+     * @param upstream where it is to be sent
+     * @param target the time within which the request's answer is of full use
+     * @return the right, or that there is none now
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public SendPermit take(Incarnation upstream, Duration target) throws InterruptedException {
+        Optional<UpstreamLimit> limit = mLimits.find(upstream);
+        if (limit.isEmpty()) {
+            return SendPermit.FREE;
+        }
+        if (!untilRoom(upstream).isZero()) {
+            return refused();
+        }
+        QuotaAsk ask = ask(limit.get());
+        Duration longest = Duration.ofNanos((long) (OWNER_WAIT_SHARE * target.toNanos()));
+        QuotaAnswer answer = mQuota.take(ask, longest);
+        if (answer.isGranted()) {
+            mCounted.incrementAndGet();
+            return SendPermit.counted(ask);
+        }
+        if (answer.outcome() == QuotaAnswer.Outcome.NO_OWNER) {
+            return takeAlone(upstream, ask.limit().ratePerSecond());
+        }
+        full(upstream, answer.comeBackAfter());
+        return refused();
+    }
+
+    private static QuotaAsk ask(UpstreamLimit limit) {
+        double perSecond = rate(limit);
+        QuotaLimit counted = new QuotaLimit(perSecond, 1 + BURST_SECONDS * perSecond, 0, WINDOW);
+        return new QuotaAsk(QuotaKeys.ofUpstream(limit.upstream()), counted, limit.version(), 1);
+    }
+
+    private static double rate(UpstreamLimit limit) {
+        return Math.max(LEAST_PER_SECOND, limit.perSecond().orElseThrow());
+    }
+
+    private SendPermit takeAlone(Incarnation upstream, double perSecond) {
+        Duration wait = mLonePace.take(upstream, perSecond);
+        if (wait.isZero()) {
+            mAlone.incrementAndGet();
+            return SendPermit.FREE;
+        }
+        full(upstream, wait.compareTo(ASK_AGAIN_AFTER) < 0 ? wait : ASK_AGAIN_AFTER);
+        return refused();
+    }
+
+    private SendPermit refused() {
+        mHeldBack.incrementAndGet();
+        return SendPermit.REFUSED;
+    }
+
+    private void full(Incarnation upstream, Duration wait) {
+        mFullUntilNanos.put(upstream, mClock.nanoTime() + wait.toNanos());
+    }
+
+    /**
+     * Gives a right back of which no use was made.
+     *
+     * @param permit the right
+     */
+    public void giveBack(SendPermit permit) {
+        permit.owed().ifPresent(ask -> mQuota.giveBack(ask, QuotaAnswer.GRANTED));
+    }
+
+    /**
+     * Notes that an upstream that states a limit has refused a request, so that it has no room now,
+     * whatever was counted.
+     *
+     * @param upstream the upstream
+     * @return false if it states none, so that the refusal has another reason
+     */
+    public boolean refusedBy(Incarnation upstream) {
+        Optional<UpstreamLimit> limit = mLimits.find(upstream);
+        limit.ifPresent(known -> full(upstream, pause(rate(known))));
+        return limit.isPresent();
+    }
+
+    /** Returns the time between two requests at a rate. */
+    private static Duration pause(double perSecond) {
+        return Duration.ofNanos((long) (NANOS_PER_SECOND / perSecond));
+    }
+
+    /** Returns how long this instance does not ask for more of an upstream. */
+    private Duration untilRoom(Incarnation upstream) {
+        Long untilNanos = mFullUntilNanos.get(upstream);
+        if (untilNanos == null) {
+            return Duration.ZERO;
+        }
+        long leftNanos = untilNanos - mClock.nanoTime();
+        if (leftNanos <= 0) {
+            mFullUntilNanos.remove(upstream, untilNanos);
+            return Duration.ZERO;
+        }
+        return Duration.ofNanos(leftNanos);
+    }
+
+    /**
+     * Names the upstreams that are to be passed over now.
+     *
+     * @return their identities
+     */
+    public Set<String> full() {
+        return mFullUntilNanos.isEmpty()
+                ? Set.of()
+                : mFullUntilNanos.keySet().stream()
+                        .filter(upstream -> !untilRoom(upstream).isZero())
+                        .map(Incarnation::id)
+                        .collect(Collectors.toSet());
+    }
+
+    /**
+     * Tells a caller that was refused because no upstream has room when there is some, behind all
+     * that were refused here before it.
+     *
+     * @param service the service
+     * @param upstreams the upstreams that could take the request
+     * @param longest how long the caller can wait
+     * @return when to come back
+     */
+    public Duration comeBackAfter(
+            String service, Collection<Incarnation> upstreams, Duration longest) {
+        double perSecond = 0;
+        Duration untilRoom = LONGEST_RETURN;
+        for (Incarnation upstream : upstreams) {
+            perSecond += mLimits.find(upstream).map(UpstreamPace::rate).orElse(0.0);
+            Duration until = untilRoom(upstream);
+            untilRoom = until.compareTo(untilRoom) < 0 ? until : untilRoom;
+        }
+        if (perSecond == 0) {
+            return untilRoom;
+        }
+        Duration pause = pause(perSecond / mInstances.getAsInt());
+        Duration wait = mReturns.join(service, untilRoom, pause, longest);
+        return wait.compareTo(LONGEST_RETURN) < 0 ? wait : LONGEST_RETURN;
+    }
+
+    /**
+     * Takes a registration, which may end what is known of an earlier start of the upstream.
+     *
+     * @param registration the registration
+     */
+    public void registered(Registration registration) {
+        if (mLimits.isEmpty()) {
+            return;
+        }
+        mLimits.forget(upstream -> UpstreamLimits.isEnded(upstream, registration));
+        mFullUntilNanos.keySet().removeIf(one -> UpstreamLimits.isEnded(one, registration));
+        mLonePace.forget(upstream -> UpstreamLimits.isEnded(upstream, registration));
+    }
+
     /** Returns what was counted, for logs. */
     @Override
     public String toString() {
-        return "%d changes of limits heard, %d statements unreadable"
-                .formatted(mChanges.get(), mUnreadable.get());
+        return ("%d changes heard, %d statements unreadable, %d requests counted by the owner, %d"
+                        + " sent without one, held back %d times")
+                .formatted(
+                        mChanges.get(),
+                        mUnreadable.get(),
+                        mCounted.get(),
+                        mAlone.get(),
+                        mHeldBack.get());
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -200,7 +200,7 @@
                 if (placement.reservation().isPresent()) {
                     mContext.upstreams().refusedDespiteRoom(assignment);
                 } else {
-                    mContext.upstreams().refused(assignment);
+                    mContext.refused(assignment);
                 }
                 mLastFailure = "status " + response.getResponseCode() + ", not run";
                 discard(call);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
@@ -41,6 +41,7 @@
      * @param isClientRetry whether its caller had been refused before
      * @param isTooLarge whether it is larger than an engine's memory
      * @param lacksPrefill whether memory was there when no place was found
+     * @param isPaced whether no place was found because upstreams have got what they take
      * @param route its route
      * @param first the time to the first part of a response, if any came
      * @param longestPause the longest pause of its stream
@@ -52,6 +53,7 @@
             boolean isClientRetry,
             boolean isTooLarge,
             boolean lacksPrefill,
+            boolean isPaced,
             Route route,
             Optional<Duration> first,
             Duration longestPause,
@@ -112,6 +114,9 @@
                     ? RequestEnd.TIMED_OUT
                     : RequestEnd.FAILED;
         }
+        if (facts.isPaced()) {
+            return RequestEnd.REFUSED_UPSTREAM_LIMIT;
+        }
         if (history.attempts() > 0) {
             return RequestEnd.REFUSED_BY_UPSTREAMS;
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -13,6 +13,7 @@
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration.Stage;
+import org.orchidmount.pacing.SendPermit;
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.EnginePace;
@@ -55,6 +56,7 @@
     private final boolean mIsClientRetry;
     private boolean mLacksPrefill;
     private boolean mIsTooLarge;
+    private boolean mIsPaced;
 
     EnginePlacer(
             RelayContext context,
@@ -139,6 +141,7 @@
                 mLongestWait = mNewRequestWait;
                 return placement;
             }
+            mIsPaced = mContext.areAllFull(mService.name(), Stage.DECODE);
             if (nowNanos - untilNanos > 0) {
                 mLacksPrefill = mPrefiller.choice() == PrefillRule.Choice.UNSPLIT_IF_IDLE;
                 logNoPlace();
@@ -155,6 +158,11 @@
         return mIsTooLarge;
     }
 
+    /** Tells whether the last look found that each engine has got what it takes. */
+    boolean isPaced() {
+        return mIsPaced;
+    }
+
     private boolean canEverFit() {
         return mService.engine()
                 .map(engine -> MemoryRule.canEverFit(atBegin(), engine.memoryTokens()))
@@ -213,11 +221,15 @@
 
     private Optional<Placement> placeAt(Assignment assignment, PrefillRule.Choice choice)
             throws InterruptedException {
+        Optional<SendPermit> permit = mContext.mayBeSent(assignment, mRequest);
+        if (permit.isEmpty()) {
+            return Optional.empty();
+        }
         Optional<String> reservation = mReservations.reserve(assignment, reservedTokens());
         if (reservation.isEmpty()) {
             return Optional.empty();
         }
-        Placement placement = announce(assignment, reservation, choice);
+        Placement placement = announce(assignment, reservation, permit.get(), choice);
         if (keepsPlace(placement)) {
             return Optional.of(placement);
         }
@@ -227,7 +239,10 @@
     }
 
     private Placement announce(
-            Assignment assignment, Optional<String> reservation, PrefillRule.Choice choice) {
+            Assignment assignment,
+            Optional<String> reservation,
+            SendPermit permit,
+            PrefillRule.Choice choice) {
         Optional<InFlightSequence> prefill = Optional.empty();
         int queueTokens = 0;
         if (choice != PrefillRule.Choice.SPLIT) {
@@ -236,7 +251,8 @@
             prefill = Optional.of(mTracker.begin(unplaced, assignment));
         }
         InFlightSequence output = mTracker.begin(mOutput, assignment);
-        return new Placement(assignment, reservation, Optional.of(output), prefill, queueTokens);
+        return new Placement(
+                assignment, reservation, Optional.of(output), prefill, permit, queueTokens);
     }
 
     /**
@@ -247,6 +263,7 @@
     private Set<String> excluded(PrefillRule.Choice choice) {
         Set<String> excluded = new HashSet<>(saturatedEngines());
         excluded.addAll(mContext.upstreams().avoided(mService.name(), Stage.DECODE));
+        excluded.addAll(mContext.pace().full());
         if (choice == PrefillRule.Choice.UNSPLIT_IF_IDLE) {
             excluded.addAll(
                     mContext.upstreams().unfit(mService.name(), Stage.DECODE, this::isNearlyIdle));
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
@@ -114,7 +114,7 @@
                 pace().prefillEngineMillis(mPrompt.tokens()),
                 UpstreamCost.OTHER_ZONE_ENGINE_MILLIS,
                 false,
-                Set.of(),
+                mContext.pace().full(),
                 this::backlogMillis);
     }
 
@@ -133,8 +133,9 @@
      * before, and was not used, is returned again.
      *
      * @return where the KV cache is; nothing if no engine has prefilled the prompt
+     * @throws InterruptedException if the thread is interrupted
      */
-    Optional<KvCacheRef> prefill() {
+    Optional<KvCacheRef> prefill() throws InterruptedException {
         forgetIfLost();
         boolean fresh = mContext.clock().nanoTime() - mPrefilledNanos < REUSE_WITHIN.toNanos();
         if (mUnused.isPresent() && fresh) {
@@ -148,8 +149,10 @@
                 break;
             }
             asked.add(assignment.get().incarnation());
-            mUnused = prefillAt(assignment.get());
-            forgetIfLost();
+            if (mContext.mayBeSent(assignment.get(), mRequest).isPresent()) {
+                mUnused = prefillAt(assignment.get());
+                forgetIfLost();
+            }
         }
         return mUnused;
     }
@@ -237,7 +240,7 @@
             LOG.debug(
                     "%s: not prefilled at %s: status %d",
                     mRequest.id(), assignment.id(), response.getResponseCode());
-            mContext.upstreams().refused(assignment);
+            mContext.refused(assignment);
             return Optional.empty();
         }
         mContext.upstreams().answered(assignment);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -66,7 +66,11 @@
                         connections,
                         protocol,
                         clock);
-        upstreams.observe(crashes::registered);
+        upstreams.observe(
+                registration -> {
+                    crashes.registered(registration);
+                    pace.registered(registration);
+                });
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -7,6 +7,8 @@
 
 import io.undertow.client.ClientResponse;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentMap;
 import java.util.function.Supplier;
 import org.orchidmount.clock.MonotonicClock;
@@ -21,6 +23,8 @@
 import org.orchidmount.limits.RetryBudget;
 import org.orchidmount.load.EngineLoads;
 import org.orchidmount.load.SequenceAnnouncer;
+import org.orchidmount.membership.Registration.Stage;
+import org.orchidmount.pacing.SendPermit;
 import org.orchidmount.pacing.UpstreamPace;
 import org.orchidmount.quarantine.CrashReports;
 import org.orchidmount.routing.ClientRetryDetector;
@@ -96,6 +100,39 @@
                 .ifPresent(stated -> pace.heard(assignment.incarnation(), stated, sentNanos));
     }
 
+    /**
+     * Takes the right to send a request to the upstream that was chosen for it.
+     *
+     * @return the right; nothing if the upstream has got what it takes, whose work is then released
+     */
+    Optional<SendPermit> mayBeSent(Assignment assignment, RelayRequest request)
+            throws InterruptedException {
+        SendPermit permit = pace.take(assignment.incarnation(), request.route().target());
+        if (permit.isGranted()) {
+            return Optional.of(permit);
+        }
+        upstreams.release(assignment);
+        return Optional.empty();
+    }
+
+    /**
+     * Learns from a refusal. One by an upstream that states a limit is for that limit, and shows
+     * nothing of its health.
+     */
+    void refused(Assignment assignment) {
+        if (!pace.refusedBy(assignment.incarnation())) {
+            upstreams.refused(assignment);
+        }
+    }
+
+    /** Tells whether each upstream of a service has got what it takes. */
+    boolean areAllFull(String service, Stage stage) {
+        Set<String> full = pace.full();
+        return !full.isEmpty()
+                && upstreams.takingWork(service, stage).stream()
+                        .allMatch(upstream -> full.contains(upstream.id()));
+    }
+
     /** Makes a call whose answer does not matter, on a thread of its own. */
     void send(Peer peer, HttpHead head) {
         Thread.ofVirtual()
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -17,6 +17,7 @@
 import org.orchidmount.limits.RetryBudget;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration.Stage;
+import org.orchidmount.pacing.SendPermit;
 import org.orchidmount.relay.AttemptRunner.HeldResponse;
 import org.orchidmount.relay.EndClassifier.End;
 import org.orchidmount.relay.RequestProgress.Activity;
@@ -55,6 +56,10 @@
     private final Set<Incarnation> mTried = new HashSet<>();
     private AttemptRule.History mHistory = AttemptRule.History.NONE;
     private boolean mLastHadNoRoom;
+
+    /** Whether no place was found because upstreams have got what they take. */
+    private boolean mIsPaced;
+
     private final RequestReporter mReporter;
 
     RequestRelay(
@@ -110,11 +115,11 @@
         try (mCrashReporter;
                 CancelSignal.Registration _ = mCancel.onCancel(mProgress::callerLeft)) {
             End end = serve();
-            mReporter.ended(end, mHistory, mAttempts, mEngines);
+            mReporter.ended(end, mHistory, isPaced(), mAttempts, mEngines);
             boolean mayHaveRun = end == End.SERVED || mHistory.executions() > 0;
             return mayHaveRun ? Execution.MAY_HAVE_RUN : Execution.NOT_RUN;
         } catch (IOException | TimeoutException e) {
-            mReporter.ended(End.CALLER_LEFT, mHistory, mAttempts, mEngines);
+            mReporter.ended(End.CALLER_LEFT, mHistory, isPaced(), mAttempts, mEngines);
             throw e;
         } finally {
             mProgress.ended();
@@ -166,16 +171,35 @@
         if (mEngines.isPresent()) {
             return mEngines.get().place(mTried);
         }
-        UpstreamDirectory.Need need =
-                new UpstreamDirectory.Need(
-                        mService.name(),
-                        Stage.NONE,
-                        UpstreamCost.PLAIN_REQUEST_MILLIS,
-                        UpstreamCost.OTHER_ZONE_PLAIN_MILLIS,
-                        !mLastHadNoRoom,
-                        Set.of(),
-                        UpstreamDirectory.Backlog.OWN);
-        return mContext.upstreams().assign(need, mTried).map(Placement::atPlainService);
+        return placeAtPlainService();
+    }
+
+    /** Asks upstreams in turn whether they have room, each once. */
+    private Optional<Placement> placeAtPlainService() throws InterruptedException {
+        Set<String> full = new HashSet<>(mContext.pace().full());
+        while (true) {
+            Optional<Assignment> assignment = mContext.upstreams().assign(need(full), mTried);
+            if (assignment.isEmpty()) {
+                mIsPaced = !full.isEmpty();
+                return Optional.empty();
+            }
+            Optional<SendPermit> permit = mContext.mayBeSent(assignment.get(), mRequest);
+            if (permit.isPresent()) {
+                return Optional.of(Placement.atPlainService(assignment.get(), permit.get()));
+            }
+            full.add(assignment.get().id());
+        }
+    }
+
+    private UpstreamDirectory.Need need(Set<String> full) {
+        return new UpstreamDirectory.Need(
+                mService.name(),
+                Stage.NONE,
+                UpstreamCost.PLAIN_REQUEST_MILLIS,
+                UpstreamCost.OTHER_ZONE_PLAIN_MILLIS,
+                !mLastHadNoRoom,
+                full,
+                UpstreamDirectory.Backlog.OWN);
     }
 
     private AttemptOutcome attemptAt(Placement placement)
@@ -191,6 +215,9 @@
             boolean isAnswered =
                     outcome == AttemptOutcome.ENDED || outcome == AttemptOutcome.MAY_HAVE_RUN;
             boolean prefilledThere = cache.isEmpty() && isAnswered && mAttempts.hasResponse();
+            if (outcome == AttemptOutcome.NOT_REACHED && placement.reservation().isEmpty()) {
+                mContext.pace().giveBack(placement.permit());
+            }
             mReporter.attempted(placement.assignment().id(), prefilledThere);
             mEngines.ifPresent(engines -> settle(engines, placement, outcome));
             return outcome;
@@ -200,10 +227,11 @@
         }
     }
 
-    private Optional<KvCacheRef> prefill(Placement placement) {
-        return placement.isUnsplit()
-                ? Optional.empty()
-                : mEngines.flatMap(engines -> engines.prefiller().prefill());
+    private Optional<KvCacheRef> prefill(Placement placement) throws InterruptedException {
+        if (placement.isUnsplit() || mEngines.isEmpty()) {
+            return Optional.empty();
+        }
+        return mEngines.get().prefiller().prefill();
     }
 
     /**
@@ -254,15 +282,33 @@
         mCaller.refuse(FinalOutcome.QUARANTINED, Duration.ZERO);
     }
 
+    private boolean isPaced() {
+        return mIsPaced || mEngines.map(EnginePlacer::isPaced).orElse(false);
+    }
+
     private void refuse() throws IOException, TimeoutException, InterruptedException {
         FinalOutcome outcome = FinalOutcome.of(mHistory, !left().isPositive());
         LOG.info(
                 "%s: %s after %d attempts: %s",
-                mRequest.id(), outcome, mHistory.attempts(), mAttempts.lastFailure());
+                mRequest.id(),
+                outcome,
+                mHistory.attempts(),
+                isPaced() ? "upstreams have got what they take" : mAttempts.lastFailure());
         mCaller.refuse(outcome, retryAfter());
     }
 
+    /** Returns when to come back; where upstreams state limits, once there is room again. */
     private Duration retryAfter() {
+        if (isPaced()) {
+            Stage stage = mEngines.isEmpty() ? Stage.NONE : Stage.DECODE;
+            Duration untilRoom =
+                    mContext.pace()
+                            .comeBackAfter(
+                                    mService.name(),
+                                    mContext.upstreams().takingWork(mService.name(), stage),
+                                    mRequest.left(mContext.clock().nanoTime()));
+            return RetryAfter.limit(untilRoom, ThreadLocalRandom.current());
+        }
         if (mEngines.isEmpty()) {
             return RetryAfter.plainService();
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
@@ -56,6 +56,7 @@
     void ended(
             End end,
             AttemptRule.History history,
+            boolean isPaced,
             AttemptRunner attempts,
             Optional<EnginePlacer> engines) {
         Optional<Duration> first = attempts.firstResponse();
@@ -67,6 +68,7 @@
                                 mIsClientRetry,
                                 engines.map(EnginePlacer::isTooLarge).orElse(false),
                                 engines.map(EnginePlacer::lacksPrefill).orElse(false),
+                                isPaced,
                                 mRequest.route(),
                                 first,
                                 attempts.longestPause(),
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -173,6 +173,22 @@
         }
     }
 
+    /**
+     * Names the upstreams that could take a request now, by what they say of themselves.
+     *
+     * @param service the service
+     * @param stage their stage
+     * @return their incarnations
+     */
+    List<Incarnation> takingWork(String service, Stage stage) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            return mUpstreams.values().stream()
+                    .filter(upstream -> takesWork(upstream, service, stage))
+                    .map(Upstream::incarnation)
+                    .toList();
+        }
+    }
+
     /**
      * Names the upstreams of a service that are not fit for something.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
@@ -29,6 +29,8 @@
     REFUSED_NO_UPSTREAM,
     /** Refused: each upstream that was asked refused it. */
     REFUSED_BY_UPSTREAMS,
+    /** Refused: each upstream that could take it has got what it says it takes. */
+    REFUSED_UPSTREAM_LIMIT,
     /** Refused: its client account has used up its limit. */
     REFUSED_OVER_LIMIT,
     /** Refused: no instance that counts its account's limit could be asked. */
