Operators list the limits that upstreams state; a retry that found no room is given back

Operators could not see which upstream takes how much, or how much of it is used: GET /limits at any voter, with the count of the one that leads. A retry that was taken from the budget and not made, because every upstream had got what it takes, stayed taken; it goes back.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/limits/WindowRetryBudgetTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/limits/WindowRetryBudgetTest.java
@@ -46,6 +46,15 @@
         assertThat(takeAll("s", 1, 25 * SECOND)).isEqualTo(30);
     }
 
+    @Test
+    void whatIsGivenBackCanBeTakenAgain() {
+        assertThat(takeAll("s", 1, SECOND)).isEqualTo(30);
+        budget("s").giveBack();
+        assertThat(takeAll("s", 1, SECOND)).isEqualTo(1);
+        budget("t").giveBack();
+        assertThat(takeAll("t", 1, SECOND)).isEqualTo(30);
+    }
+
     private int takeAll(String service, int instances, long nowNanos) {
         mInstances = instances;
         mClock.advance(Duration.ofNanos(nowNanos - mClock.nanoTime()));
--- a/org.orchidmount.test/src/test/java/org/orchidmount/quota/QuotaWay.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/quota/QuotaWay.java
@@ -59,6 +59,13 @@
         private long mAnnouncedNanos;
         private long mMessages;
 
+        /**
+         * Creates full buckets.
+         *
+         * @param limit the limit of all
+         * @param instances how many share it
+         * @param byDemand whether parts follow demand
+         */
         public Shares(QuotaLimit limit, int instances, boolean byDemand) {
             mLimit = limit;
             mByDemand = byDemand;
--- a/org.orchidmount.test/src/test/java/org/orchidmount/quota/WindowSum.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/quota/WindowSum.java
@@ -18,10 +18,21 @@
 
     private record Used(long units, long atNanos) {}
 
+    /**
+     * Creates an empty one.
+     *
+     * @param window the span that is looked at
+     */
     public WindowSum(Duration window) {
         mWindowNanos = window.toNanos();
     }
 
+    /**
+     * Adds units.
+     *
+     * @param units how many
+     * @param nowNanos when, not before those added last
+     */
     public void add(long units, long nowNanos) {
         mUsed.addLast(new Used(units, nowNanos));
         mSum += units;
@@ -31,6 +42,11 @@
         mMost = Math.max(mMost, mSum);
     }
 
+    /**
+     * Returns the most units that a window held.
+     *
+     * @return the sum
+     */
     public long most() {
         return mMost;
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLimits.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLimits.java
@@ -10,6 +10,7 @@
 import org.orchidmount.cluster.ClusterMessage.UpstreamLimitRecords;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.membership.Registry;
+import org.orchidmount.pacing.QuotaKeys;
 import org.orchidmount.pacing.UpstreamLimit;
 import org.orchidmount.pacing.UpstreamLimits;
 
@@ -69,9 +70,16 @@
                                 .isPresent());
     }
 
-    /** Returns the limits in force. */
-    List<UpstreamLimit> inForce() {
-        return mLimits.all().stream().filter(UpstreamLimit::isInForce).toList();
+    /** Returns the limits in force, and what was counted of their use. */
+    List<UpstreamLimitUse> uses(VoterQuota quota) {
+        return mLimits.all().stream()
+                .filter(UpstreamLimit::isInForce)
+                .map(limit -> use(limit, quota))
+                .toList();
+    }
+
+    private static UpstreamLimitUse use(UpstreamLimit limit, VoterQuota quota) {
+        return new UpstreamLimitUse(limit, quota.granted(QuotaKeys.ofUpstream(limit.upstream())));
     }
 
     @Override
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -42,7 +42,6 @@
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
-import org.orchidmount.pacing.UpstreamLimit;
 import org.orchidmount.quarantine.CrashRecord;
 import org.orchidmount.quarantine.RequestFingerprint;
 import org.orchidmount.routes.RouteTable;
@@ -263,12 +262,12 @@
     }
 
     /**
-     * Returns the limits that upstreams state, as far as this voter knows them.
+     * Returns the limits that upstreams state, as far as this voter knows them, and their use.
      *
      * @return the limits in force, in time or not at all
      */
-    public CompletableFuture<List<UpstreamLimit>> upstreamLimits() {
-        return ask(mRecords.limits()::inForce);
+    public CompletableFuture<List<UpstreamLimitUse>> upstreamLimits() {
+        return ask(() -> mRecords.limits().uses(mQuota));
     }
 
     /** Has the voter's own thread answer a question. */
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterQuota.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterQuota.java
@@ -5,6 +5,7 @@
  */
 package org.orchidmount.cluster;
 
+import java.util.OptionalLong;
 import org.orchidmount.cluster.ClusterMessage.QuotaReply;
 import org.orchidmount.cluster.ClusterMessage.QuotaRequest;
 import org.orchidmount.cluster.ClusterMessage.QuotaReturn;
@@ -81,6 +82,11 @@
         mOwner.giveBack(units.key(), units.units(), nowNanos);
     }
 
+    /** Returns how many requests were granted while this voter leads; nothing if it does not. */
+    OptionalLong granted(String key) {
+        return mReplica.holdsQuorum() ? OptionalLong.of(mOwner.granted(key)) : OptionalLong.empty();
+    }
+
     /** Logs what was granted of keys that were refused anything since the last call. */
     void logUses() {
         mOwner.takeUses().forEach(VoterQuota::logUse);
--- a/org.orchidmount/src/main/java/org/orchidmount/limits/RetryBudget.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/limits/RetryBudget.java
@@ -23,4 +23,7 @@
      * @return false if the budget is spent
      */
     boolean tryTake();
+
+    /** Gives a retry back that was taken and not made, because no upstream had room for it. */
+    void giveBack();
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/limits/TokenBucketRetryBudget.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/limits/TokenBucketRetryBudget.java
@@ -52,4 +52,11 @@
             return true;
         }
     }
+
+    @Override
+    public void giveBack() {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            mStock = Math.min(STOCK, mStock + 1);
+        }
+    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/limits/WindowRetryBudget.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/limits/WindowRetryBudget.java
@@ -81,6 +81,15 @@
         }
     }
 
+    /** One that was taken in an earlier part of the window stays taken. */
+    @Override
+    public void giveBack() {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            int newest = advance();
+            mRetries[newest] = Math.max(0, mRetries[newest] - 1);
+        }
+    }
+
     /** Clears what has left the window; returns the index of the present bucket. */
     private int advance() {
         long bucket = mClock.nanoTime() / (mLimit.window().toNanos() / BUCKETS);
--- a/org.orchidmount/src/main/java/org/orchidmount/quota/QuotaOwner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quota/QuotaOwner.java
@@ -57,6 +57,10 @@
         private long mGrantedUnits;
 
         private int mGranted;
+
+        /** Questions granted since the bucket was made. */
+        private long mGrantedInAll;
+
         private int mRefused;
 
         private void advance(long nowNanos) {
@@ -70,6 +74,7 @@
             mUnits -= units;
             mGrantedUnits += units;
             mGranted++;
+            mGrantedInAll++;
         }
 
         private QuotaUse takeUse(String key) {
@@ -144,6 +149,17 @@
         }
     }
 
+    /**
+     * Tells how many questions were granted under this lease.
+     *
+     * @param key what is limited
+     * @return a count; 0 for a key that nobody has asked for lately
+     */
+    public long granted(String key) {
+        Bucket bucket = mBuckets.get(key);
+        return bucket == null ? 0 : bucket.mGrantedInAll;
+    }
+
     /**
      * Tells what was granted and refused since the last call, of keys that were refused anything.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -131,6 +131,7 @@
         while (mayTry()) {
             Optional<Placement> placement = place();
             if (placement.isEmpty()) {
+                giveBackRetry();
                 break;
             }
             AttemptOutcome outcome = attemptAt(placement.get());
@@ -151,6 +152,13 @@
                 && (!AttemptRule.takesFromBudget(mHistory) || mBudget.tryTake());
     }
 
+    /** Nothing was sent, so nothing was repeated. */
+    private void giveBackRetry() {
+        if (AttemptRule.takesFromBudget(mHistory)) {
+            mBudget.giveBack();
+        }
+    }
+
     private Duration left() {
         return Duration.ofNanos(mRequest.endNanos() - mContext.clock().nanoTime());
     }
