--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -13,6 +13,8 @@
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -25,6 +27,7 @@
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
+import org.orchidmount.pacing.UpstreamLimit;
 import org.orchidmount.quarantine.CrashRecord;
 import org.orchidmount.quarantine.RequestFingerprint;
 import org.orchidmount.quota.QuotaAnswer;
@@ -75,8 +78,21 @@
                 new ClusterMessage.Registrations(3, List.of(engine("i-1"), startedEngine("i-2"))),
                 new ClusterMessage.InFlightSequences(
                         List.of(sequence(startedEngine("i-2").incarnation()))),
+                new ClusterMessage.Greeting(1, "a", "zone-a", A, Set.of(Capability.CRASH_RECORDS)),
+                new ClusterMessage.CrashRecords(List.of(CRASHES)),
                 new ClusterMessage.Greeting(1, "a", "zone-a", A, Capability.own()),
-                new ClusterMessage.CrashRecords(List.of(CRASHES)));
+                new ClusterMessage.UpstreamLimitRecords(
+                        List.of(
+                                new UpstreamLimit(
+                                        Incarnation.startedAt("i-2", 17),
+                                        OptionalDouble.of(3.6),
+                                        2,
+                                        "e"),
+                                new UpstreamLimit(
+                                        Incarnation.ofUnstatedStart("i-3"),
+                                        OptionalDouble.empty(),
+                                        5,
+                                        "f"))));
     }
 
     private static Registration engine(String id) {
