An upstream that ends after its caller has left is seen to end

Callers of other requests lost their streams: a request whose caller leaves before the engine crashes ended seven engines, where three may end. Cause: the call is broken off here when the caller leaves, so the end of the engine was seen by nobody. Change: a connection that carries nothing watches the upstream for 0.6 s after that; what ends it counts as a crash unless it was planned, and a copy of a suspected request waits for its turn until then. At most 256 such connections at once. The table's path does the same.

Ruled out: looks at fixed times, each a connection; the next copy runs before the look, and two runs that began with the same knowledge count once.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionRun.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionRun.java
@@ -222,6 +222,10 @@
      * Reports it if the engine has ended under the request. Engines of the table have one start.
      */
     private void reportCrash(Peer engine, Failure failure, int deliveredBefore) {
+        boolean hasCallerLeft = mCancel.reason() == CancelSignal.Reason.CALLER_GONE;
+        if (hasCallerLeft && failure.mayHaveRun()) {
+            mGuard.abandoned(engine, () -> false, deliveredBefore, mDelivered);
+        }
         if (!mCancel.isCancelled() && CrashReports.mayBeCrash(failure)) {
             Incarnation upstream = Incarnation.ofUnstatedStart(engine.name());
             mGuard.failed(failure, upstream, engine, deliveredBefore, mDelivered);
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
@@ -35,6 +35,7 @@
 import org.orchidmount.limits.LimitBook;
 import org.orchidmount.limits.TokenBucketRetryBudget;
 import org.orchidmount.quarantine.ConnectProbe;
+import org.orchidmount.quarantine.ConnectionWatch;
 import org.orchidmount.quarantine.CrashRegistry;
 import org.orchidmount.quarantine.CrashReports;
 import org.orchidmount.routing.Policies;
@@ -187,7 +188,12 @@
     /** Each instance has a table of its own, and knows only the crashes that it has seen itself. */
     private static CrashReports crashes(MonotonicClock clock, MetricRegistry metrics) {
         CrashReports crashes =
-                new CrashReports(new CrashRegistry(clock), record -> {}, new ConnectProbe(), clock);
+                new CrashReports(
+                        new CrashRegistry(clock),
+                        record -> {},
+                        new ConnectProbe(),
+                        new ConnectionWatch(new ConnectProbe()),
+                        clock);
         metrics.gauge("request.quarantine.crashes", () -> crashes::crashCount);
         metrics.gauge("request.quarantine.refusals", () -> crashes::refusalCount);
         return crashes;
--- a/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/CrashReportsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/CrashReportsTest.java
@@ -10,6 +10,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -30,9 +32,11 @@
     private final ManualClock mClock = new ManualClock();
     private final CrashRegistry mRegistry = new CrashRegistry(mClock);
     private final List<CrashRecord> mAnnounced = new ArrayList<>();
+    private volatile boolean mEnds;
     private EndProbe.Finding mFinding = EndProbe.Finding.LISTENS;
     private final CrashReports mReports =
-            new CrashReports(mRegistry, mAnnounced::add, peer -> mFinding, mClock);
+            new CrashReports(
+                    mRegistry, mAnnounced::add, peer -> mFinding, (peer, longest) -> mEnds, mClock);
 
     /** How a call to an upstream may fail. */
     private enum HowFailed {
@@ -149,4 +153,16 @@
         assertThat(mAnnounced.getLast().isSuspect()).isFalse();
         assertThat(mReports.toString()).isEqualTo("1 crashes, 0 requests refused, 0 quarantined");
     }
+
+    /** The end of an upstream whose caller had left counts, unless it was planned. */
+    @ParameterizedTest
+    @CsvSource({"true, false, 1", "true, true, 0", "false, false, 0"})
+    void anAbandonedRunIsWatched(boolean ends, boolean isPlanned, int crashes) throws Exception {
+        mEnds = ends;
+        CountDownLatch watched = new CountDownLatch(1);
+        CrashRecord after = CrashRecord.none(REQUEST).afterCrash(0, 0);
+        mReports.abandoned(after, PEER, () -> isPlanned, watched::countDown);
+        assertThat(watched.await(20, TimeUnit.SECONDS)).isTrue();
+        assertThat(mRegistry.find(REQUEST).crashes()).isEqualTo(crashes);
+    }
 }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/RunGuardTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/RunGuardTest.java
@@ -18,7 +18,8 @@
     private final ManualClock mClock = new ManualClock();
     private final CrashRegistry mRegistry = new CrashRegistry(mClock);
     private final CrashReports mReports =
-            new CrashReports(mRegistry, record -> {}, new ConnectProbe(), mClock);
+            new CrashReports(
+                    mRegistry, record -> {}, new ConnectProbe(), (peer, longest) -> false, mClock);
     private final AtomicInteger mFingerprints = new AtomicInteger();
 
     private RunGuard guard(int takesTurnsAfter) {
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/ConnectionWatch.java
@@ -0,0 +1,67 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.quarantine;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import org.orchidmount.internal.http.Peer;
+import org.orchidmount.internal.log.PartLog;
+
+/**
+ * Watches by a connection that carries nothing: it breaks when the process at its other end does.
+ * One that is closed while something still listens was closed for its idleness. Immutable and
+ * thread-safe.
+ */
+public final class ConnectionWatch implements EndWatch {
+    private static final PartLog LOG = PartLog.of("crash");
+
+    /** Far more than a round trip within a site. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(100);
+
+    private final EndProbe mProbe;
+
+    /**
+     * Creates a watch.
+     *
+     * @param probe tells whether anything listens once the connection is closed
+     */
+    public ConnectionWatch(EndProbe probe) {
+        mProbe = probe;
+    }
+
+    @Override
+    public boolean endsWithin(Peer peer, Duration longest) {
+        try (Socket socket = new Socket()) {
+            socket.connect(
+                    new InetSocketAddress(peer.host(), peer.port()),
+                    (int) CONNECT_TIMEOUT.toMillis());
+            socket.setSoTimeout((int) longest.toMillis());
+            return isClosed(socket) && mProbe.probe(peer) == EndProbe.Finding.ENDED;
+        } catch (ConnectException e) {
+            LOG.debug("%s has ended: %s", peer.name(), e.getMessage());
+            return true;
+        } catch (IOException e) {
+            LOG.debug("%s cannot be watched: %s", peer.name(), e.getMessage());
+            return false;
+        }
+    }
+
+    /** Waits until the other side closes the connection, or the socket's timeout is over. */
+    private static boolean isClosed(Socket socket) {
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            LOG.debug("a watched connection breaks: %s", e.getMessage());
+            return true;
+        }
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashReports.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashReports.java
@@ -5,8 +5,11 @@
  */
 package org.orchidmount.quarantine;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.internal.http.Peer;
@@ -22,13 +25,25 @@
 public final class CrashReports {
     private static final PartLog LOG = PartLog.of("crash");
 
+    /**
+     * How long an upstream is watched after a run there was broken off: what crashes it does so
+     * within some tens of milliseconds of its begin, and what goes on longer without its caller is
+     * rare.
+     */
+    static final Duration WATCH_FOR = Duration.ofMillis(600);
+
+    /** Upstreams watched at once at most; each costs a connection. */
+    private static final int MOST_WATCHED = 256;
+
     private final CrashRegistry mRegistry;
     private final CrashAnnouncer mAnnouncer;
     private final EndProbe mProbe;
+    private final EndWatch mWatch;
     private final UnprovenCrashes mUnproven;
     private final RunningSuspects mRunning = new RunningSuspects();
     private final AtomicLong mCrashes = new AtomicLong();
     private final AtomicLong mRefusals = new AtomicLong();
+    private final AtomicInteger mWatched = new AtomicInteger();
 
     /**
      * Creates it without any reports.
@@ -36,16 +51,19 @@
      * @param registry holds the records
      * @param announcer passes them on
      * @param probe finds out whether an upstream has ended
+     * @param watch finds out whether an upstream ends
      * @param clock tells how long a proof has been awaited
      */
     public CrashReports(
             CrashRegistry registry,
             CrashAnnouncer announcer,
             EndProbe probe,
+            EndWatch watch,
             MonotonicClock clock) {
         mRegistry = registry;
         mAnnouncer = announcer;
         mProbe = probe;
+        mWatch = watch;
         mUnproven = new UnprovenCrashes(clock);
     }
 
@@ -109,6 +127,36 @@
         }
     }
 
+    /**
+     * Reports that a run was broken off here because its caller left. Its upstream may go on with
+     * it for a moment, and end under it unseen: so it is watched.
+     *
+     * @param after the record of the request, a crash included
+     * @param peer where the upstream listens
+     * @param isPlanned asked when the upstream has ended: whether it had said that it leaves
+     * @param watched called once when the watch is over, whatever it has found
+     */
+    public void abandoned(
+            CrashRecord after, Peer peer, BooleanSupplier isPlanned, Runnable watched) {
+        if (mWatched.incrementAndGet() > MOST_WATCHED) {
+            mWatched.decrementAndGet();
+            watched.run();
+            return;
+        }
+        Thread.ofVirtual().name("end-watch").start(() -> watch(after, peer, isPlanned, watched));
+    }
+
+    private void watch(CrashRecord after, Peer peer, BooleanSupplier isPlanned, Runnable watched) {
+        try {
+            if (mWatch.endsWithin(peer, WATCH_FOR) && !isPlanned.getAsBoolean()) {
+                crashed(after);
+            }
+        } finally {
+            mWatched.decrementAndGet();
+            watched.run();
+        }
+    }
+
     /**
      * Tells whether calls to an upstream that crashes fail so.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/RunGuard.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/RunGuard.java
@@ -5,6 +5,7 @@
  */
 package org.orchidmount.quarantine;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.internal.http.Peer;
@@ -120,6 +121,29 @@
         mReports.crashed(afterCrash(from, at));
     }
 
+    /**
+     * Notes that the present run was broken off because its caller left. A copy of the request has
+     * to wait for its turn until it is known whether the upstream survives that.
+     *
+     * @param peer where the upstream listened
+     * @param isPlanned tells whether it has said that it leaves
+     * @param from as in {@link #failed}
+     * @param at as in {@link #failed}
+     */
+    public void abandoned(Peer peer, BooleanSupplier isPlanned, long from, long at) {
+        boolean hadTurn = mHasTurn;
+        mHasTurn = false;
+        mReports.abandoned(
+                afterCrash(from, at),
+                peer,
+                isPlanned,
+                () -> {
+                    if (hadTurn) {
+                        mReports.running().end(fingerprint());
+                    }
+                });
+    }
+
     private CrashRecord afterCrash(long from, long at) {
         CrashRecord before = mKnown == null ? CrashRecord.none(fingerprint()) : mKnown;
         return before.afterCrash(from, at);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/CrashReporter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/CrashReporter.java
@@ -64,7 +64,8 @@
     }
 
     /**
-     * Notes that a call has failed. One that was cancelled was broken off here.
+     * Notes that a call has failed. One that was cancelled was broken off here; if its caller had
+     * left, what the upstream does meanwhile still counts.
      *
      * @param assignment the work that the call was for
      * @param failure how it failed
@@ -72,6 +73,11 @@
      * @param at the last event that the caller has now
      */
     void failed(Assignment assignment, Failure failure, long from, long at) {
+        if (mCancel.reason() == CancelSignal.Reason.CALLER_GONE && failure.mayHaveRun()) {
+            mGuard.abandoned(
+                    assignment.peer(), () -> mContext.upstreams().isLeaving(assignment), from, at);
+            return;
+        }
         if (mCancel.isCancelled() || !CrashReports.mayBeCrash(failure)) {
             return;
         }
