Copies of a suspected request take turns over all instances, not at each alone

Callers of other requests lost their streams: after one crash, eight copies that came together at four entries ended four engines, where three may end. Change: the owner of shared limits gives the turn; it is given back at the end of the run, behind the announcement of the crash on the same link, or comes back within a second if its holder ends. What is known is read again once the turn is had.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
@@ -38,6 +38,7 @@
 import org.orchidmount.quarantine.ConnectionWatch;
 import org.orchidmount.quarantine.CrashRegistry;
 import org.orchidmount.quarantine.CrashReports;
+import org.orchidmount.quarantine.SharedTurns;
 import org.orchidmount.routing.Policies;
 import org.orchidmount.settings.Settings;
 import org.orchidmount.upstream.EngineClient;
@@ -193,6 +194,7 @@
                         record -> {},
                         new ConnectProbe(),
                         new ConnectionWatch(new ConnectProbe()),
+                        SharedTurns.ALONE,
                         clock);
         metrics.gauge("request.quarantine.crashes", () -> crashes::crashCount);
         metrics.gauge("request.quarantine.refusals", () -> crashes::refusalCount);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/UpstreamLimitRecordsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/UpstreamLimitRecordsTest.java
@@ -156,7 +156,7 @@
     }
 
     private static boolean isGranted(EntryNode entry) {
-        return entry.upstreamOwner().askOwner(ASK).join().outcome() == QuotaAnswer.Outcome.GRANTED;
+        return entry.countingOwner().askOwner(ASK).join().outcome() == QuotaAnswer.Outcome.GRANTED;
     }
 
     /** An instance that tells no capabilities is sent no frame that it does not know. */
--- a/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/CrashReportsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/CrashReportsTest.java
@@ -36,7 +36,12 @@
     private EndProbe.Finding mFinding = EndProbe.Finding.LISTENS;
     private final CrashReports mReports =
             new CrashReports(
-                    mRegistry, mAnnounced::add, peer -> mFinding, (peer, longest) -> mEnds, mClock);
+                    mRegistry,
+                    mAnnounced::add,
+                    peer -> mFinding,
+                    (peer, longest) -> mEnds,
+                    SharedTurns.ALONE,
+                    mClock);
 
     /** How a call to an upstream may fail. */
     private enum HowFailed {
@@ -137,11 +142,11 @@
 
     @Test
     void copiesOfARequestRunOneAtATime() {
-        assertThat(mReports.running().tryBegin(REQUEST)).isTrue();
-        assertThat(mReports.running().tryBegin(REQUEST)).isFalse();
-        assertThat(mReports.running().tryBegin(Fingerprints.of("other"))).isTrue();
-        mReports.running().end(REQUEST);
-        assertThat(mReports.running().tryBegin(REQUEST)).isTrue();
+        assertThat(mReports.tryBegin(REQUEST)).isTrue();
+        assertThat(mReports.tryBegin(REQUEST)).isFalse();
+        assertThat(mReports.tryBegin(Fingerprints.of("other"))).isTrue();
+        mReports.end(REQUEST);
+        assertThat(mReports.tryBegin(REQUEST)).isTrue();
     }
 
     @Test
--- /dev/null
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/PacedTurnsTest.java
@@ -0,0 +1,87 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.quarantine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.orchidmount.junit.ManualClock;
+import org.orchidmount.quota.QuotaAnswer;
+import org.orchidmount.quota.QuotaAsk;
+import org.orchidmount.quota.QuotaOwner;
+import org.orchidmount.quota.QuotaOwnerClient;
+import org.orchidmount.quota.SharedQuota;
+
+/** Turns of two instances that ask one owner. */
+final class PacedTurnsTest {
+    private static final RequestFingerprint REQUEST = Fingerprints.of("a");
+    private static final RequestFingerprint OTHER = Fingerprints.of("b");
+
+    private final ManualClock mClock = new ManualClock();
+    private final Owner mOwner = new Owner();
+    private final PacedTurns mOne = new PacedTurns(new SharedQuota(mOwner));
+    private final PacedTurns mTwo = new PacedTurns(new SharedQuota(mOwner));
+
+    private final class Owner implements QuotaOwnerClient {
+        private final QuotaOwner mBuckets = new QuotaOwner();
+        private boolean mIsSilent;
+
+        @Override
+        public CompletableFuture<QuotaAnswer> askOwner(QuotaAsk ask) {
+            return CompletableFuture.completedFuture(
+                    mIsSilent ? QuotaAnswer.NO_OWNER : mBuckets.ask(ask, mClock.nanoTime()));
+        }
+
+        @Override
+        public void giveBack(String key, long units) {
+            mBuckets.giveBack(key, units, mClock.nanoTime());
+        }
+    }
+
+    @BeforeEach
+    void start() {
+        mOwner.mBuckets.hold(1, 0, 0);
+        mClock.advance(Duration.ofSeconds(10));
+    }
+
+    @Test
+    void oneHasTheTurnUntilItsEnd() {
+        assertThat(mOne.tryTake(REQUEST)).isTrue();
+        assertThat(mTwo.tryTake(REQUEST)).isFalse();
+        assertThat(mTwo.tryTake(OTHER)).isTrue();
+        mOne.end(REQUEST);
+        assertThat(mTwo.tryTake(REQUEST)).isTrue();
+        assertThat(mOne.tryTake(REQUEST)).isFalse();
+    }
+
+    /** An instance that ends with its turn holds up nobody for long. */
+    @Test
+    void aTurnThatIsNotEndedComesBackByItself() {
+        assertThat(mOne.tryTake(REQUEST)).isTrue();
+        mClock.advance(Duration.ofMillis(1_001));
+        assertThat(mTwo.tryTake(REQUEST)).isTrue();
+        mOne.end(REQUEST);
+        mOne.end(REQUEST);
+    }
+
+    @Test
+    void onlyATurnThatWasTakenIsEnded() {
+        assertThat(mOne.tryTake(REQUEST)).isTrue();
+        mTwo.end(REQUEST);
+        assertThat(mTwo.tryTake(REQUEST)).isFalse();
+    }
+
+    @Test
+    void withoutAnOwnerEachGivesTurnsByItself() {
+        mOwner.mIsSilent = true;
+        assertThat(mOne.tryTake(REQUEST)).isTrue();
+        assertThat(mTwo.tryTake(REQUEST)).isTrue();
+        mOne.end(REQUEST);
+    }
+}
--- a/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/RunGuardTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/RunGuardTest.java
@@ -19,7 +19,12 @@
     private final CrashRegistry mRegistry = new CrashRegistry(mClock);
     private final CrashReports mReports =
             new CrashReports(
-                    mRegistry, record -> {}, new ConnectProbe(), (peer, longest) -> false, mClock);
+                    mRegistry,
+                    record -> {},
+                    new ConnectProbe(),
+                    (peer, longest) -> false,
+                    SharedTurns.ALONE,
+                    mClock);
     private final AtomicInteger mFingerprints = new AtomicInteger();
 
     private RunGuard guard(int takesTurnsAfter) {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -356,16 +356,17 @@
     }
 
     /**
-     * Reaches the owner of what upstreams take. Voters of earlier builds know nothing of that;
-     * while one of them is linked, which may come to lead, there is no owner.
+     * Reaches the owner that counts what upstreams take and gives turns. Voters of earlier builds
+     * may know no questions; while one of them is linked, which may come to lead, there is no
+     * owner.
      *
      * @return the client
      */
-    public QuotaOwnerClient upstreamOwner() {
-        return new UpstreamOwner();
+    public QuotaOwnerClient countingOwner() {
+        return new CountingOwner();
     }
 
-    private final class UpstreamOwner implements QuotaOwnerClient {
+    private final class CountingOwner implements QuotaOwnerClient {
         @Override
         public CompletableFuture<QuotaAnswer> askOwner(QuotaAsk ask) {
             CompletableFuture<QuotaAnswer> answer = new CompletableFuture<>();
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashReports.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashReports.java
@@ -39,6 +39,7 @@
     private final CrashAnnouncer mAnnouncer;
     private final EndProbe mProbe;
     private final EndWatch mWatch;
+    private final SharedTurns mTurns;
     private final UnprovenCrashes mUnproven;
     private final RunningSuspects mRunning = new RunningSuspects();
     private final AtomicLong mCrashes = new AtomicLong();
@@ -52,6 +53,7 @@
      * @param announcer passes them on
      * @param probe finds out whether an upstream has ended
      * @param watch finds out whether an upstream ends
+     * @param turns gives turns over all instances
      * @param clock tells how long a proof has been awaited
      */
     public CrashReports(
@@ -59,11 +61,13 @@
             CrashAnnouncer announcer,
             EndProbe probe,
             EndWatch watch,
+            SharedTurns turns,
             MonotonicClock clock) {
         mRegistry = registry;
         mAnnouncer = announcer;
         mProbe = probe;
         mWatch = watch;
+        mTurns = turns;
         mUnproven = new UnprovenCrashes(clock);
     }
 
@@ -86,9 +90,27 @@
         return mRegistry.find(fingerprint);
     }
 
-    /** Returns the suspected requests that run here. */
-    RunningSuspects running() {
-        return mRunning;
+    /**
+     * Takes the turn to run a copy of a suspected request, here and over all instances.
+     *
+     * @param request the request
+     * @return false if a copy runs
+     */
+    boolean tryBegin(RequestFingerprint request) {
+        if (!mRunning.tryBegin(request)) {
+            return false;
+        }
+        if (mTurns.tryTake(request)) {
+            return true;
+        }
+        mRunning.end(request);
+        return false;
+    }
+
+    /** Ends what {@link #tryBegin} has begun. */
+    void end(RequestFingerprint request) {
+        mTurns.end(request);
+        mRunning.end(request);
     }
 
     /** Counts a request that was refused because it is quarantined. */
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/RunGuard.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/RunGuard.java
@@ -87,15 +87,17 @@
         if (mKnown == null) {
             return true;
         }
-        return !mKnown.isQuarantined() && takesTurn();
+        return !mKnown.isQuarantined() && takesTurn() && !mKnown.isQuarantined();
     }
 
+    /** With the turn comes what the copy that had it before has shown. */
     private boolean takesTurn() {
-        if (mKnown.crashes() >= mTakesTurnsAfter && !mHasTurn) {
-            mHasTurn = mReports.running().tryBegin(fingerprint());
-            return mHasTurn;
+        if (mKnown.crashes() < mTakesTurnsAfter || mHasTurn) {
+            return true;
         }
-        return true;
+        mHasTurn = mReports.tryBegin(fingerprint());
+        mKnown = mReports.find(fingerprint());
+        return mHasTurn;
     }
 
     /**
@@ -139,7 +141,7 @@
                 isPlanned,
                 () -> {
                     if (hadTurn) {
-                        mReports.running().end(fingerprint());
+                        mReports.end(fingerprint());
                     }
                 });
     }
@@ -160,7 +162,7 @@
     @Override
     public void close() {
         if (mHasTurn) {
-            mReports.running().end(fingerprint());
+            mReports.end(fingerprint());
         }
     }
 }
