--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CallerFront.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CallerFront.java
@@ -21,7 +21,7 @@
     /** The path that takes up a broken stream. */
     static final String RESUME = "/v1/resume";
 
-    /** Few, since requests run on virtual threads. Chosen, not measured. */
+    /** Few, since requests run on virtual threads. */
     private static final int IO_THREADS = 2;
 
     private final Parts mParts;
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/EngineCleaner.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/EngineCleaner.java
@@ -27,10 +27,10 @@
 final class EngineCleaner implements AutoCloseable {
     private static final PartLog LOG = PartLog.of("cleaner");
 
-    /** Tries to cancel a request at an engine; with pauses of 5 s some 10 minutes. Chosen. */
+    /** Tries to cancel a request at an engine; with pauses of 5 s some 10 minutes. */
     private static final int MAX_TRIES = 120;
 
-    /** How often "unknown request" must be answered before it counts. Chosen, not measured. */
+    /** How often "unknown request" must be answered before it counts. */
     private static final int UNKNOWN_TO_BELIEVE = 3;
 
     private final EngineClient mEngines;
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/EntryLife.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/EntryLife.java
@@ -23,7 +23,7 @@
 public final class EntryLife {
     private static final PartLog LOG = PartLog.of("stop");
 
-    /** Pause between two looks at what still runs. Chosen, not measured. */
+    /** Pause between two looks at what still runs. */
     private static final Duration POLL = Duration.ofMillis(20);
 
     /** The part of the time for a stop in which the balancer takes notice. */
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/OperatorFront.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/OperatorFront.java
@@ -50,16 +50,16 @@
 public final class OperatorFront implements AutoCloseable {
     private static final String BEARER = "Bearer ";
 
-    /** Operators are few. Chosen, not measured. */
+    /** Operators are few. */
     private static final int IO_THREADS = 1;
 
-    /** Far more than a change of the table has. Chosen, not measured. */
+    /** Far more than a change of the table has. */
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
-    /** Records of one answer; the rest follows by revision. Chosen. */
+    /** Records of one answer; the rest follows by revision. */
     private static final int MAX_AUDIT_RECORDS = 1000;
 
-    /** For a body, and for an answer. Chosen, not measured. */
+    /** For a body, and for an answer. */
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
     private final Parts mParts;
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
@@ -54,27 +54,27 @@
  * running requests, and only then closes the listeners. Thread-safe.
  */
 public final class RunningDaemon implements Daemon {
-    /** Suspensions of the machine count from then on; by then the start is over. Chosen. */
+    /** Suspensions of the machine count from then on; by then the start is over. */
     private static final Duration SUSPENSIONS_AFTER = Duration.ofSeconds(3);
 
     private static final PartLog LOG = PartLog.of("daemon");
 
-    /** Threads of the controllers. Chosen, not measured. */
+    /** Threads of the controllers. */
     private static final int WORKERS = 2;
 
     /** Base-36 digits that hold the milliseconds of a start for decades. */
     private static final int INCARNATION_DIGITS = 11;
 
-    /** I/O threads of calls to upstreams. Chosen, not measured. */
+    /** I/O threads of calls to upstreams. */
     private static final int CLIENT_IO_THREADS = 2;
 
-    /** Pause between two looks at what still runs. Chosen, not measured. */
+    /** Pause between two looks at what still runs. */
     private static final Duration POLL = Duration.ofMillis(20);
 
-    /** The first pause between tries to cancel; it doubles with each. Chosen, not measured. */
+    /** The first pause between tries to cancel; it doubles with each. */
     private static final Duration CLEAN_FIRST_PAUSE = Duration.ofMillis(100);
 
-    /** The longest pause between tries to cancel. Chosen, not measured. */
+    /** The longest pause between tries to cancel. */
     private static final Duration CLEAN_LONGEST_PAUSE = Duration.ofSeconds(5);
 
     /** How long broken-off requests may take to tell their callers. */
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/SettingsWatch.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/SettingsWatch.java
@@ -28,7 +28,7 @@
 public final class SettingsWatch {
     private static final PartLog LOG = PartLog.of("settings");
 
-    /** Pause between two looks at the settings file. Chosen, not measured. */
+    /** Pause between two looks at the settings file. */
     private static final Duration POLL = Duration.ofSeconds(1);
 
     private final Path mFile;
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/StutteringUpstream.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/StutteringUpstream.java
@@ -48,7 +48,7 @@
     /** Idle connections may be kept longer than any test takes. */
     private static final String KEEP_ALIVE = "Keep-Alive: timeout=60\r\n";
 
-    /** A caller that still waits for its own answer gets it after this. Chosen, not measured. */
+    /** A caller that still waits for its own answer gets it after this. */
     private static final Duration PATIENCE = Duration.ofSeconds(1);
 
     private final Handler mHandler;
--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Changes.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Changes.java
@@ -28,7 +28,7 @@
 public final class Changes {
     private static final SecureRandom RANDOM = new SecureRandom();
 
-    /** Bytes of a change id: 48 bits, so that two of a site do not meet. Chosen. */
+    /** Bytes of a change id: 48 bits, so that two of a site do not meet. */
     private static final int RANDOM_BYTES = 6;
 
     private Changes() {}
--- a/org.orchidmount/src/main/java/org/orchidmount/api/OperatorCommand.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/api/OperatorCommand.java
@@ -24,10 +24,10 @@
  * @param <T> what it yields
  */
 public abstract class OperatorCommand<T> {
-    /** For each step of a call. Chosen, not measured. */
+    /** For each step of a call. */
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
-    /** Far more than a table has. Chosen, not measured. */
+    /** Far more than a table has. */
     private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
     /** HTTP: 400 and above are errors. */
--- a/org.orchidmount/src/main/java/org/orchidmount/api/Orchidmount.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/api/Orchidmount.java
@@ -23,7 +23,7 @@
  * <p>Thread-safe; the commands it makes are not.
  */
 public final class Orchidmount implements AutoCloseable {
-    /** Longer than a lost first packet takes to be sent again, about 1 s. Chosen. */
+    /** Longer than a lost first packet takes to be sent again, about 1 s. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
 
     /** Names a request in the answers of an instance; commands carry none. */
--- a/org.orchidmount/src/main/java/org/orchidmount/blackboard/PrefixHints.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/blackboard/PrefixHints.java
@@ -18,10 +18,10 @@
  * thread-safe: guarded by the board's lock.
  */
 final class PrefixHints {
-    /** Blocks remembered for each engine, some MB. Chosen, not measured. */
+    /** Blocks remembered for each engine, some MB. */
     private static final int MAX_BLOCKS = 65_536;
 
-    /** Nanoseconds after which a hint counts no more. Chosen, not measured. */
+    /** Nanoseconds after which a hint counts no more. */
     private static final long TRUST_NANOS = TimeUnit.SECONDS.toNanos(120);
 
     /** After lost events, beliefs count as this much older. */
--- a/org.orchidmount/src/main/java/org/orchidmount/blackboard/UpstreamSlot.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/blackboard/UpstreamSlot.java
@@ -20,7 +20,7 @@
  * the board's lock. The immutable view is made anew only after a change.
  */
 final class UpstreamSlot {
-    /** Smoothing factor of the measured prefill rate. Chosen, not measured. */
+    /** Smoothing factor of the measured prefill rate. */
     private static final double RATE_SMOOTHING = 0.2;
 
     /** Below this many tokens a prefill's time says little about the rate. */
--- a/org.orchidmount/src/main/java/org/orchidmount/clock/SuspensionWatch.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/clock/SuspensionWatch.java
@@ -18,10 +18,10 @@
 public final class SuspensionWatch {
     private static final PartLog LOG = PartLog.of("clock");
 
-    /** A suspension is logged this long after it at the latest. Chosen. */
+    /** A suspension is logged this long after it at the latest. */
     private static final Duration LOOK = Duration.ofSeconds(1);
 
-    /** What the two clocks of a machine differ by without a suspension is far less. Chosen. */
+    /** What the two clocks of a machine differ by without a suspension is far less. */
     private static final Duration SHORTEST = Duration.ofMillis(100);
 
     private final SuspensionClock mClock;
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -60,10 +60,10 @@
     /** The longest list in a frame; the target has some 8,000 upstreams. */
     private static final int MAX_LIST = 100_000;
 
-    /** The largest table document, inflated. Chosen, not measured. */
+    /** The largest table document, inflated. */
     private static final int MAX_DOCUMENT_BYTES = 64 * 1024 * 1024;
 
-    /** Bytes inflated at a time. Chosen, not measured. */
+    /** Bytes inflated at a time. */
     private static final int INFLATE_STEP_BYTES = 16 * 1024;
 
     /** The types of frames; their numbers are part of the protocol. */
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/Dialer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/Dialer.java
@@ -22,13 +22,13 @@
     /** Tries are many, so each is logged at the debug level only. */
     private static final PartLog LOG = PartLog.of("link");
 
-    /** Far more than a round trip between the regions of a site. Chosen, not measured. */
+    /** Far more than a round trip between the regions of a site. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
-    /** The first pause between tries; it doubles with each. Chosen, not measured. */
+    /** The first pause between tries; it doubles with each. */
     private static final long FIRST_PAUSE_MILLIS = 80;
 
-    /** The longest pause between tries, so that a healed link is used soon. Chosen. */
+    /** The longest pause between tries, so that a healed link is used soon. */
     private static final long LONGEST_PAUSE_MILLIS = 800;
 
     private final HostPort mAddress;
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -64,25 +64,25 @@
                 AutoCloseable {
     private static final PartLog LOG = PartLog.of("entry");
 
-    /** Pause between two looks at links and tables. Chosen, not measured. */
+    /** Pause between two looks at links and tables. */
     private static final long TICK_MILLIS = 200;
 
-    /** Pause between two announcements of progress; others forget after three missed. Chosen. */
+    /** Pause between two announcements of progress; others forget after three missed. */
     private static final long ANNOUNCE_AGAIN_MILLIS = 1_500;
 
-    /** Pause between two requests for a table. Chosen, not measured. */
+    /** Pause between two requests for a table. */
     private static final Duration REQUEST_AGAIN_AFTER = Duration.ofMillis(250);
 
     /**
      * How long the registration of an upstream that has left is remembered: less than by voters,
-     * which tell a start once, so that each one that they take is taken here. Chosen.
+     * which tell a start once, so that each one that they take is taken here.
      */
     private static final Duration REMEMBER_FOR = Duration.ofMinutes(9);
 
-    /** A voter that is silent for this long is no longer dialled. Chosen, not measured. */
+    /** A voter that is silent for this long is no longer dialled. */
     private static final Duration FORGET_VOTER_AFTER = Duration.ofSeconds(30);
 
-    /** After this time a table of a voter without a quorum is served from. Chosen. */
+    /** After this time a table of a voter without a quorum is served from. */
     private static final Duration WAIT_FOR_QUORUM = Duration.ofSeconds(3);
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/Link.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/Link.java
@@ -29,21 +29,21 @@
  * Thread-safe.
  */
 final class Link implements AutoCloseable {
-    /** The longest pause of a sender; a third of the silence that ends a link. Chosen. */
+    /** The longest pause of a sender; a third of the silence that ends a link. */
     static final Duration KEEP_ALIVE = Duration.ofMillis(400);
 
-    /** The longest silence of a peer, after which the link ends. Chosen, not measured. */
+    /** The longest silence of a peer, after which the link ends. */
     static final Duration SILENCE = Duration.ofMillis(1_500);
 
     private static final PartLog LOG = PartLog.of("link");
 
-    /** The largest frame: a table document and its envelope. Chosen, not measured. */
+    /** The largest frame: a table document and its envelope. */
     private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
-    /** The longest foreign text in a line. Chosen, not measured. */
+    /** The longest foreign text in a line. */
     private static final int MAX_LOGGED_CHARACTERS = 300;
 
-    /** Messages queued for a peer that reads too slowly, until the link ends. Chosen. */
+    /** Messages queued for a peer that reads too slowly, until the link ends. */
     private static final int MAX_QUEUED = 512;
 
     private static final Frame KEEP_ALIVE_FRAME = new Frame(new KeepAlive());
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/LinkServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/LinkServer.java
@@ -20,7 +20,7 @@
 final class LinkServer implements AutoCloseable {
     private static final PartLog LOG = PartLog.of("link");
 
-    /** Connections not yet accepted; more than a site has instances. Chosen. */
+    /** Connections not yet accepted; more than a site has instances. */
     private static final int BACKLOG = 512;
 
     private final ServerSocket mSocket;
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/Persister.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/Persister.java
@@ -24,7 +24,7 @@
 final class Persister<T> implements AutoCloseable {
     private static final PartLog LOG = PartLog.of("disk");
 
-    /** Pause before a failed write is tried again. Chosen, not measured. */
+    /** Pause before a failed write is tried again. */
     private static final long RETRY_MILLIS = 100;
 
     private final Lock mLock = new ReentrantLock();
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ServiceGate.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ServiceGate.java
@@ -26,7 +26,7 @@
 final class ServiceGate {
     private static final PartLog LOG = PartLog.of("voter");
 
-    /** More upstreams than the target has, all of which may wait for the first table. Chosen. */
+    /** More upstreams than the target has, all of which may wait for the first table. */
     private static final int MAX_WAITING = 10_000;
 
     private final RouteTableParser mParser;
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
@@ -28,30 +28,30 @@
 final class StageController {
     private static final PartLog LOG = PartLog.of("orders");
 
-    /** How long a change must be due, so that a restart of an engine orders none. Chosen. */
+    /** How long a change must be due, so that a restart of an engine orders none. */
     private static final Duration SETTLE = Duration.ofMillis(1_200);
 
     /**
      * The same for a change to prefill: an engine that is lost is often back within seconds, and
-     * its change would take a second engine from the output (round 731ee506).
+     * its change would take a second engine from the output.
      */
     private static final Duration SETTLE_AFTER_LOSS = Duration.ofSeconds(7);
 
-    /** Pause after an order, from its start: an engine's change shows in its heartbeats. Chosen. */
+    /** Pause after an order, from its start: an engine's change shows in its heartbeats. */
     private static final Duration REST = Duration.ofSeconds(3);
 
-    /** How long an order may yet be done: the engines' 6 s for a change, twice and more. Chosen. */
+    /** How long an order may yet be done: the engines' 6 s for a change, twice and more. */
     private static final Duration WAIT_FOR_DONE = Duration.ofSeconds(16);
 
-    /** Added to the lease of the leader before, for clocks that run at different rates. Chosen. */
+    /** Added to the lease of the leader before, for clocks that run at different rates. */
     private static final Duration LEASE_MARGIN = Duration.ofMillis(700);
 
-    /** Heartbeats that an engine may miss and still count. Chosen, not measured. */
+    /** Heartbeats that an engine may miss and still count. */
     private static final int HEARTBEATS_MISSED = 3;
 
     /**
      * Heartbeats after which an engine that fell silent is no longer expected back: on the users'
-     * platforms some 12 s, twice what an engine takes to change its stage. Chosen.
+     * platforms some 12 s, twice what an engine takes to change its stage.
      */
     private static final int HEARTBEATS_UNTIL_LOST = 10;
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
@@ -22,7 +22,7 @@
  * <p>Confined to the voter's own thread.
  */
 final class VoterLinks implements AutoCloseable {
-    /** Nanoseconds after which a silent peer is no longer dialled. Chosen. */
+    /** Nanoseconds after which a silent peer is no longer dialled. */
     private static final long FORGET_NANOS = 30_000_000_000L;
 
     private final HostPort mSelf;
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -61,19 +61,19 @@
 
     private static final PartLog LOG = PartLog.of("voter");
 
-    /** Pause between two ticks of the replica, a fraction of its timeouts. Chosen. */
+    /** Pause between two ticks of the replica, a fraction of its timeouts. */
     private static final long TICK_MILLIS = 50;
 
-    /** Pause between two notices of the table to all entries. Chosen. */
+    /** Pause between two notices of the table to all entries. */
     private static final long NOTICE_MILLIS = 1_000;
 
     /**
-     * Announcements are gathered this long, so that many entries cost few frames. Chosen: a quarter
-     * of the 30 ms after which an entry counts on all others to have received its own.
+     * Announcements are gathered this long, so that many entries cost few frames: a quarter of the
+     * 30 ms after which an entry counts on all others to have received its own.
      */
     private static final long GATHER_MILLIS = 8;
 
-    /** Nanoseconds for which an upstream that has left is remembered. Chosen. */
+    /** Nanoseconds for which an upstream that has left is remembered. */
     private static final long REMEMBER_NANOS = Duration.ofMinutes(10).toNanos();
 
     private final TaskThread mTasks = new TaskThread("voter", LOG);
--- a/org.orchidmount/src/main/java/org/orchidmount/controller/Admission.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/controller/Admission.java
@@ -36,7 +36,7 @@
  * placed one holds its limits until {@link #end}. Thread-safe.
  */
 public final class Admission {
-    /** Pause between two rounds of the queue without an event. Chosen, not measured. */
+    /** Pause between two rounds of the queue without an event. */
     private static final Duration TICK = Duration.ofMillis(20);
 
     private final Blackboard mBoard;
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ByteQueue.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ByteQueue.java
@@ -22,7 +22,7 @@
  * slows its peer down. Thread-safe; the lock is a leaf, no other lock is taken under it.
  */
 final class ByteQueue {
-    /** Chunks held before the sender has to wait. Chosen, not measured. */
+    /** Chunks held before the sender has to wait. */
     private static final int MAX_CHUNKS = 4;
 
     private final Lock mLock = new ReentrantLock();
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelWriter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelWriter.java
@@ -23,7 +23,7 @@
  * Used by one thread at a time.
  */
 final class ChannelWriter {
-    /** Bytes handed to the socket at a time. Chosen: as many as a socket holds for its peer. */
+    /** Bytes handed to the socket at a time: as many as a socket holds for its peer. */
     private static final int MAX_PART_BYTES = 64 * 1024;
 
     private final XnioIoThread mIoThread;
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -48,16 +48,16 @@
 public final class HttpConnections implements AutoCloseable {
     private static final String CANCELLED = "cancelled before anything was sent";
 
-    /** Bytes read at a time. Chosen, not measured. */
+    /** Bytes read at a time. */
     private static final int BUFFER_BYTES = 16 * 1024;
 
-    /** Bytes that the system holds for each socket. Chosen, not measured. */
+    /** Bytes that the system holds for each socket. */
     private static final int SOCKET_BUFFER_BYTES = 64 * 1024;
 
-    /** Idle connections kept for each peer. Chosen, not measured. */
+    /** Idle connections kept for each peer. */
     private static final int MAX_IDLE_PER_PEER = 64;
 
-    /** Nanoseconds that an idle connection is kept at most. Chosen, not measured. */
+    /** Nanoseconds that an idle connection is kept at most. */
     private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
     private final OrderedLock mLock = new OrderedLock(LockRank.CONNECTIONS);
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpLimits.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpLimits.java
@@ -17,10 +17,10 @@
  */
 public record HttpLimits(
         int maxHeaderBytes, int maxConnections, Duration headerTimeout, Duration idleTimeout) {
-    /** The largest head without a setting. Chosen, not measured. */
+    /** The largest head without a setting. */
     private static final int DEFAULT_HEADER_BYTES = 16 * 1024;
 
-    /** The most connections without a setting. Chosen, not measured. */
+    /** The most connections without a setting. */
     private static final int DEFAULT_CONNECTIONS = 10_000;
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -30,10 +30,10 @@
 public final class HttpServer implements AutoCloseable {
     private static final PartLog LOG = PartLog.of("http");
 
-    /** Bytes read at a time. Chosen, not measured. */
+    /** Bytes read at a time. */
     private static final int BUFFER_BYTES = 16 * 1024;
 
-    /** Bytes that the system holds for each socket. Chosen, not measured. */
+    /** Bytes that the system holds for each socket. */
     private static final int SOCKET_BUFFER_BYTES = 64 * 1024;
 
     /** Each handler bounds bodies itself, by its own limit. */
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
@@ -24,7 +24,7 @@
 final class PooledConnection {
     private static final PartLog LOG = PartLog.of("connections");
 
-    /** Calls after which a connection is closed, so that few identities are kept. Chosen. */
+    /** Calls after which a connection is closed, so that few identities are kept. */
     private static final int MAX_USES = 256;
 
     private final ClientConnection mConnection;
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ReuseSuspensions.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ReuseSuspensions.java
@@ -18,10 +18,10 @@
  * for twice as long, up to a bound. Not thread-safe.
  */
 final class ReuseSuspensions {
-    /** Nanoseconds of a first suspension. Chosen, not measured. */
+    /** Nanoseconds of a first suspension. */
     private static final long FIRST_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    /** Nanoseconds of the longest suspension: so long a peer that is well again pays. Chosen. */
+    /** Nanoseconds of the longest suspension: so long a peer that is well again pays. */
     private static final long LONGEST_NANOS = TimeUnit.SECONDS.toNanos(32);
 
     private final Map<Peer, Suspension> mSuspensions = new HashMap<>();
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/json/StrictJson.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/json/StrictJson.java
@@ -24,10 +24,10 @@
  * read. Stateless and thread-safe.
  */
 public final class StrictJson {
-    /** A message of the platform has some five levels. Chosen, not measured. */
+    /** A message of the platform has some five levels. */
     private static final int MAX_NESTING = 32;
 
-    /** A whole number of 64 bits has 20 characters, a fraction some more. Chosen. */
+    /** A whole number of 64 bits has 20 characters, a fraction some more. */
     private static final int MAX_NUMBER_CHARACTERS = 64;
 
     private static final JsonMapper MAPPER =
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/log/QueuedHandler.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/log/QueuedHandler.java
@@ -23,7 +23,7 @@
  * Thread-safe.
  */
 final class QueuedHandler extends Handler {
-    /** Lines that wait: some seconds of a busy instance, a few megabytes. Chosen. */
+    /** Lines that wait: some seconds of a busy instance, a few megabytes. */
     private static final int MAX_QUEUED = 8_192;
 
     /** How long an end waits for lines to be written; a reader that is gone is not waited for. */
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/upstream/HttpEngineClient.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/upstream/HttpEngineClient.java
@@ -45,10 +45,10 @@
 public final class HttpEngineClient implements EngineClient {
     private static final PartLog LOG = PartLog.of("engine");
 
-    /** Far more than a report has. Chosen, not measured. */
+    /** Far more than a report has. */
     private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
 
-    /** Characters of an engine's explanation that are kept. Chosen. */
+    /** Characters of an engine's explanation that are kept. */
     private static final int MAX_DETAIL_LENGTH = 200;
 
     private static final int HEX = 16;
--- a/org.orchidmount/src/main/java/org/orchidmount/limits/AccountLimits.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/limits/AccountLimits.java
@@ -19,7 +19,7 @@
 public final class AccountLimits {
     /**
      * The part of its target that a request may wait for an answer, twice at most; an answer takes
-     * a round trip of one or two milliseconds. Chosen: such a wait does not make it late.
+     * a round trip of one or two milliseconds: such a wait does not make it late.
      */
     private static final double OWNER_WAIT_SHARE = 0.06;
 
--- a/org.orchidmount/src/main/java/org/orchidmount/limits/TokenBucketRetryBudget.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/limits/TokenBucketRetryBudget.java
@@ -14,7 +14,7 @@
  * <p>Invariant: the stock is never below 0 nor above its limit. Thread-safe.
  */
 public final class TokenBucketRetryBudget implements RetryBudget {
-    /** The most retries in stock: those of one lost engine (10 failed BrokenEngineTest). */
+    /** The most retries in stock: those of one lost engine. */
     private static final double STOCK = 64;
 
     private static final double PERCENT = 100;
--- a/org.orchidmount/src/main/java/org/orchidmount/limits/WindowRetryBudget.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/limits/WindowRetryBudget.java
@@ -19,12 +19,12 @@
  * this instance's part of the slack of all. Thread-safe.
  */
 public final class WindowRetryBudget implements RetryBudget {
-    /** Buckets a window is counted in, and one more for the part of the oldest. Chosen. */
+    /** Buckets a window is counted in, and one more for the part of the oldest. */
     private static final int BUCKETS = 20;
 
     /**
      * The share of the limit that is used. The rest is for windows that do not fit the buckets, and
-     * for instances that do not know yet how many share the slack. Chosen, not measured.
+     * for instances that do not know yet how many share the slack.
      */
     private static final double USED_SHARE = 0.75;
 
--- a/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
@@ -36,7 +36,7 @@
     /** Three announcements missed: a sequence so silent has ended with its instance. */
     private static final Duration FORGET_AFTER = Duration.ofSeconds(5);
 
-    /** Engines beyond which the starts of those without sequences are forgotten. Chosen. */
+    /** Engines beyond which the starts of those without sequences are forgotten. */
     private static final int FORGET_STARTS_COUNT = 4_096;
 
     private final OrderedLock mLock = new OrderedLock(LockRank.LOADS);
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/ConnectProbe.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/ConnectProbe.java
@@ -24,13 +24,13 @@
 public final class ConnectProbe implements EndProbe {
     private static final PartLog LOG = PartLog.of("crash");
 
-    /** Looks at a port that stays open; the last one decides. Chosen. */
+    /** Looks at a port that stays open; the last one decides. */
     private static final int LOOKS = 3;
 
-    /** Between two looks: far more than the closing of a process's sockets takes. Chosen. */
+    /** Between two looks: far more than the closing of a process's sockets takes. */
     private static final Duration PAUSE = Duration.ofMillis(20);
 
-    /** A request waits for it before it is tried again; far more than a round trip. Chosen. */
+    /** A request waits for it before it is tried again; far more than a round trip. */
     private static final Duration TIMEOUT = Duration.ofMillis(100);
 
     private final Pauser mPauser;
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashRecord.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashRecord.java
@@ -38,12 +38,12 @@
     public static final int QUARANTINE_AFTER = 3;
 
     /**
-     * Crashes at any places after which it is not run any more. Chosen: in simulated days no
-     * request that crashes nothing comes to so many.
+     * Crashes at any places after which it is not run any more: in simulated days no request that
+     * crashes nothing comes to so many.
      */
     public static final int QUARANTINE_AFTER_ANYWHERE = 6;
 
-    /** Events by which two runs may differ that crash at the same place. Chosen. */
+    /** Events by which two runs may differ that crash at the same place. */
     private static final long POSITION_MARGIN = 1;
 
     /** The share of its position by which a run may differ, as events hold several tokens. */
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashRegistry.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashRegistry.java
@@ -24,13 +24,13 @@
  * when there are more than {@link #CAPACITY} records and no other gives way before it. Thread-safe.
  */
 public final class CrashRegistry {
-    /** Records held at most, some 64 bytes each. Chosen. */
+    /** Records held at most, some 64 bytes each. */
     public static final int CAPACITY = 4_096;
 
     /** A cleared request is remembered while older records of it may still be on their way. */
     private static final Duration REMEMBER_CLEARED = Duration.ofMinutes(10);
 
-    /** A suspected request that has not crashed again for this long is forgotten. Chosen. */
+    /** A suspected request that has not crashed again for this long is forgotten. */
     private static final Duration REMEMBER_SUSPECT = Duration.ofHours(1);
 
     private final OrderedLock mLock = new OrderedLock(LockRank.QUARANTINE);
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/UnprovenCrashes.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/UnprovenCrashes.java
@@ -23,10 +23,10 @@
  * says that it leaves by plan is dropped. Thread-safe.
  */
 final class UnprovenCrashes {
-    /** By then an upstream that has started again has registered. Chosen: some heartbeats. */
+    /** By then an upstream that has started again has registered: some heartbeats. */
     private static final Duration PROOF_WITHIN = Duration.ofSeconds(10);
 
-    /** Chosen; the oldest give way. */
+    /** The oldest give way. */
     private static final int CAPACITY = 1_024;
 
     private final OrderedLock mLock = new OrderedLock(LockRank.CRASHES);
--- a/org.orchidmount/src/main/java/org/orchidmount/quota/QuotaOwner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quota/QuotaOwner.java
@@ -26,10 +26,10 @@
  * nothing is known of what was granted under the one before. Not thread-safe; time is passed in.
  */
 public final class QuotaOwner {
-    /** The longest time to come back; callers rarely wait for more. Chosen, not measured. */
+    /** The longest time to come back; callers rarely wait for more. */
     private static final double MOST_WAIT_SECONDS = 8;
 
-    /** Looks at the buckets between two searches for those that are of no use. Chosen. */
+    /** Looks at the buckets between two searches for those that are of no use. */
     private static final int SWEEP_ASKS = 4_096;
 
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
--- a/org.orchidmount/src/main/java/org/orchidmount/quota/QuotaTolerance.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quota/QuotaTolerance.java
@@ -23,20 +23,19 @@
     /**
      * The part that is used at all times, spread over the window as more rate: an owner that counts
      * every request needs it for nothing else, and what is refused below it is refused in vain.
-     * Chosen.
      */
     static final double USED_SHARE = 0.25;
 
-    /** The part that a bucket holds at the first change of the lease in a window. Chosen. */
+    /** The part that a bucket holds at the first change of the lease in a window. */
     static final double FIRST_START_SHARE = 0.3;
 
-    /** The part that it holds at each further change; two of them fit. Chosen. */
+    /** The part that it holds at each further change; two of them fit. */
     static final double NEXT_START_SHARE = 0.05;
 
-    /** The part that voters without the lease may grant, all together. Chosen. */
+    /** The part that voters without the lease may grant, all together. */
     static final double RESERVE_SHARE = 0.2;
 
-    /** The part that is left. Chosen: more than the largest request of the sites known so far. */
+    /** The part that is left: more than the largest request of the sites known so far. */
     static final double OVERDRAFT_SHARE = 0.15;
 
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -37,10 +37,10 @@
 final class AttemptRunner {
     private static final PartLog LOG = PartLog.of("relay");
 
-    /** Bytes of a response that is not streamed; larger ones fail. Chosen, not measured. */
+    /** Bytes of a response that is not streamed; larger ones fail. */
     private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
-    /** The body of a response that is thrown away, to keep its connection. Chosen. */
+    /** The body of a response that is thrown away, to keep its connection. */
     private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(2);
 
     private final RelayContext mContext;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -34,10 +34,10 @@
 final class EnginePlacer {
     private static final PartLog LOG = PartLog.of("engine");
 
-    /** Pause between two looks for room. Chosen: some refreshes of what others announce. */
+    /** Pause between two looks for room: some refreshes of what others announce. */
     private static final Duration POLL = Duration.ofMillis(45);
 
-    /** How long an announcement takes to all instances: 15 ms was too short (score b7228a81). */
+    /** How long an announcement takes to all instances, and a little more. */
     private static final Duration ANNOUNCED_AFTER = Duration.ofMillis(30);
 
     private final RelayContext mContext;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EventFramer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EventFramer.java
@@ -19,7 +19,7 @@
 final class EventFramer {
     private static final String ID = "id:";
 
-    /** Far more than an event of tokens has. Chosen, not measured. */
+    /** Far more than an event of tokens has. */
     private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
     private final ByteArrayOutputStream mEvent = new ByteArrayOutputStream();
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
@@ -21,10 +21,10 @@
 final class MemoryReservations {
     private static final PartLog LOG = PartLog.of("engine");
 
-    /** How long an engine keeps memory that is not used: longer than a prefill takes. Chosen. */
+    /** How long an engine keeps memory that is not used: longer than a prefill takes. */
     private static final Duration LIFE = Duration.ofMillis(1_800);
 
-    /** An engine answers at once, so one that does not is given up. Chosen, not measured. */
+    /** An engine answers at once, so one that does not is given up. */
     private static final Duration TIMEOUT = Duration.ofMillis(300);
 
     private final RelayContext mContext;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
@@ -40,13 +40,13 @@
 final class Prefiller {
     private static final PartLog LOG = PartLog.of("prefill");
 
-    /** The rest of an answer whose head has come. Chosen, not measured. */
+    /** The rest of an answer whose head has come. */
     private static final Duration BODY_TIMEOUT = Duration.ofMillis(500);
 
     /** A KV cache is used again within this time: half of the 500 ms that engines keep it. */
     private static final Duration REUSE_WITHIN = Duration.ofMillis(250);
 
-    /** Engines asked in turn, so that one silent engine costs one wait. Chosen, not measured. */
+    /** Engines asked in turn, so that one silent engine costs one wait. */
     private static final int MAX_ENGINES = 2;
 
     /** Decode engines that refuse a KV cache before it is given up: one may be at fault itself. */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -63,12 +63,12 @@
         HttpConnections connections,
         UpstreamProtocol protocol,
         MonotonicClock clock) {
-    /** Bytes of the answer to a call other than a request; far more than any has. Chosen. */
+    /** Bytes of the answer to a call other than a request; far more than any has. */
     static final int MAX_CONTROL_BYTES = 64 * 1024;
 
     private static final PartLog LOG = PartLog.of("engine");
 
-    /** The answer to a release does not matter, so little is waited for. Chosen. */
+    /** The answer to a release does not matter, so little is waited for. */
     private static final Duration SEND_TIMEOUT = Duration.ofMillis(500);
 
     /** Returns the retry budget of a service. */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/SequenceTracker.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/SequenceTracker.java
@@ -18,7 +18,7 @@
  * not taken for the next. Used by one virtual thread; the count of tokens is read by another.
  */
 final class SequenceTracker {
-    /** Events below which a stream does not tell how fast its engine is. Chosen, not measured. */
+    /** Events below which a stream does not tell how fast its engine is. */
     private static final int MIN_EVENTS = 8;
 
     private final RelayContext mContext;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -41,10 +41,10 @@
 public final class UpstreamDirectory {
     private static final PartLog LOG = PartLog.of("upstreams");
 
-    /** Upstreams beyond which those that have left are forgotten; half the target's. Chosen. */
+    /** Upstreams beyond which those that have left are forgotten; half the target's. */
     private static final int FORGET_COUNT = 4_096;
 
-    /** An expected time below this says little about speed. Chosen, not measured. */
+    /** An expected time below this says little about speed. */
     private static final double MIN_ORDINARY_MILLIS = 1;
 
     private final OrderedLock mLock = new OrderedLock(LockRank.BOARD);
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/AttemptRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/AttemptRule.java
@@ -16,10 +16,10 @@
  * cannot multiply a failure; the driver asks the budget last, since asking takes.
  */
 public final class AttemptRule {
-    /** The most attempts, those included that ran nothing. Chosen, not measured. */
+    /** The most attempts, those included that ran nothing. */
     private static final int MAX_ATTEMPTS = 4;
 
-    /** Times the target that an upstream may stay silent if another may be tried. Chosen. */
+    /** Times the target that an upstream may stay silent if another may be tried. */
     private static final double SILENCE_FACTOR = 1.3;
 
     private AttemptRule() {}
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/CircuitBreaker.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/CircuitBreaker.java
@@ -20,10 +20,10 @@
     /** A closed circuit. */
     public static final CircuitBreaker CLOSED = new CircuitBreaker(0, 0);
 
-    /** Failures in a row that open the circuit. Chosen, not measured: one failure proves little. */
+    /** Failures in a row that open the circuit: one failure proves little. */
     private static final int FAILURES_TO_OPEN = 3;
 
-    /** How long the circuit stays open. Chosen, not measured: eight polls of an engine's report. */
+    /** How long the circuit stays open: eight polls of an engine's report. */
     private static final Duration OPEN = Duration.ofSeconds(2);
 
     @Override
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/ClientRetryDetector.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/ClientRetryDetector.java
@@ -24,24 +24,24 @@
  */
 public final class ClientRetryDetector {
     /**
-     * The share of the shortest wait of new requests below which a request is a retry. Chosen, not
-     * measured: the time to come back is at least 3 s of the sites' 14 s.
+     * The share of the shortest wait of new requests below which a request is a retry: the time to
+     * come back is at least 3 s of the sites' 14 s.
      */
     private static final double FIRST_TRY_SHARE = 0.93;
 
-    /** Waits of new requests that are remembered of a route. Chosen. */
+    /** Waits of new requests that are remembered of a route. */
     private static final int SAMPLES = 64;
 
-    /** The quantile that stands for the longest waits, a few in a hundred aside. Chosen. */
+    /** The quantile that stands for the longest waits, a few in a hundred aside. */
     private static final double LONG_QUANTILE = 0.95;
 
     /**
-     * How long a stated wait counts. Chosen: far longer than a caller waits, so that one caller
-     * with a long wait does not make retries of all later ones.
+     * How long a stated wait counts: far longer than a caller waits, so that one caller with a long
+     * wait does not make retries of all later ones.
      */
     private static final Duration WINDOW = Duration.ofMinutes(10);
 
-    /** So many retries without a new request among them mean that callers wait less now. Chosen. */
+    /** So many retries without a new request among them mean that callers wait less now. */
     private static final int RETRIES_IN_A_ROW = 64;
 
     /** Bounds the memory; the map is emptied beyond. Far more routes than a table has. */
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/EnginePaceEstimator.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/EnginePaceEstimator.java
@@ -15,22 +15,22 @@
  * Thread-safe.
  */
 public final class EnginePaceEstimator {
-    /** Milliseconds for a token of a prompt before any was seen: 50 tokens a ms. Chosen. */
+    /** Milliseconds for a token of a prompt before any was seen: 50 tokens a ms. */
     private static final double PRIOR_PREFILL_MILLIS_PER_TOKEN = 0.02;
 
     /** A decode engine prefills at half the pace until seen: the engines' protocol says so. */
     private static final double DECODE_PREFILL_FACTOR = 2;
 
-    /** Tokens that an output grows by in a ms before any was seen: 4,000 in 3 s. Chosen. */
+    /** Tokens that an output grows by in a ms before any was seen: 4,000 in 3 s. */
     private static final double PRIOR_TOKENS_PER_MILLI = 1.3;
 
     /** Milliseconds to the first token before any was seen: a prompt of 5,000 and half more. */
     private static final double PRIOR_FIRST_TOKEN_MILLIS = 150;
 
-    /** Milliseconds that an output lasts before any was seen: 4,000 tokens. Chosen. */
+    /** Milliseconds that an output lasts before any was seen: 4,000 tokens. */
     private static final double PRIOR_OUTPUT_MILLIS = 3_000;
 
-    /** Weight of a prefill that took longer than the mean against one that took less. Chosen. */
+    /** Weight of a prefill that took longer than the mean against one that took less. */
     private static final double LONGER_PREFILL_WEIGHT = 0.4;
 
     private final LogMean mPrefillMillisPerToken =
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/EngineStagePlan.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/EngineStagePlan.java
@@ -26,10 +26,10 @@
  * another. An engine is changed to prefill only if nearly a whole one is missing, or there is none.
  */
 public final class EngineStagePlan {
-    /** Fewer engines than this are left as they are. Chosen, not measured. */
+    /** Fewer engines than this are left as they are. */
     private static final int MIN_ENGINES = 3;
 
-    /** From this number on there is a spare prefill engine. Chosen, not measured. */
+    /** From this number on there is a spare prefill engine. */
     private static final int ENGINES_FOR_SPARE = 6;
 
     /**
@@ -40,8 +40,7 @@
 
     /**
      * Prefill engines above or below the share that are worth a change, which costs an engine for
-     * some 10 s. Chosen: with less than about a whole one the share after it is as far off the
-     * other way.
+     * some 10 s: with less than about a whole one the share after it is as far off the other way.
      */
     private static final double MIN_OFF = 0.95;
 
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/FailureBackoff.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/FailureBackoff.java
@@ -22,13 +22,13 @@
     /** The state of an upstream that has not failed. */
     public static final FailureBackoff NONE = new FailureBackoff(0, false, 0);
 
-    /** Failures in a row that eject. Chosen, not measured: a single one may be the caller's. */
+    /** Failures in a row that eject: a single one may be the caller's. */
     private static final int FAILURES_TO_EJECT = 2;
 
-    /** The first ejection. Chosen, not measured: some requests' time, so that little is lost. */
+    /** The first ejection: some requests' time, so that little is lost. */
     private static final Duration FIRST = Duration.ofMillis(150);
 
-    /** The most doublings, so that an upstream is tried every 4.8 s. Chosen, not measured. */
+    /** The most doublings, so that an upstream is tried every 4.8 s. */
     private static final int MAX_DOUBLINGS = 5;
 
     @Override
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/FailurePenalty.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/FailurePenalty.java
@@ -17,10 +17,10 @@
     /** The state of an upstream that has not failed. */
     public static final FailurePenalty NONE = new FailurePenalty(0, 0);
 
-    /** Smoothing factor: how much one call counts. Chosen, not measured. */
+    /** Smoothing factor: how much one call counts. */
     private static final double SMOOTHING = 0.15;
 
-    /** Milliseconds added if all calls fail; a quarter to a half of the sites' targets. Chosen. */
+    /** Milliseconds added if all calls fail; a quarter to a half of the sites' targets. */
     private static final double MILLIS_IF_ALL_FAIL = 600;
 
     /** Without decay an upstream that failed once would not be tried again (commit 8d5349a). */
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/LogMean.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/LogMean.java
@@ -10,7 +10,7 @@
  * thread-safe.
  */
 final class LogMean {
-    /** Weight of an observation once many were made: some 15 of them are remembered. Chosen. */
+    /** Weight of an observation once many were made: some 15 of them are remembered. */
     private static final double SMOOTHING = 0.07;
 
     /** Observations among which even a large step is believed, since the prior may be far off. */
@@ -19,7 +19,7 @@
     /** The most that an early observation counts as, either way: four times or a quarter. */
     private static final double MAX_EARLY_STEP = Math.log(4);
 
-    /** The most that a later one counts as: an outlier is as much as a double. Chosen. */
+    /** The most that a later one counts as: an outlier is as much as a double. */
     private static final double MAX_STEP = Math.log(2);
 
     private final double mRiseWeight;
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryForecast.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryForecast.java
@@ -25,7 +25,7 @@
 
     /**
      * Moments at which the sum is looked at, as shares of the time that an output of mean length
-     * takes; the last is beyond nearly all outputs. Chosen.
+     * takes; the last is beyond nearly all outputs.
      */
     private static final double[] HORIZON_SHARES = {
         0, 0.08, 0.16, 0.25, 0.36, 0.5, 0.7, 0.9, 1.2, 1.6
@@ -34,7 +34,7 @@
     /** The logistic function with this slope is within 0.01 of the normal distribution. */
     private static final double LOGISTIC_SLOPE = 1.702;
 
-    /** Probability that a sequence beyond its maximum goes on a moment longer. Chosen. */
+    /** Probability that a sequence beyond its maximum goes on a moment longer. */
     private static final double OVERDUE_SURVIVAL = 0.5;
 
     private MemoryForecast() {}
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryRule.java
@@ -14,30 +14,30 @@
  *
  * <p>Several instances may choose the same engine at the same moment. So a placement is checked
  * again once all instances have received it; of placements that happened together, those with the
- * lower identities stay, and every instance decides alike (round d2336992 in docs/ROUNDS.md).
+ * lower identities stay, and every instance decides alike.
  */
 public final class MemoryRule {
-    /** The share of an engine's memory that is planned with; blocks waste the rest. Chosen. */
+    /** The share of an engine's memory that is planned with; blocks waste the rest. */
     private static final double USABLE_SHARE = 0.97;
 
     /**
      * Percent of the memory that client retries may fill (trunk reservation). A retry is late
      * already. Where there is not enough room for all, each that is served takes the room of a new
      * request that could be in time, and just as many callers are refused twice; where there is, it
-     * is served all the same. Chosen: room for two to four requests on the users' sites.
+     * is served all the same: room for two to four requests on the users' sites.
      */
     private static final int CLIENT_RETRY_PERCENT = 85;
 
     /**
      * Percent of the memory below which a placement is not checked again: several at one moment do
-     * no harm there (score b7228a81 in docs/ROUNDS.md).
+     * no harm there.
      */
     private static final int ROOMY_PERCENT = 50;
 
     /** Longer than an announcement takes to all instances: some 30 ms on the sites. */
     private static final Duration TOGETHER = Duration.ofMillis(80);
 
-    /** Output tokens reserved where the sequences of all instances are known. Chosen. */
+    /** Output tokens reserved where the sequences of all instances are known. */
     private static final int FIRST_OUTPUT_TOKENS = 256;
 
     private MemoryRule() {}
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryWaitRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryWaitRule.java
@@ -16,17 +16,17 @@
 public final class MemoryWaitRule {
     /**
      * Percent of the target that a client retry waits. It is late already, so that a wait costs its
-     * caller little and a second refusal all. Chosen: callers give up at four times the target.
+     * caller little and a second refusal all: callers give up at four times the target.
      */
     private static final int CLIENT_RETRY_PERCENT = 200;
 
-    /** Share of the target that a request of mean size waits. Chosen, not measured. */
+    /** Share of the target that a request of mean size waits. */
     private static final double MEAN_SHARE = 0.17;
 
-    /** Bounds of the share, however small or large the request. Chosen, not measured. */
+    /** Bounds of the share, however small or large the request. */
     private static final double MIN_SHARE = 0.1;
 
-    /** The largest share of the target. Chosen, not measured. */
+    /** The largest share of the target. */
     private static final double MAX_SHARE = 0.6;
 
     private MemoryWaitRule() {}
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/OutputLengthEstimator.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/OutputLengthEstimator.java
@@ -9,11 +9,11 @@
  * Estimates how many tokens outputs have, from what callers expect, and how large requests are
  * against the mean.
  *
- * <p>Callers' estimates are right at the median but spread widely (deviation of the logarithm 0.38
- * over 260 outputs, trial d3944360), so an estimate is drawn towards the mean of all. Thread-safe.
+ * <p>Callers' estimates are right at the median but spread widely (deviation of the logarithm
+ * 0.38), so an estimate is drawn towards the mean of all. Thread-safe.
  */
 public final class OutputLengthEstimator {
-    /** Weight of the caller's own estimate against the mean of all. Chosen, not measured. */
+    /** Weight of the caller's own estimate against the mean of all. */
     private static final double OWN_WEIGHT = 0.65;
 
     /**
@@ -22,13 +22,13 @@
      */
     private static final double RESERVE_FACTOR = 1.7;
 
-    /** Smoothing factor of both means: some 30 requests. Chosen, not measured. */
+    /** Smoothing factor of both means: some 30 requests. */
     private static final double SMOOTHING = 0.03;
 
-    /** Tokens assumed before any caller has stated an estimate. Chosen, not measured. */
+    /** Tokens assumed before any caller has stated an estimate. */
     private static final double UNKNOWN_TOKENS = 1_000;
 
-    /** The least tokens estimated, unless the caller's limit is lower. Chosen, not measured. */
+    /** The least tokens estimated, unless the caller's limit is lower. */
     private static final int MIN_TOKENS = 64;
 
     private double mLogMean;
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/PrefillRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/PrefillRule.java
@@ -17,22 +17,22 @@
  * a8ce7c27 in docs/ROUNDS.md). How long a prefill takes is learned ({@link EnginePace}).
  */
 public final class PrefillRule {
-    /** Share of the target beyond which an idle decode engine is better: round b811a22e. */
+    /** Share of the target beyond which an idle decode engine is better. */
     private static final double BUSY_SHARE = 0.6;
 
-    /** Share of the target beyond which the first token would come too late: round b811a22e. */
+    /** Share of the target beyond which the first token would come too late. */
     private static final double LATE_SHARE = 0.85;
 
     /**
      * Times the prefill itself that it may take before the prefill engines count as busy: a prompt
-     * that no queue delays would come no sooner by waiting, however slow they are. Chosen.
+     * that no queue delays would come no sooner by waiting, however slow they are.
      */
     private static final double QUEUED_FACTOR = 2;
 
-    /** Share of its memory below which a decode engine has few streams to hold up. Chosen. */
+    /** Share of its memory below which a decode engine has few streams to hold up. */
     private static final double IDLE_MEMORY_SHARE = 0.8;
 
-    /** Share of the longest harmless pause that a prefill may take; leaves room. Chosen. */
+    /** Share of the longest harmless pause that a prefill may take; leaves room. */
     private static final double PAUSE_SHARE = 0.8;
 
     private PrefillRule() {}
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/PrefillTimeoutRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/PrefillTimeoutRule.java
@@ -14,10 +14,10 @@
  * Pure.
  */
 public final class PrefillTimeoutRule {
-    /** Times the expected time that an engine may stay silent. Chosen, not measured. */
+    /** Times the expected time that an engine may stay silent. */
     private static final double SILENCE_FACTOR = 2;
 
-    /** Share of the target added for short prompts and for pauses of the engine. Chosen. */
+    /** Share of the target added for short prompts and for pauses of the engine. */
     private static final double MARGIN_SHARE = 0.45;
 
     private PrefillTimeoutRule() {}
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/RefusalBackoff.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/RefusalBackoff.java
@@ -21,13 +21,13 @@
     /** The state of an upstream that has refused nothing. */
     public static final RefusalBackoff NONE = new RefusalBackoff(0, false, 0);
 
-    /** After one refusal: some requests' time, in which a place becomes free. Chosen. */
+    /** After one refusal: some requests' time, in which a place becomes free. */
     private static final Duration FIRST = Duration.ofMillis(60);
 
-    /** Refusals in a row that one counts as which a lack of room cannot explain. Chosen. */
+    /** Refusals in a row that one counts as which a lack of room cannot explain. */
     private static final int REFUSALS_DESPITE_ROOM = 2;
 
-    /** The most doublings, so that an upstream is tried every 1.92 s. Chosen, not measured. */
+    /** The most doublings, so that an upstream is tried every 1.92 s. */
     private static final int MAX_DOUBLINGS = 5;
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
@@ -14,39 +14,37 @@
  * Pure, but for the random source.
  */
 public final class RetryAfter {
-    /** The instance stops: the balancer already sends the caller to another. Chosen. */
+    /** The instance stops: the balancer already sends the caller to another. */
     public static final Duration INSTANCE_STOPS = Duration.ofMillis(50);
 
-    /** No table is known yet: an instance that starts has one within a second. Chosen. */
+    /** No table is known yet: an instance that starts has one within a second. */
     public static final Duration NO_TABLE = Duration.ofMillis(500);
 
-    /** Milliseconds; every refusal of a request to the table's upstreams. Chosen, not measured. */
+    /** Milliseconds; every refusal of a request to the table's upstreams. */
     public static final long TABLE_MILLIS = 1_000;
 
-    /** Upstreams of a plain service refused: they have room again after some requests. Chosen. */
+    /** Upstreams of a plain service refused: they have room again after some requests. */
     private static final Duration PLAIN_SERVICE = Duration.ofMillis(200);
 
-    /**
-     * Times an output's ordinary time after which most of those that run now have ended. Chosen.
-     */
+    /** Times an output's ordinary time after which most of those that run now have ended. */
     private static final double MOST_ENDED_FACTOR = 1.2;
 
     /**
      * Share of an output's time over which the times are spread at random, so that those refused
-     * together do not come back together. Chosen.
+     * together do not come back together.
      */
     private static final double SPREAD_SHARE = 0.7;
 
     /**
      * Share of the time to come back over which refusals by a limit are spread beyond it, so that
-     * those refused together do not come back together, and none before there is room. Chosen.
+     * those refused together do not come back together, and none before there is room.
      */
     private static final double LIMIT_SPREAD_SHARE = 0.25;
 
     /**
      * No owner of a limit could be asked: there is another after an election, which begins 0.7 to
      * 1.4 s after the last one's word, or after a start of the voters. One that comes back sooner
-     * is mostly refused for good. Chosen for that time.
+     * is mostly refused for good.
      */
     private static final Duration NO_LIMIT_OWNER = Duration.ofMillis(1_400);
 
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/Slowness.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/Slowness.java
@@ -17,16 +17,16 @@
     /** Ordinary speed. */
     public static final Slowness NONE = new Slowness(1, 0);
 
-    /** Smoothing factor: how much one answer counts. Chosen, not measured. */
+    /** Smoothing factor: how much one answer counts. */
     private static final double SMOOTHING = 0.3;
 
     /** Returns to ordinary speed by half in this time, or a slow upstream got no second chance. */
     private static final Duration HALF_LIFE = Duration.ofMillis(1_500);
 
-    /** Bounds of one observation: a fast cached answer or a pause is no measure. Chosen. */
+    /** Bounds of one observation: a fast cached answer or a pause is no measure. */
     private static final double MIN_RATIO = 0.7;
 
-    /** The largest ratio that one observation counts as. Chosen, not measured. */
+    /** The largest ratio that one observation counts as. */
     private static final double MAX_RATIO = 10;
 
     /** Takes the ratio of the time that an answer took to the time that was expected of it. */
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/TableAttemptRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/TableAttemptRule.java
@@ -17,7 +17,7 @@
  * sent. The retry budget is asked last, since asking takes from it.
  */
 public final class TableAttemptRule {
-    /** The most attempts in a row that bring a request no further. Chosen, not measured. */
+    /** The most attempts in a row that bring a request no further. */
     private static final int MAX_ATTEMPTS = 3;
 
     private TableAttemptRule() {}
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamCost.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamCost.java
@@ -15,20 +15,20 @@
 public final class UpstreamCost {
     /**
      * By what share of its work a choice is varied at random, so that instances that know the same
-     * do not all choose the same upstream. Chosen, not measured.
+     * do not all choose the same upstream.
      */
     private static final double TIE_SHARE = 0.1;
 
-    /** Milliseconds of work that a plain request counts as. Chosen, not measured. */
+    /** Milliseconds of work that a plain request counts as. */
     public static final double PLAIN_REQUEST_MILLIS = 70;
 
-    /** Milliseconds that another availability zone counts for a plain request. Chosen. */
+    /** Milliseconds that another availability zone counts for a plain request. */
     public static final double OTHER_ZONE_PLAIN_MILLIS = 15;
 
-    /** The same for an engine, between which and another a KV cache is moved. Chosen. */
+    /** The same for an engine, between which and another a KV cache is moved. */
     public static final double OTHER_ZONE_ENGINE_MILLIS = 30;
 
-    /** Times its work that a request counts more at an engine with full memory. Chosen. */
+    /** Times its work that a request counts more at an engine with full memory. */
     private static final double FULL_MEMORY_FACTOR = 1.25;
 
     private UpstreamCost() {}
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamHealth.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamHealth.java
@@ -30,9 +30,7 @@
     /** Milliseconds added to an ejected upstream: more than any estimate, so it comes last. */
     public static final double EJECTED_MILLIS = 100_000;
 
-    /**
-     * Milliseconds added to one that refuses: about a target, so that others come first. Chosen.
-     */
+    /** Milliseconds added to one that refuses: about a target, so that others come first. */
     private static final double REFUSING_MILLIS = 1_000;
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/package-info.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/package-info.java
@@ -5,12 +5,10 @@
  */
 /**
  * Every rule that chooses, admits, places, retries or gives up, each in a class of its own with its
- * inputs, units, reason and the origin of its constants. {@code docs/DECISIONS.md} leads from a
- * question to its class.
+ * inputs, units and reason. {@code docs/DECISIONS.md} leads from a question to its class.
  *
  * <p>Pure: no I/O, no thread, no clock; times are passed in as monotonic nanoseconds. Only {@code
- * ClientRetryDetector} and {@code OutputLengthEstimator} remember what they have seen. "Chosen" in
- * the comment of a constant means that no measurement is known.
+ * ClientRetryDetector} and {@code OutputLengthEstimator} remember what they have seen.
  *
  * <p>Two families: for upstreams that register themselves ({@code UpstreamCost}, {@code
  * UpstreamHealth}, {@code PrefillRule}, {@code MemoryRule}, {@code AttemptRule} and more), carried
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SettingsReader.java
@@ -24,7 +24,7 @@
  * <p>Paths in the file are taken relative to the file's folder. Stateless and thread-safe.
  */
 public final class SettingsReader {
-    /** The longest time that a setting may have: one day. Chosen, not measured. */
+    /** The longest time that a setting may have: one day. */
     private static final long DAY_MILLIS = 86_400_000;
 
     /** A shorter key of a signature is weaker than its hash, which has 32 bytes. */
@@ -33,7 +33,7 @@
     /** What the parser adds about its own state. */
     private static final String PARSER_DETAIL = " \\(start marker at .*";
 
-    /** The largest body of a completion that may be allowed: it is held whole. Chosen. */
+    /** The largest body of a completion that may be allowed: it is held whole. */
     private static final int MAX_BODY_BYTES = 256 * 1024 * 1024;
 
     private SettingsReader() {}
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -17,18 +17,18 @@
  * <p>Stateless and thread-safe.
  */
 public final class SiteSettingsReader {
-    /** By then an instance serves, and its start has used its processor time. Chosen. */
+    /** By then an instance serves, and its start has used its processor time. */
     private static final double SUSPENSIONS_AFTER_MILLIS = 3_000;
 
     private static final double MILLIS = 1_000;
 
-    /** Share of prefill engines without a setting: round 731ee506. */
+    /** Share of prefill engines without a setting. */
     private static final double DEFAULT_PREFILL_SHARE = 0.22;
 
-    /** Upper bound of a setting. Chosen, not measured. */
+    /** Upper bound of a setting. */
     private static final double LONGEST_STOP_SECONDS = 3_600;
 
-    /** Upper bound of a setting; far more than any account has. Chosen. */
+    /** Upper bound of a setting; far more than any account has. */
     private static final double MOST_TOLERATED_UNITS = 1e12;
 
     private SiteSettingsReader() {}
--- a/org.orchidmount/src/main/java/org/orchidmount/table/RowLimits.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/table/RowLimits.java
@@ -6,8 +6,8 @@
 package org.orchidmount.table;
 
 /**
- * The largest values that fields of rows may have. All are chosen, not measured: far above what a
- * site needs, and low enough that sums over all rows of a table do not overflow. Stateless.
+ * The largest values that fields of rows may have. All are far above what a site needs, and low
+ * enough that sums over all rows of a table do not overflow. Stateless.
  */
 final class RowLimits {
     /** Relative weight of accounts, classes and upstreams. */
