--- a/org.orchidmount.test/src/test/java/org/orchidmount/pacing/UpstreamPaceTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/pacing/UpstreamPaceTest.java
@@ -67,7 +67,7 @@
 
     private void names(Incarnation upstream, double perSecond) {
         mClock.advance(Duration.ofMillis(1));
-        mPace.heard(upstream, new LimitStatement.PerSecond(perSecond), mClock.nanoTime());
+        mPace.heard(upstream, new LimitStatement.PerSecond(perSecond), true, mClock.nanoTime());
     }
 
     private boolean take() throws InterruptedException {
@@ -138,7 +138,7 @@
         assertThat(mPace.full()).isEmpty();
         mClock.advance(Duration.ofMillis(100));
         assertThat(take()).isTrue();
-        mPace.heard(UPSTREAM, LimitStatement.NONE, mClock.nanoTime());
+        mPace.heard(UPSTREAM, LimitStatement.NONE, true, mClock.nanoTime());
         assertThat(mAnnounced).hasSize(3);
         assertThat(mAnnounced.getLast().isInForce()).isFalse();
     }
@@ -148,11 +148,25 @@
     void whatCannotBeReadChangesNothing(String text) {
         names(UPSTREAM, 2);
         mClock.advance(Duration.ofMillis(1));
-        mPace.heard(UPSTREAM, new LimitStatement.Unreadable(text), mClock.nanoTime());
+        mPace.heard(UPSTREAM, new LimitStatement.Unreadable(text), true, mClock.nanoTime());
         assertThat(mLimits.find(UPSTREAM).orElseThrow().perSecond().getAsDouble()).isEqualTo(2.0);
         assertThat(mPace.toString()).contains("1 statements unreadable");
     }
 
+    /** A reservation, a refusal or an error may state none while the upstream is in need. */
+    @Test
+    void onlyTheAnswerToARequestThatWasServedEndsALimit() {
+        names(UPSTREAM, 2);
+        mClock.advance(Duration.ofMillis(1));
+        mPace.heard(UPSTREAM, LimitStatement.NONE, false, mClock.nanoTime());
+        assertThat(mLimits.find(UPSTREAM)).isPresent();
+        mPace.heard(UPSTREAM, new LimitStatement.PerSecond(4), false, mClock.nanoTime());
+        assertThat(mLimits.find(UPSTREAM).orElseThrow().perSecond().getAsDouble()).isEqualTo(4.0);
+        mClock.advance(Duration.ofMillis(1));
+        mPace.heard(UPSTREAM, LimitStatement.NONE, true, mClock.nanoTime());
+        assertThat(mLimits.find(UPSTREAM)).isEmpty();
+    }
+
     /** Its part of half of what the upstream takes. */
     @Test
     void withoutAnOwnerAnInstanceSendsAnEqualPart() throws InterruptedException {
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
@@ -115,9 +115,16 @@
      *
      * @param upstream the incarnation that responded
      * @param statement what it states
+     * @param hasServed whether it is the answer to a request that was served. One that is not, such
+     *     as an error or the answer to a reservation, may come from a part of the upstream that
+     *     states no limits, so it ends none
      * @param sentNanos when its request was sent, by the clock
      */
-    public void heard(Incarnation upstream, LimitStatement statement, long sentNanos) {
+    public void heard(
+            Incarnation upstream, LimitStatement statement, boolean hasServed, long sentNanos) {
+        if (statement instanceof LimitStatement.None && !hasServed) {
+            return;
+        }
         if (statement instanceof LimitStatement.Unreadable unreadable) {
             logUnreadable(upstream, unreadable.text());
             return;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
@@ -62,7 +62,7 @@
                 mContext.connections().call(assignment.peer(), Step.ADMIT, head, body, TIMEOUT)) {
             ClientResponse response = call.awaitResponse(TIMEOUT);
             call.limitIdle(protocol.idleTimeout(response));
-            mContext.responded(assignment, response, sentNanos);
+            mContext.respondedToCall(assignment, response, sentNanos);
             byte[] answer = call.readAll(TIMEOUT, RelayContext.MAX_CONTROL_BYTES);
             if (!HttpStatus.isOk(response.getResponseCode())) {
                 LOG.debug(
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -94,10 +94,23 @@
         }
     }
 
-    /** Learns from the head of a response of an upstream to its request. */
+    /** Learns from the head of a response of an upstream to a request. */
     void responded(Assignment assignment, ClientResponse response, long sentNanos) {
+        boolean hasServed = HttpStatus.isSuccess(response.getResponseCode());
+        heardLimit(assignment, response, hasServed, sentNanos);
+    }
+
+    /** Learns from the head of a response of an upstream to another call than a request. */
+    void respondedToCall(Assignment assignment, ClientResponse response, long sentNanos) {
+        heardLimit(assignment, response, false, sentNanos);
+    }
+
+    private void heardLimit(
+            Assignment assignment, ClientResponse response, boolean hasServed, long sentNanos) {
         protocol.limit(response)
-                .ifPresent(stated -> pace.heard(assignment.incarnation(), stated, sentNanos));
+                .ifPresent(
+                        stated ->
+                                pace.heard(assignment.incarnation(), stated, hasServed, sentNanos));
     }
 
     /**
