What an entry keeps and tells without agreement in a class of its own

EntryNode had the sending of crash records and of limits side by side, line for line; EntryRecords does both, as VoterRecords does at a voter. The tests of both share what collects messages.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/CrashRecordsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/CrashRecordsTest.java
@@ -15,9 +15,7 @@
 import java.time.Duration;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Queue;
 import java.util.Set;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -153,42 +151,26 @@
     void onlyThoseThatTakeRecordsAreSentThem(boolean takes) throws IOException {
         EntryNode one = mSite.addEntry("one");
         crash(one);
-        Queue<ClusterMessage> received = new ConcurrentLinkedQueue<>();
+        CollectedMessages received = new CollectedMessages();
         Set<Capability> capabilities = takes ? Capability.own() : Set.of();
         Socket socket = new Socket("127.0.0.1", mSite.address(0).port());
-        try (Link link = new Link(socket, new Collector(received))) {
+        try (Link link = new Link(socket, received)) {
             link.send(new Greeting(VoterNode.PROTOCOL, "old", "zone-0", null, capabilities));
             Thread.ofVirtual().start(link::run);
-            Await.until("greeted", LONGEST, () -> has(received, ClusterMessage.Voters.class));
+            Await.until("greeted", LONGEST, () -> received.count(ClusterMessage.Voters.class) > 0);
             crash(one);
             crash(one);
             awaitCrashesAtVoters(3);
             Await.until(
                     "a notice came after it",
                     LONGEST,
-                    () -> countNotices(received) > 1 || has(received, CrashRecords.class));
-            assertThat(has(received, CrashRecords.class)).isEqualTo(takes);
+                    () ->
+                            received.count(ClusterMessage.TableNotice.class) > 1
+                                    || received.count(CrashRecords.class) > 0);
+            assertThat(received.count(CrashRecords.class) > 0).isEqualTo(takes);
         }
     }
 
-    private static boolean has(Queue<ClusterMessage> received, Class<?> type) {
-        return received.stream().anyMatch(type::isInstance);
-    }
-
-    private static long countNotices(Queue<ClusterMessage> received) {
-        return received.stream().filter(ClusterMessage.TableNotice.class::isInstance).count();
-    }
-
-    private record Collector(Queue<ClusterMessage> received) implements Link.Handler {
-        @Override
-        public void received(Link link, ClusterMessage message) {
-            received.add(message);
-        }
-
-        @Override
-        public void closed(Link link) {}
-    }
-
     @Test
     void capabilitiesThatAreNotKnownArePassedOver() {
         assertThat(Capability.fromBits(0xff)).isEqualTo(Capability.own());
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/UpstreamLimitRecordsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/UpstreamLimitRecordsTest.java
@@ -15,9 +15,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.OptionalDouble;
-import java.util.Queue;
 import java.util.Set;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -164,38 +162,24 @@
     @ValueSource(booleans = {true, false})
     void onlyThoseThatTakeLimitsAreSentThem(boolean takes) throws IOException {
         EntryNode one = mSite.addEntry("one");
-        Queue<ClusterMessage> received = new ConcurrentLinkedQueue<>();
+        CollectedMessages received = new CollectedMessages();
         Set<Capability> capabilities = takes ? Capability.own() : Set.of(Capability.CRASH_RECORDS);
         Socket socket = new Socket("127.0.0.1", mSite.address(0).port());
-        try (Link link = new Link(socket, new Collector(received))) {
+        try (Link link = new Link(socket, received)) {
             link.send(new Greeting(VoterNode.PROTOCOL, "old", "zone-0", null, capabilities));
             Thread.ofVirtual().start(link::run);
-            Await.until("greeted", LONGEST, () -> count(received, ClusterMessage.Voters.class) > 0);
+            Await.until("greeted", LONGEST, () -> received.count(ClusterMessage.Voters.class) > 0);
             hear(one, 4);
             awaitLimitsAtVoters(1);
-            long notices = count(received, ClusterMessage.TableNotice.class);
+            long notices = received.count(ClusterMessage.TableNotice.class);
             Await.until(
                     "a notice came after it",
                     LONGEST,
-                    () -> count(received, ClusterMessage.TableNotice.class) > notices);
-            assertThat(count(received, UpstreamLimitRecords.class)).isEqualTo(takes ? 1 : 0);
+                    () -> received.count(ClusterMessage.TableNotice.class) > notices);
+            assertThat(received.count(UpstreamLimitRecords.class)).isEqualTo(takes ? 1 : 0);
         }
     }
 
-    private static long count(Queue<ClusterMessage> received, Class<?> type) {
-        return received.stream().filter(type::isInstance).count();
-    }
-
-    private record Collector(Queue<ClusterMessage> received) implements Link.Handler {
-        @Override
-        public void received(Link link, ClusterMessage message) {
-            received.add(message);
-        }
-
-        @Override
-        public void closed(Link link) {}
-    }
-
     @Test
     void limitsAreReadAsTheyWereWritten() throws IOException {
         List<UpstreamLimit> limits =
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import org.orchidmount.clock.MonotonicClock;
-import org.orchidmount.cluster.ClusterMessage.CrashRecords;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.InFlightSequences;
 import org.orchidmount.cluster.ClusterMessage.KeepAlive;
@@ -29,7 +28,6 @@
 import org.orchidmount.cluster.ClusterMessage.TableDocument;
 import org.orchidmount.cluster.ClusterMessage.TableNotice;
 import org.orchidmount.cluster.ClusterMessage.TableRequest;
-import org.orchidmount.cluster.ClusterMessage.UpstreamLimitRecords;
 import org.orchidmount.cluster.ClusterMessage.Voters;
 import org.orchidmount.consensus.Member;
 import org.orchidmount.internal.log.PartLog;
@@ -113,8 +111,7 @@
     private final Registry mRegistry = new Registry(REMEMBER_FOR.toNanos());
     private final Map<String, OwnSequence> mOwnSequences = new HashMap<>();
     private final QuotaRequests mQuotaRequests;
-    private final CrashRegistry mCrashes;
-    private final UpstreamLimits mLimits;
+    private final EntryRecords mRecords;
     private final CountDownLatch mFirstTable = new CountDownLatch(1);
     private final long mStartNanos;
     private long mRequestedNanos;
@@ -175,8 +172,7 @@
         mGreeting = new Greeting(VoterNode.PROTOCOL, node, zone, null, Capability.own());
         mSeeds = Set.copyOf(seeds);
         mQuotaRequests = new QuotaRequests(node.hashCode());
-        mCrashes = new CrashRegistry(clock);
-        mLimits = new UpstreamLimits(node, clock);
+        mRecords = new EntryRecords(node, clock);
         mStartNanos = clock.nanoTime();
         mRequestedNanos = mStartNanos - REQUEST_AGAIN_AFTER.toNanos();
         mUnlinkedNanos = mStartNanos;
@@ -318,20 +314,12 @@
      * @return the registry, which goes on changing
      */
     public CrashRegistry crashes() {
-        return mCrashes;
+        return mRecords.crashes();
     }
 
-    /** Sends to every voter, since each record matters and there are few. */
     @Override
     public void announce(CrashRecord record) {
-        mTasks.post(() -> mGreetings.keySet().forEach(link -> sendCrashes(link, List.of(record))));
-    }
-
-    /** A voter that takes no records is sent none; it has no use for them. */
-    private void sendCrashes(Link voter, List<CrashRecord> records) {
-        if (mGreetings.get(voter).knows(Capability.CRASH_RECORDS)) {
-            voter.send(new CrashRecords(records));
-        }
+        mTasks.post(() -> mRecords.announce(record));
     }
 
     /**
@@ -340,19 +328,12 @@
      * @return the limits, which go on changing
      */
     public UpstreamLimits limits() {
-        return mLimits;
+        return mRecords.limits();
     }
 
-    /** Sends to every voter, since each change matters and there are few. */
     @Override
     public void announce(UpstreamLimit limit) {
-        mTasks.post(() -> mGreetings.keySet().forEach(link -> sendLimits(link, List.of(limit))));
-    }
-
-    private void sendLimits(Link voter, List<UpstreamLimit> limits) {
-        if (mGreetings.get(voter).knows(Capability.UPSTREAM_LIMITS)) {
-            voter.send(new UpstreamLimitRecords(limits));
-        }
+        mTasks.post(() -> mRecords.announce(limit));
     }
 
     /**
@@ -372,7 +353,7 @@
             CompletableFuture<QuotaAnswer> answer = new CompletableFuture<>();
             mTasks.post(
                     () -> {
-                        if (allVotersCount()) {
+                        if (mRecords.allVotersKnow(Capability.UPSTREAM_LIMITS)) {
                             mQuotaRequests.ask(ask, answer);
                         } else {
                             answer.complete(QuotaAnswer.NO_OWNER);
@@ -387,11 +368,6 @@
         }
     }
 
-    private boolean allVotersCount() {
-        return mGreetings.values().stream()
-                .allMatch(voter -> voter.knows(Capability.UPSTREAM_LIMITS));
-    }
-
     private void dial(HostPort address) {
         mDialers.computeIfAbsent(address, to -> new Dialer(to, mGreeting, mHandler));
     }
@@ -401,10 +377,6 @@
             announced.sequences().forEach(mListener::onSequence);
         } else if (message instanceof QuotaReply reply) {
             mQuotaRequests.received(reply);
-        } else if (message instanceof CrashRecords crashes) {
-            mCrashes.merge(crashes.records());
-        } else if (message instanceof UpstreamLimitRecords records) {
-            mLimits.merge(records.limits());
         } else if (message instanceof Registrations registrations) {
             onRegistrations(link, registrations);
         } else if (message instanceof TableNotice notice) {
@@ -415,6 +387,8 @@
             voters.members().forEach(this::learn);
         } else if (message instanceof Greeting greeting) {
             onGreeting(link, greeting);
+        } else {
+            mRecords.received(message);
         }
     }
 
@@ -456,12 +430,7 @@
         mLinks.put(link, voter);
         mQuotaRequests.linked(voter, link);
         mGreetings.put(link, greeting);
-        if (!mCrashes.isEmpty()) {
-            sendCrashes(link, mCrashes.all());
-        }
-        if (!mLimits.isEmpty()) {
-            sendLimits(link, mLimits.all());
-        }
+        mRecords.linked(link, greeting);
         learn(greeting.voter());
         LOG.info("voter %s is reached", greeting.node());
     }
@@ -537,6 +506,7 @@
     private void onClosed(Link link) {
         mNotices.remove(link);
         mGreetings.remove(link);
+        mRecords.lost(link);
         HostPort voter = mLinks.remove(link);
         if (voter != null) {
             mQuotaRequests.lost(voter, link);
