Only a service whose upstreams are all full is refused for that; refusals for a limit teach nothing

Found by reading the change again. A request of a service without any upstream, or refused for another reason, was reported as REFUSED_UPSTREAM_LIMIT while an upstream of another service was full, and got a time to come back by that; a limited engine that refused a request for which it had reserved memory counted as one that refuses again and again.

Measured: FullUpstreamsTest, 8 cases (3 could not hold before: no upstream, of another service, of another stage); UpstreamLimitTest.whatNoneTakes passes.

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -198,7 +198,7 @@
             case NOT_RUN -> {
                 mContext.responded(assignment, response, sentNanos);
                 if (placement.reservation().isPresent()) {
-                    mContext.upstreams().refusedDespiteRoom(assignment);
+                    mContext.refusedDespiteRoom(assignment);
                 } else {
                     mContext.refused(assignment);
                 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -134,6 +134,7 @@
         long untilNanos = mContext.clock().nanoTime() + mLongestWait.toNanos();
         while (!mCancel.isCancelled()) {
             Optional<Placement> placement = placeByChoice(tried);
+            mIsPaced = placement.isEmpty() && areAllFull();
             long nowNanos = mContext.clock().nanoTime();
             if (placement.isPresent()) {
                 // Another attempt waits as a new request does, or the waits of a client retry would
@@ -141,7 +142,6 @@
                 mLongestWait = mNewRequestWait;
                 return placement;
             }
-            mIsPaced = mContext.areAllFull(mService.name(), Stage.DECODE);
             if (nowNanos - untilNanos > 0) {
                 mLacksPrefill = mPrefiller.choice() == PrefillRule.Choice.UNSPLIT_IF_IDLE;
                 logNoPlace();
@@ -158,6 +158,10 @@
         return mIsTooLarge;
     }
 
+    private boolean areAllFull() {
+        return mContext.areAllFull(mService.name(), Stage.DECODE, mContext.pace().full());
+    }
+
     /** Tells whether the last look found that each engine has got what it takes. */
     boolean isPaced() {
         return mIsPaced;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -7,6 +7,7 @@
 
 import io.undertow.client.ClientResponse;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentMap;
@@ -23,6 +24,7 @@
 import org.orchidmount.limits.RetryBudget;
 import org.orchidmount.load.EngineLoads;
 import org.orchidmount.load.SequenceAnnouncer;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.pacing.SendPermit;
 import org.orchidmount.pacing.UpstreamPace;
@@ -138,12 +140,25 @@
         }
     }
 
-    /** Tells whether each upstream of a service has got what it takes. */
-    boolean areAllFull(String service, Stage stage) {
-        Set<String> full = pace.full();
-        return !full.isEmpty()
-                && upstreams.takingWork(service, stage).stream()
-                        .allMatch(upstream -> full.contains(upstream.id()));
+    /** Learns from a refusal of a request for which memory was reserved, in the same way. */
+    void refusedDespiteRoom(Assignment assignment) {
+        if (!pace.refusedBy(assignment.incarnation())) {
+            upstreams.refusedDespiteRoom(assignment);
+        }
+    }
+
+    /**
+     * Tells whether a service has upstreams, and each of them has got what it takes.
+     *
+     * @param full the identities of those that have, of any service
+     */
+    boolean areAllFull(String service, Stage stage, Set<String> full) {
+        if (full.isEmpty()) {
+            return false;
+        }
+        List<Incarnation> upstreamsOfIt = upstreams.takingWork(service, stage);
+        return !upstreamsOfIt.isEmpty()
+                && upstreamsOfIt.stream().allMatch(upstream -> full.contains(upstream.id()));
     }
 
     /** Makes a call whose answer does not matter, on a thread of its own. */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -185,10 +185,11 @@
     /** Asks upstreams in turn whether they have room, each once. */
     private Optional<Placement> placeAtPlainService() throws InterruptedException {
         Set<String> full = new HashSet<>(mContext.pace().full());
+        mIsPaced = false;
         while (true) {
             Optional<Assignment> assignment = mContext.upstreams().assign(need(full), mTried);
             if (assignment.isEmpty()) {
-                mIsPaced = !full.isEmpty();
+                mIsPaced = mContext.areAllFull(mService.name(), Stage.NONE, full);
                 return Optional.empty();
             }
             Optional<SendPermit> permit = mContext.mayBeSent(assignment.get(), mRequest);
