--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/QuotaRequestsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/QuotaRequestsTest.java
@@ -114,6 +114,21 @@
         return new QuotaReply(request.number(), answer, owner.toString());
     }
 
+    /**
+     * A voter of an earlier build counts for accounts; it is asked nothing that it may not know.
+     */
+    @Test
+    void aVoterThatTellsNoCapabilityIsNotAskedToCount() throws IOException {
+        HostPort owner = freeAddress();
+        voter(owner, (link, request) -> link.send(reply(request, QuotaAnswer.GRANTED, owner)));
+        entry(owner);
+        Await.until("granted", LONGEST, () -> take(LONGEST) == Outcome.GRANTED);
+        mSeen.clear();
+        QuotaAnswer answer = mEntry.countingOwner().askOwner(ASK).join();
+        assertThat(answer.outcome()).isEqualTo(Outcome.NO_OWNER);
+        assertThat(mSeen).isEmpty();
+    }
+
     /** Whoever is asked first, the owner that it names is asked, and from then on at once. */
     @Test
     void theOwnerThatAVoterNamesIsAsked() throws IOException {
