What a response states of its upstream is read once, as one value; pauses are logged

What callers saw: nothing. No log could tell which upstream had asked which entry for a pause, or had said in an answer that it leaves.

UpstreamStatement holds what the head of a response says of its upstream: limit, pause, departure. The adapter reads it in one place (RunnerStatements), from the answers to requests, prefills and reservations; UpstreamPauses logs the first answer that asks for a pause, and counts and logs what is no time. Nothing is decided by it yet. UnreadableStatements is what UpstreamPace did for limits, shared by both.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/pacing/UpstreamPaceTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/pacing/UpstreamPaceTest.java
@@ -65,9 +65,14 @@
         }
     }
 
+    private void observe(Incarnation upstream, LimitStatement limit, boolean hasServed) {
+        UpstreamStatement stated = new UpstreamStatement(limit, PauseStatement.NONE, false);
+        mPace.observe(upstream, stated, hasServed, mClock.nanoTime());
+    }
+
     private void names(Incarnation upstream, double perSecond) {
         mClock.advance(Duration.ofMillis(1));
-        mPace.heard(upstream, new LimitStatement.PerSecond(perSecond), true, mClock.nanoTime());
+        observe(upstream, new LimitStatement.PerSecond(perSecond), true);
     }
 
     private boolean take() throws InterruptedException {
@@ -138,7 +143,7 @@
         assertThat(mPace.full()).isEmpty();
         mClock.advance(Duration.ofMillis(100));
         assertThat(take()).isTrue();
-        mPace.heard(UPSTREAM, LimitStatement.NONE, true, mClock.nanoTime());
+        observe(UPSTREAM, LimitStatement.NONE, true);
         assertThat(mAnnounced).hasSize(3);
         assertThat(mAnnounced.getLast().isInForce()).isFalse();
     }
@@ -148,7 +153,7 @@
     void whatCannotBeReadChangesNothing(String text) {
         names(UPSTREAM, 2);
         mClock.advance(Duration.ofMillis(1));
-        mPace.heard(UPSTREAM, new LimitStatement.Unreadable(text), true, mClock.nanoTime());
+        observe(UPSTREAM, new LimitStatement.Unreadable(text), true);
         assertThat(mLimits.find(UPSTREAM).orElseThrow().perSecond().getAsDouble()).isEqualTo(2.0);
         assertThat(mPace.toString()).contains("1 statements unreadable");
     }
@@ -158,12 +163,12 @@
     void onlyTheAnswerToARequestThatWasServedEndsALimit() {
         names(UPSTREAM, 2);
         mClock.advance(Duration.ofMillis(1));
-        mPace.heard(UPSTREAM, LimitStatement.NONE, false, mClock.nanoTime());
+        observe(UPSTREAM, LimitStatement.NONE, false);
         assertThat(mLimits.find(UPSTREAM)).isPresent();
-        mPace.heard(UPSTREAM, new LimitStatement.PerSecond(4), false, mClock.nanoTime());
+        observe(UPSTREAM, new LimitStatement.PerSecond(4), false);
         assertThat(mLimits.find(UPSTREAM).orElseThrow().perSecond().getAsDouble()).isEqualTo(4.0);
         mClock.advance(Duration.ofMillis(1));
-        mPace.heard(UPSTREAM, LimitStatement.NONE, true, mClock.nanoTime());
+        observe(UPSTREAM, LimitStatement.NONE, true);
         assertThat(mLimits.find(UPSTREAM)).isEmpty();
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
@@ -18,7 +18,6 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.orchidmount.clock.MonotonicClock;
-import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.quota.QuotaAnswer;
@@ -39,11 +38,6 @@
  * asked for again here before the time that the owner named. Thread-safe.
  */
 public final class UpstreamPace {
-    private static final PartLog LOG = PartLog.of("pacing");
-
-    /** The longest foreign text in a line. */
-    private static final int MAX_LOGGED_CHARACTERS = 100;
-
     /**
      * An upstream that takes nothing gets a request every five seconds all the same: only an answer
      * can tell that it takes some again.
@@ -74,12 +68,14 @@
     private final MonotonicClock mClock;
     private final LonePace mLonePace;
     private final ReturnQueue mReturns;
+    private final UpstreamPauses mPauses;
 
     /** Until when this instance does not ask for more. */
     private final Map<Incarnation, Long> mFullUntilNanos = new ConcurrentHashMap<>();
 
     private final AtomicLong mChanges = new AtomicLong();
-    private final AtomicLong mUnreadable = new AtomicLong();
+    private final UnreadableStatements mUnreadable =
+            new UnreadableStatements("a limit that is no number");
     private final AtomicLong mCounted = new AtomicLong();
     private final AtomicLong mAlone = new AtomicLong();
     private final AtomicLong mHeldBack = new AtomicLong();
@@ -108,10 +104,11 @@
         mClock = clock;
         mLonePace = new LonePace(instances, random, clock);
         mReturns = new ReturnQueue(clock);
+        mPauses = new UpstreamPauses(clock);
     }
 
     /**
-     * Learns from a response, which must be of that incarnation and to that request.
+     * Learns from a response, which must be of that incarnation and to a call of this instance.
      *
      * @param upstream the incarnation that responded
      * @param statement what it states
@@ -120,13 +117,19 @@
      *     states no limits, so it ends none
      * @param sentNanos when its request was sent, by the clock
      */
-    public void heard(
+    public void observe(
+            Incarnation upstream, UpstreamStatement statement, boolean hasServed, long sentNanos) {
+        observeLimit(upstream, statement.limit(), hasServed, sentNanos);
+        mPauses.observe(upstream, statement.pause());
+    }
+
+    private void observeLimit(
             Incarnation upstream, LimitStatement statement, boolean hasServed, long sentNanos) {
         if (statement instanceof LimitStatement.None && !hasServed) {
             return;
         }
         if (statement instanceof LimitStatement.Unreadable unreadable) {
-            logUnreadable(upstream, unreadable.text());
+            mUnreadable.add(upstream, unreadable.text());
             return;
         }
         OptionalDouble stated =
@@ -141,18 +144,6 @@
         }
     }
 
-    /** Logs the first, the second, the fourth and so on, so that lines stay few. */
-    private void logUnreadable(Incarnation upstream, String text) {
-        long count = mUnreadable.incrementAndGet();
-        if (Long.bitCount(count) == 1) {
-            int length = Math.min(text.length(), MAX_LOGGED_CHARACTERS);
-            LOG.warn(
-                    "upstream %s states a limit that is no number, %d such answers so far: %s;"
-                            + " what was known holds on",
-                    upstream, count, text.substring(0, length).replaceAll("[^ -~]", "?"));
-        }
-    }
-
     /**
      * Takes the right to send one request.
      *
@@ -314,7 +305,7 @@
                         + " sent without one, held back %d times")
                 .formatted(
                         mChanges.get(),
-                        mUnreadable.get(),
+                        mUnreadable.count(),
                         mCounted.get(),
                         mAlone.get(),
                         mHeldBack.get());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -99,20 +99,21 @@
     /** Learns from the head of a response of an upstream to a request. */
     void responded(Assignment assignment, ClientResponse response, long sentNanos) {
         boolean hasServed = HttpStatus.isSuccess(response.getResponseCode());
-        heardLimit(assignment, response, hasServed, sentNanos);
+        observe(assignment, response, hasServed, sentNanos);
     }
 
     /** Learns from the head of a response of an upstream to another call than a request. */
     void respondedToCall(Assignment assignment, ClientResponse response, long sentNanos) {
-        heardLimit(assignment, response, false, sentNanos);
+        observe(assignment, response, false, sentNanos);
     }
 
-    private void heardLimit(
+    private void observe(
             Assignment assignment, ClientResponse response, boolean hasServed, long sentNanos) {
-        protocol.limit(response)
+        protocol.statement(response)
                 .ifPresent(
                         stated ->
-                                pace.heard(assignment.incarnation(), stated, hasServed, sentNanos));
+                                pace.observe(
+                                        assignment.incarnation(), stated, hasServed, sentNanos));
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamProtocol.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamProtocol.java
@@ -11,7 +11,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.orchidmount.internal.http.HttpHead;
-import org.orchidmount.pacing.LimitStatement;
+import org.orchidmount.pacing.UpstreamStatement;
 
 /**
  * What upstreams speak. Implementations translate only: they hold no state, decide nothing and are
@@ -45,12 +45,12 @@
     ResponseKind classify(RelayRequest request, ClientResponse response);
 
     /**
-     * Reads what a response states of the requests that its upstream takes from all instances.
+     * Reads what a response to any call states of its upstream.
      *
      * @param response the head of the response
      * @return the statement; nothing if another upstream responds in its place
      */
-    Optional<LimitStatement> limit(ClientResponse response);
+    Optional<UpstreamStatement> statement(ClientResponse response);
 
     /**
      * Returns the fields of a response that are passed on to the caller.
