An upstream that asks an instance for a pause gets nothing from it until the pause is over

What callers saw: nothing while other runners had room; where all asked for a pause, requests were sent to each of them in turn, and refused with a time to come back of 0.2 s, which was not true.

Cause: the time to come back in a refusal was read by nobody. RefusalBackoff guessed, 60 ms doubling to 1.92 s; an upstream in that state was dear, not excluded; and reservations, whose refusal teaches nothing, were asked for at once again.

Change: UpstreamPauses keeps what each upstream has asked this instance for, by incarnation; a pause is never shortened. UpstreamPace, which every request, prefill and reservation asks before it is sent, refuses during one; a request that was placed before asks again right before it is sent. Releases are left to lapse. A voter gives an engine no order during its pause. Where all upstreams of a service pause, callers are refused at once, not run, with the end of the first pause and their place behind those refused before. Such a refusal no longer counts for the guess.

Kept local: the word is said to one instance ("nothing from that machine").

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ControlPinTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ControlPinTest.java
@@ -22,10 +22,12 @@
 import org.orchidmount.consensus.GroupState;
 import org.orchidmount.consensus.Member;
 import org.orchidmount.junit.Await;
+import org.orchidmount.junit.ManualClock;
 import org.orchidmount.junit.Pin;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
+import org.orchidmount.pacing.UpstreamPauses;
 import org.orchidmount.routing.EngineStagePlan;
 
 /** Frames, stored state and orders to engines stay as they were. */
@@ -126,11 +128,12 @@
                                 Duration.ofMillis(3_000),
                                 Duration.ofMillis(1_000),
                                 0.33,
-                                (order, stillHeld) -> {
+                                (order, stillHeld, statements) -> {
                                     given.set(order);
                                     return result;
                                 }),
-                        "voter-1");
+                        "voter-1",
+                        new UpstreamPauses(new ManualClock()));
         for (long millis = 0; millis < 50_000; millis += 50) {
             long term = millis < 30_000 ? 7 : 8;
             controller.tick(term, engines(6, prefill), List.of(), () -> true, millis * 1_000_000);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/RestartedUpstreamTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/RestartedUpstreamTest.java
@@ -222,7 +222,7 @@
                         Duration.ofSeconds(3),
                         Duration.ofSeconds(1),
                         0.33,
-                        (order, held) -> StageOrders.Result.REFUSED);
+                        (order, held, statements) -> StageOrders.Result.REFUSED);
         return VoterNode.start(
                 new VoterConfig(
                         "voter",
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StageControllerTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StageControllerTest.java
@@ -13,13 +13,19 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 import org.orchidmount.junit.Await;
+import org.orchidmount.junit.ManualClock;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
+import org.orchidmount.pacing.LimitStatement;
+import org.orchidmount.pacing.PauseStatement;
+import org.orchidmount.pacing.UpstreamPauses;
+import org.orchidmount.pacing.UpstreamStatement;
 
 /** Tests {@code StageController}. */
 final class StageControllerTest {
@@ -35,11 +41,12 @@
                             Duration.ofMillis(3_000),
                             Duration.ofMillis(1_000),
                             0.33,
-                            (order, stillHeld) -> {
+                            (order, stillHeld, statements) -> {
                                 mOrders.add(order);
                                 return mResult;
                             }),
-                    "voter-1");
+                    "voter-1",
+                    new UpstreamPauses(new ManualClock()));
     private long mNowMillis;
 
     @Test
@@ -85,14 +92,15 @@
         StageController controller =
                 new StageController(
                         stages(
-                                (order, stillHeld) -> {
+                                (order, stillHeld, statements) -> {
                                     orders.add(order);
                                     awaitUninterruptibly(answer);
                                     return order.fence() == TERM
                                             ? StageOrders.Result.FENCED
                                             : StageOrders.Result.TAKEN;
                                 }),
-                        "voter-1");
+                        "voter-1",
+                        new UpstreamPauses(new ManualClock()));
         long millis = 0;
         while (orders.isEmpty()) {
             controller.tick(TERM, ENGINES, List.of(), () -> true, millis * MILLI);
@@ -146,12 +154,13 @@
         StageController controller =
                 new StageController(
                         stages(
-                                (order, stillHeld) -> {
+                                (order, stillHeld, statements) -> {
                                     held.add(stillHeld);
                                     awaitUninterruptibly(answer);
                                     return StageOrders.Result.REFUSED;
                                 }),
-                        "voter-1");
+                        "voter-1",
+                        new UpstreamPauses(new ManualClock()));
         long millis = 0;
         while (held.isEmpty()) {
             controller.tick(TERM, ENGINES, List.of(), () -> true, millis * MILLI);
@@ -188,6 +197,46 @@
         }
     }
 
+    /** Guards against orders to an engine that has refused the one before for a stated time. */
+    @Test
+    void anEngineThatAsksForAPauseIsGivenNoOrderUntilItIsOver() {
+        ManualClock clock = new ManualClock();
+        AtomicInteger orders = new AtomicInteger();
+        Duration pause = Duration.ofSeconds(20);
+        StageController controller =
+                new StageController(
+                        stages(
+                                (order, stillHeld, statements) -> {
+                                    orders.incrementAndGet();
+                                    statements.accept(
+                                            new UpstreamStatement(
+                                                    LimitStatement.NONE,
+                                                    new PauseStatement.Lasting(pause),
+                                                    false));
+                                    return StageOrders.Result.REFUSED;
+                                }),
+                        "voter-1",
+                        new UpstreamPauses(clock));
+        while (orders.get() == 0) {
+            passWith(controller, clock);
+        }
+        long endNanos = clock.nanoTime() + pause.toNanos();
+        while (clock.nanoTime() < endNanos) {
+            assertThat(orders.get()).isEqualTo(1);
+            passWith(controller, clock);
+        }
+        while (orders.get() == 1) {
+            passWith(controller, clock);
+        }
+    }
+
+    private static void passWith(StageController controller, ManualClock clock) {
+        clock.advance(Duration.ofMillis(50));
+        assertThat(clock.nanoTime()).isLessThan(Duration.ofMinutes(5).toNanos());
+        controller.tick(TERM, ENGINES, List.of(), () -> true, clock.nanoTime());
+        Await.until("order ended", WAIT, () -> !controller.isCalling());
+    }
+
     private static VoterConfig.Stages stages(StageOrders orders) {
         return new VoterConfig.Stages(
                 Duration.ofMillis(3_000), Duration.ofMillis(1_000), 0.33, orders);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterNodeTest.java
@@ -327,7 +327,7 @@
                         Duration.ofSeconds(3),
                         Duration.ofSeconds(1),
                         0.33,
-                        (order, held) -> StageOrders.Result.REFUSED);
+                        (order, held, statements) -> StageOrders.Result.REFUSED);
         HostPort address = mAddresses.get(index);
         return VoterNode.start(
                 new VoterConfig(
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterSite.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterSite.java
@@ -77,7 +77,7 @@
                         Duration.ofSeconds(3),
                         Duration.ofSeconds(1),
                         0.33,
-                        (order, held) -> StageOrders.Result.REFUSED));
+                        (order, held, statements) -> StageOrders.Result.REFUSED));
     }
 
     Path folder(int voter) {
--- a/org.orchidmount.test/src/test/java/org/orchidmount/pacing/UpstreamPaceTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/pacing/UpstreamPaceTest.java
@@ -95,7 +95,7 @@
             assertThat(take()).isTrue();
         }
         assertThat(mOwner.mAsked).isEqualTo(0);
-        assertThat(mPace.full()).isEmpty();
+        assertThat(mPace.passedOver()).isEmpty();
     }
 
     @Test
@@ -103,11 +103,11 @@
         names(UPSTREAM, 4);
         takeAll();
         int asked = mOwner.mAsked;
-        assertThat(mPace.full()).containsExactly("i-1");
+        assertThat(mPace.passedOver()).containsExactly("i-1");
         assertThat(take()).isFalse();
         assertThat(mOwner.mAsked).isEqualTo(asked);
         mClock.advance(Duration.ofMillis(600));
-        assertThat(mPace.full()).isEmpty();
+        assertThat(mPace.passedOver()).isEmpty();
         assertThat(take()).isTrue();
     }
 
@@ -140,7 +140,7 @@
         names(UPSTREAM, 1);
         takeAll();
         names(UPSTREAM, 50);
-        assertThat(mPace.full()).isEmpty();
+        assertThat(mPace.passedOver()).isEmpty();
         mClock.advance(Duration.ofMillis(100));
         assertThat(take()).isTrue();
         observe(UPSTREAM, LimitStatement.NONE, true);
@@ -222,7 +222,7 @@
                         Registration.Stage.NONE,
                         Registration.State.READY,
                         1));
-        assertThat(mPace.full()).isEmpty();
+        assertThat(mPace.passedOver()).isEmpty();
         assertThat(mLimits.isEmpty()).isTrue();
         assertThat(mPace.take(next, TARGET).isGranted()).isTrue();
     }
@@ -236,9 +236,9 @@
         names(OTHER, 3);
         takeAll();
         List<Incarnation> both = List.of(UPSTREAM, OTHER);
-        Duration first = mPace.comeBackAfter("s", both, PATIENCE);
-        Duration second = mPace.comeBackAfter("s", both, PATIENCE);
-        Duration third = mPace.comeBackAfter("s", both, PATIENCE);
+        Duration first = mPace.comeBackAfter("s", both, 0, PATIENCE);
+        Duration second = mPace.comeBackAfter("s", both, 0, PATIENCE);
+        Duration third = mPace.comeBackAfter("s", both, 0, PATIENCE);
         assertThat(second.minus(first)).isEqualTo(Duration.ofSeconds(1));
         assertThat(third.minus(second)).isEqualTo(Duration.ofSeconds(1));
     }
@@ -249,10 +249,10 @@
     void onlyThoseWhoCanWaitTakePlacesInTheQueue(int refused, int seconds) {
         names(UPSTREAM, 4);
         for (int i = 0; i < refused; i++) {
-            mPace.comeBackAfter("s", List.of(UPSTREAM), PATIENCE);
+            mPace.comeBackAfter("s", List.of(UPSTREAM), 0, PATIENCE);
         }
         mClock.advance(Duration.ofSeconds(seconds));
-        assertThat(mPace.comeBackAfter("s", List.of(UPSTREAM), PATIENCE))
+        assertThat(mPace.comeBackAfter("s", List.of(UPSTREAM), 0, PATIENCE))
                 .isAtMost(Duration.ofSeconds(2));
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
@@ -14,6 +14,8 @@
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
+import org.orchidmount.pacing.UpstreamPauses;
+import org.orchidmount.pacing.UpstreamStatement;
 import org.orchidmount.routing.EngineStagePlan;
 
 /**
@@ -22,8 +24,9 @@
  * <p>Invariants: the fencing token is the leader's term, so no two holders share one; a leader
  * waits until the lease of the one before must be out; one order is under way at a time, and one
  * that may yet be done is waited for before the next; an order ends with the start of the engine
- * that it was meant for, and is not sent after that. All state belongs to the voter's thread; an
- * order runs on a thread of its own, which only hands over how it ended.
+ * that it was meant for, and is not sent after that; an engine that has asked for a pause is given
+ * none until that is over. All state belongs to the voter's thread; an order runs on a thread of
+ * its own, which only hands over how it ended and what the engine's answers state.
  */
 final class StageController {
     private static final PartLog LOG = PartLog.of("orders");
@@ -58,6 +61,7 @@
     private final VoterConfig.Stages mConfig;
     private final StageOrders mOrders;
     private final EngineStagePlan mPlan;
+    private final UpstreamPauses mPauses;
     private final String mHolder;
     private final AtomicBoolean mCalling = new AtomicBoolean();
     private final AtomicReference<Ended> mEnded = new AtomicReference<>();
@@ -76,8 +80,16 @@
     /** How an order ended, and when it was given. */
     private record Ended(StageOrders.Order order, StageOrders.Result result, long givenNanos) {}
 
-    StageController(VoterConfig.Stages config, String holder) {
+    /**
+     * Creates it.
+     *
+     * @param config the engines, and how they are ordered
+     * @param holder the name that orders are given under
+     * @param pauses the pauses that engines ask this instance for
+     */
+    StageController(VoterConfig.Stages config, String holder, UpstreamPauses pauses) {
         mConfig = config;
+        mPauses = pauses;
         mOrders = config.orders();
         mPlan = new EngineStagePlan(config.prefillShare());
         mHolder = holder;
@@ -132,7 +144,7 @@
         Optional<EngineStagePlan.Change> change = mPlan.next(current, silent);
         if (change.isEmpty()) {
             mDue = null;
-        } else if (isSettled(change.get(), nowNanos)) {
+        } else if (isSettled(change.get(), nowNanos) && !isPaused(change.get())) {
             give(change.get(), stillHeld, nowNanos);
         }
     }
@@ -195,6 +207,10 @@
         return nowNanos - mDueSinceNanos > settle.toNanos();
     }
 
+    private boolean isPaused(EngineStagePlan.Change change) {
+        return mPauses.isPaused(change.engine().incarnation());
+    }
+
     private void give(EngineStagePlan.Change change, BooleanSupplier stillHeld, long nowNanos) {
         StageOrders.Order order =
                 new StageOrders.Order(change.engine(), change.stage(), mHolder, mTerm);
@@ -215,7 +231,9 @@
     private void call(StageOrders.Order order, BooleanSupplier stillHeld, long givenNanos) {
         StageOrders.Result result = StageOrders.Result.UNKNOWN;
         try {
-            result = mOrders.changeStage(order, stillHeld);
+            result =
+                    mOrders.changeStage(
+                            order, stillHeld, stated -> observe(order.engine(), stated));
         } finally {
             LOG.info("engine %s: order %s", order.engine().id(), result);
             mEnded.set(new Ended(order, result, givenNanos));
@@ -224,6 +242,10 @@
         }
     }
 
+    private void observe(Registration engine, UpstreamStatement stated) {
+        mPauses.observe(engine.incarnation(), stated.pause());
+    }
+
     private void settle(Ended ended) {
         switch (ended.result()) {
             case TAKEN -> mRestUntilNanos = ended.givenNanos() + REST.toNanos();
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/StageOrders.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/StageOrders.java
@@ -6,7 +6,9 @@
 package org.orchidmount.cluster;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.orchidmount.membership.Registration;
+import org.orchidmount.pacing.UpstreamStatement;
 
 /**
  * Gives orders to upstreams. Implementations translate only; they block and are thread-safe. They
@@ -19,9 +21,11 @@
      *
      * @param order the order
      * @param stillHeld asked right before the order is sent; no order is sent if it says no
+     * @param statements takes what each answer of the engine states of it
      * @return how the engine took it
      */
-    Result changeStage(Order order, BooleanSupplier stillHeld);
+    Result changeStage(
+            Order order, BooleanSupplier stillHeld, Consumer<UpstreamStatement> statements);
 
     /**
      * An order to an engine.
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -42,6 +42,7 @@
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
+import org.orchidmount.pacing.UpstreamPauses;
 import org.orchidmount.quarantine.CrashRecord;
 import org.orchidmount.quarantine.RequestFingerprint;
 import org.orchidmount.routes.RouteTable;
@@ -131,7 +132,7 @@
                         handler);
         mRecords = new VoterRecords(config.node(), config.folder(), mLinks, clock);
         mServer = new LinkServer(config.address(), greeting, handler);
-        mStages = new StageController(config.stages(), config.node());
+        mStages = new StageController(config.stages(), config.node(), new UpstreamPauses(clock));
         mQuota = new VoterQuota(mReplica, mSelf, config.firstStart(), clock.nanoTime());
         mTasks.every(TICK_MILLIS, this::tick);
         mTasks.every(NOTICE_MILLIS, this::refresh);
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -16,7 +17,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
@@ -26,8 +26,8 @@
 import org.orchidmount.quota.SharedQuota;
 
 /**
- * Keeps the requests of one instance to the limits that upstreams state, which hold for all
- * instances together.
+ * Keeps the requests of one instance to what upstreams state: to limits, which hold for all
+ * instances together, and to pauses, of which each holds for the instance that was asked for it.
  *
  * <p>One owner counts for all ({@link SharedQuota}); while there is none, each instance keeps to an
  * equal part ({@link LonePace}). What is counted is a request that is about to be sent: first and
@@ -35,7 +35,8 @@
  * reports and orders are not: they take no work.
  *
  * <p>Invariants: nothing is asked for an upstream that states no limit; one that has no room is not
- * asked for again here before the time that the owner named. Thread-safe.
+ * asked for again here before the time that the owner named; nothing is sent to one during its
+ * pause, whatever its limit. Thread-safe.
  */
 public final class UpstreamPace {
     /**
@@ -56,8 +57,8 @@
     /** The part of its target that a request may wait for the owner's answer, twice at most. */
     private static final double OWNER_WAIT_SHARE = 0.06;
 
-    /** The longest time to come back; callers rarely wait for more. */
-    private static final Duration LONGEST_RETURN = Duration.ofSeconds(8);
+    /** The longest time behind other callers, since callers rarely wait for more. */
+    private static final Duration LONGEST_QUEUE = Duration.ofSeconds(8);
 
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
@@ -153,6 +154,9 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public SendPermit take(Incarnation upstream, Duration target) throws InterruptedException {
+        if (mPauses.isPaused(upstream)) {
+            return refused();
+        }
         Optional<UpstreamLimit> limit = mLimits.find(upstream);
         if (limit.isEmpty()) {
             return SendPermit.FREE;
@@ -213,16 +217,31 @@
     }
 
     /**
-     * Notes that an upstream that states a limit has refused a request, so that it has no room now,
+     * Tells whether an upstream has asked for a pause that is not over.
+     *
+     * @param upstream the upstream
+     * @return true if nothing is to be sent to it now
+     */
+    public boolean isPaused(Incarnation upstream) {
+        return mPauses.isPaused(upstream);
+    }
+
+    /** Counts a call other than a request that was not made because of a pause. */
+    public void heldBack() {
+        mHeldBack.incrementAndGet();
+    }
+
+    /**
+     * Notes that an upstream has refused a request. If it states a limit, it has no room now,
      * whatever was counted.
      *
      * @param upstream the upstream
-     * @return false if it states none, so that the refusal has another reason
+     * @return whether that is for its limit or its pause; false if the refusal has another reason
      */
     public boolean refusedBy(Incarnation upstream) {
         Optional<UpstreamLimit> limit = mLimits.find(upstream);
         limit.ifPresent(known -> full(upstream, pause(rate(known))));
-        return limit.isPresent();
+        return limit.isPresent() || mPauses.isPaused(upstream);
     }
 
     /** Returns the time between two requests at a rate. */
@@ -230,6 +249,23 @@
         return Duration.ofNanos((long) (NANOS_PER_SECOND / perSecond));
     }
 
+    /**
+     * Tells when the first of some upstreams is no longer passed over.
+     *
+     * @param upstreams the upstreams, at least one
+     * @return the time until then
+     */
+    public Duration untilAnyIsTaken(Collection<Incarnation> upstreams) {
+        return upstreams.stream().map(this::untilTaken).min(Duration::compareTo).orElseThrow();
+    }
+
+    /** Returns how long this instance sends nothing to an upstream. */
+    private Duration untilTaken(Incarnation upstream) {
+        Duration untilRoom = untilRoom(upstream);
+        Duration pause = mPauses.left(upstream);
+        return pause.compareTo(untilRoom) > 0 ? pause : untilRoom;
+    }
+
     /** Returns how long this instance does not ask for more of an upstream. */
     private Duration untilRoom(Incarnation upstream) {
         Long untilNanos = mFullUntilNanos.get(upstream);
@@ -249,39 +285,46 @@
      *
      * @return their identities
      */
-    public Set<String> full() {
-        return mFullUntilNanos.isEmpty()
-                ? Set.of()
-                : mFullUntilNanos.keySet().stream()
-                        .filter(upstream -> !untilRoom(upstream).isZero())
-                        .map(Incarnation::id)
-                        .collect(Collectors.toSet());
+    public Set<String> passedOver() {
+        Set<String> paused = mPauses.paused();
+        if (mFullUntilNanos.isEmpty()) {
+            return paused;
+        }
+        Set<String> names = new HashSet<>(paused);
+        for (Incarnation upstream : mFullUntilNanos.keySet()) {
+            if (!untilRoom(upstream).isZero()) {
+                names.add(upstream.id());
+            }
+        }
+        return names;
     }
 
     /**
-     * Tells a caller that was refused because no upstream has room when there is some, behind all
-     * that were refused here before it.
+     * Tells a caller that was refused because all upstreams are passed over when the first of them
+     * takes work, behind all callers that were refused here before it.
      *
      * @param service the service
-     * @param upstreams the upstreams that could take the request
+     * @param upstreams the upstreams that could take the request, at least one
+     * @param unlimitedPerSecond the requests a second that one without a limit is expected to take
      * @param longest how long the caller can wait
      * @return when to come back
      */
     public Duration comeBackAfter(
-            String service, Collection<Incarnation> upstreams, Duration longest) {
-        double perSecond = 0;
-        Duration untilRoom = LONGEST_RETURN;
-        for (Incarnation upstream : upstreams) {
-            perSecond += mLimits.find(upstream).map(UpstreamPace::rate).orElse(0.0);
-            Duration until = untilRoom(upstream);
-            untilRoom = until.compareTo(untilRoom) < 0 ? until : untilRoom;
-        }
-        if (perSecond == 0) {
-            return untilRoom;
-        }
+            String service,
+            Collection<Incarnation> upstreams,
+            double unlimitedPerSecond,
+            Duration longest) {
+        double perSecond =
+                upstreams.stream()
+                        .map(mLimits::find)
+                        .mapToDouble(
+                                limit -> limit.map(UpstreamPace::rate).orElse(unlimitedPerSecond))
+                        .sum();
+        Duration untilTaken = untilAnyIsTaken(upstreams);
         Duration pause = pause(perSecond / mInstances.getAsInt());
-        Duration wait = mReturns.join(service, untilRoom, pause, longest);
-        return wait.compareTo(LONGEST_RETURN) < 0 ? wait : LONGEST_RETURN;
+        Duration wait = mReturns.join(service, untilTaken, pause, longest);
+        Duration most = untilTaken.plus(LONGEST_QUEUE);
+        return wait.compareTo(most) < 0 ? wait : most;
     }
 
     /**
@@ -290,6 +333,7 @@
      * @param registration the registration
      */
     public void registered(Registration registration) {
+        mPauses.forget(upstream -> UpstreamLimits.isEnded(upstream, registration));
         if (mLimits.isEmpty()) {
             return;
         }
@@ -302,12 +346,13 @@
     @Override
     public String toString() {
         return ("%d changes heard, %d statements unreadable, %d requests counted by the owner, %d"
-                        + " sent without one, held back %d times")
+                        + " sent without one; %s; held back %d times")
                 .formatted(
                         mChanges.get(),
                         mUnreadable.count(),
                         mCounted.get(),
                         mAlone.get(),
+                        mPauses,
                         mHeldBack.get());
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPauses.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPauses.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.orchidmount.clock.MonotonicClock;
@@ -27,6 +28,7 @@
 
     private final MonotonicClock mClock;
     private final Map<Incarnation, Long> mEndNanos = new ConcurrentHashMap<>();
+    private final AtomicLong mAsked = new AtomicLong();
     private final UnreadableStatements mUnreadable =
             new UnreadableStatements("a time to come back that is no number of seconds");
 
@@ -50,6 +52,7 @@
     }
 
     private void extend(Incarnation upstream, Duration length) {
+        mAsked.incrementAndGet();
         long endNanos = mClock.nanoTime() + length.toNanos();
         if (!isPaused(upstream)) {
             LOG.info(
@@ -111,8 +114,10 @@
         mEndNanos.keySet().removeIf(hasEnded);
     }
 
-    /** Returns how many statements could not be read. */
-    long unreadable() {
-        return mUnreadable.count();
+    /** Returns what was counted, for logs. */
+    @Override
+    public String toString() {
+        return "%d answers asked for a pause, %d for one that is unreadable"
+                .formatted(mAsked.get(), mUnreadable.count());
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -150,6 +150,10 @@
             mLastFailure = "the upstream has started again";
             return AttemptOutcome.NOT_REACHED;
         }
+        if (mContext.pace().isPaused(assignment.incarnation())) {
+            mLastFailure = "the upstream has asked for a pause meanwhile";
+            return AttemptOutcome.NOT_REACHED;
+        }
         UpstreamCall upstreamCall =
                 new UpstreamCall(
                         assignment.id(),
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.orchidmount.internal.log.PartLog;
@@ -134,7 +135,7 @@
         long untilNanos = mContext.clock().nanoTime() + mLongestWait.toNanos();
         while (!mCancel.isCancelled()) {
             Optional<Placement> placement = placeByChoice(tried);
-            mIsPaced = placement.isEmpty() && areAllFull();
+            mIsPaced = placement.isEmpty() && areAllPassedOver();
             long nowNanos = mContext.clock().nanoTime();
             if (placement.isPresent()) {
                 // Another attempt waits as a new request does, or the waits of a client retry would
@@ -142,6 +143,9 @@
                 mLongestWait = mNewRequestWait;
                 return placement;
             }
+            if (mIsPaced && noneIsTakenBefore(untilNanos - nowNanos)) {
+                return Optional.empty();
+            }
             if (nowNanos - untilNanos > 0) {
                 mLacksPrefill = mPrefiller.choice() == PrefillRule.Choice.UNSPLIT_IF_IDLE;
                 logNoPlace();
@@ -158,11 +162,18 @@
         return mIsTooLarge;
     }
 
-    private boolean areAllFull() {
-        return mContext.areAllFull(mService.name(), Stage.DECODE, mContext.pace().full());
+    private boolean areAllPassedOver() {
+        Set<String> passedOver = mContext.pace().passedOver();
+        return mContext.areAllPassedOver(mService.name(), Stage.DECODE, passedOver);
+    }
+
+    /** A request is not held for engines that take nothing while it waits. */
+    private boolean noneIsTakenBefore(long waitNanos) {
+        List<Incarnation> engines = mContext.upstreams().takingWork(mService.name(), Stage.DECODE);
+        return !engines.isEmpty() && mContext.pace().untilAnyIsTaken(engines).toNanos() > waitNanos;
     }
 
-    /** Tells whether the last look found that each engine has got what it takes. */
+    /** Tells whether the last look found that each engine is passed over for what it states. */
     boolean isPaced() {
         return mIsPaced;
     }
@@ -267,7 +278,7 @@
     private Set<String> excluded(PrefillRule.Choice choice) {
         Set<String> excluded = new HashSet<>(saturatedEngines());
         excluded.addAll(mContext.upstreams().avoided(mService.name(), Stage.DECODE));
-        excluded.addAll(mContext.pace().full());
+        excluded.addAll(mContext.pace().passedOver());
         if (choice == PrefillRule.Choice.UNSPLIT_IF_IDLE) {
             excluded.addAll(
                     mContext.upstreams().unfit(mService.name(), Stage.DECODE, this::isNearlyIdle));
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/MemoryReservations.java
@@ -94,8 +94,8 @@
                 .reservation()
                 .ifPresent(
                         name ->
-                                mContext.send(
-                                        placement.assignment().peer(),
+                                mContext.release(
+                                        placement.assignment(),
                                         mContext.protocol().unreserve(name)));
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
@@ -12,12 +12,10 @@
 import java.util.Optional;
 import java.util.Set;
 import org.orchidmount.clock.Millis;
-import org.orchidmount.cluster.HostPort;
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Step;
 import org.orchidmount.internal.http.HttpCall;
 import org.orchidmount.internal.http.HttpHead;
-import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Incarnation;
@@ -114,7 +112,7 @@
                 pace().prefillEngineMillis(mPrompt.tokens()),
                 UpstreamCost.OTHER_ZONE_ENGINE_MILLIS,
                 false,
-                mContext.pace().full(),
+                mContext.pace().passedOver(),
                 this::backlogMillis);
     }
 
@@ -266,11 +264,10 @@
     void freeUnused() {
         forgetIfLost();
         mUnused.ifPresent(
-                cache -> {
-                    HostPort address = HostPort.parse(cache.address());
-                    Peer peer = new Peer(cache.address(), address.host(), address.port());
-                    mContext.send(peer, mContext.protocol().freeHandle(cache.handle()));
-                });
+                cache ->
+                        mContext.release(
+                                mPrefilledAt.orElseThrow(),
+                                mContext.protocol().freeHandle(cache.handle())));
         mUnused = Optional.empty();
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -19,7 +19,6 @@
 import org.orchidmount.internal.http.HttpCall;
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.http.HttpHead;
-import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.limits.RetryBudget;
 import org.orchidmount.load.EngineLoads;
@@ -71,7 +70,7 @@
     private static final PartLog LOG = PartLog.of("engine");
 
     /** The answer to a release does not matter, so little is waited for. */
-    private static final Duration SEND_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration RELEASE_TIMEOUT = Duration.ofMillis(500);
 
     /** Returns the retry budget of a service. */
     RetryBudget retryBudget(String service) {
@@ -132,8 +131,8 @@
     }
 
     /**
-     * Learns from a refusal. One by an upstream that states a limit is for that limit, and shows
-     * nothing of its health.
+     * Learns from a refusal. One by an upstream that states a limit or asks for a pause is for
+     * these, and shows nothing of its health.
      */
     void refused(Assignment assignment) {
         if (!pace.refusedBy(assignment.incarnation())) {
@@ -149,31 +148,39 @@
     }
 
     /**
-     * Tells whether a service has upstreams, and each of them has got what it takes.
+     * Tells whether a service has upstreams, and each of them is passed over for what it states.
      *
-     * @param full the identities of those that have, of any service
+     * @param passedOver the identities of those that are, of any service
      */
-    boolean areAllFull(String service, Stage stage, Set<String> full) {
-        if (full.isEmpty()) {
+    boolean areAllPassedOver(String service, Stage stage, Set<String> passedOver) {
+        if (passedOver.isEmpty()) {
             return false;
         }
         List<Incarnation> upstreamsOfIt = upstreams.takingWork(service, stage);
         return !upstreamsOfIt.isEmpty()
-                && upstreamsOfIt.stream().allMatch(upstream -> full.contains(upstream.id()));
+                && upstreamsOfIt.stream().allMatch(upstream -> passedOver.contains(upstream.id()));
     }
 
-    /** Makes a call whose answer does not matter, on a thread of its own. */
-    void send(Peer peer, HttpHead head) {
-        Thread.ofVirtual()
-                .name("release")
-                .start(
-                        () -> {
-                            try (HttpCall call = connections.call(peer, Step.CANCEL, head)) {
-                                call.awaitResponse(SEND_TIMEOUT);
-                                call.readAll(SEND_TIMEOUT, MAX_CONTROL_BYTES);
-                            } catch (CallFailedException e) {
-                                LOG.debug("not released: %s", e.failure().describe());
-                            }
-                        });
+    /**
+     * Releases something at an upstream, on a thread of its own. During a pause of the upstream it
+     * is left to lapse there, which takes as long as most pauses.
+     */
+    void release(Assignment assignment, HttpHead head) {
+        if (pace.isPaused(assignment.incarnation())) {
+            pace.heldBack();
+            return;
+        }
+        Thread.ofVirtual().name("release").start(() -> callToRelease(assignment, head));
+    }
+
+    private void callToRelease(Assignment assignment, HttpHead head) {
+        long sentNanos = clock.nanoTime();
+        try (HttpCall call = connections.call(assignment.peer(), Step.CANCEL, head)) {
+            ClientResponse response = call.awaitResponse(RELEASE_TIMEOUT);
+            respondedToCall(assignment, response, sentNanos);
+            call.readAll(RELEASE_TIMEOUT, MAX_CONTROL_BYTES);
+        } catch (CallFailedException e) {
+            LOG.debug("not released: %s", e.failure().describe());
+        }
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -42,6 +43,8 @@
 final class RequestRelay {
     private static final PartLog LOG = PartLog.of("relay");
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final RelayContext mContext;
     private final RelayRequest mRequest;
     private final Service mService;
@@ -57,7 +60,7 @@
     private AttemptRule.History mHistory = AttemptRule.History.NONE;
     private boolean mLastHadNoRoom;
 
-    /** Whether no place was found because upstreams have got what they take. */
+    /** Whether no place was found because of what upstreams state. */
     private boolean mIsPaced;
 
     private final RequestReporter mReporter;
@@ -115,11 +118,11 @@
         try (mCrashReporter;
                 CancelSignal.Registration _ = mCancel.onCancel(mProgress::callerLeft)) {
             End end = serve();
-            mReporter.ended(end, mHistory, isPaced(), mAttempts, mEngines);
+            mReporter.ended(end, mHistory, mIsPaced, mAttempts, mEngines);
             boolean mayHaveRun = end == End.SERVED || mHistory.executions() > 0;
             return mayHaveRun ? Execution.MAY_HAVE_RUN : Execution.NOT_RUN;
         } catch (IOException | TimeoutException e) {
-            mReporter.ended(End.CALLER_LEFT, mHistory, isPaced(), mAttempts, mEngines);
+            mReporter.ended(End.CALLER_LEFT, mHistory, mIsPaced, mAttempts, mEngines);
             throw e;
         } finally {
             mProgress.ended();
@@ -184,30 +187,30 @@
 
     /** Asks upstreams in turn whether they have room, each once. */
     private Optional<Placement> placeAtPlainService() throws InterruptedException {
-        Set<String> full = new HashSet<>(mContext.pace().full());
+        Set<String> passedOver = new HashSet<>(mContext.pace().passedOver());
         mIsPaced = false;
         while (true) {
-            Optional<Assignment> assignment = mContext.upstreams().assign(need(full), mTried);
+            Optional<Assignment> assignment = mContext.upstreams().assign(need(passedOver), mTried);
             if (assignment.isEmpty()) {
-                mIsPaced = mContext.areAllFull(mService.name(), Stage.NONE, full);
+                mIsPaced = mContext.areAllPassedOver(mService.name(), Stage.NONE, passedOver);
                 return Optional.empty();
             }
             Optional<SendPermit> permit = mContext.mayBeSent(assignment.get(), mRequest);
             if (permit.isPresent()) {
                 return Optional.of(Placement.atPlainService(assignment.get(), permit.get()));
             }
-            full.add(assignment.get().id());
+            passedOver.add(assignment.get().id());
         }
     }
 
-    private UpstreamDirectory.Need need(Set<String> full) {
+    private UpstreamDirectory.Need need(Set<String> passedOver) {
         return new UpstreamDirectory.Need(
                 mService.name(),
                 Stage.NONE,
                 UpstreamCost.PLAIN_REQUEST_MILLIS,
                 UpstreamCost.OTHER_ZONE_PLAIN_MILLIS,
                 !mLastHadNoRoom,
-                full,
+                passedOver,
                 UpstreamDirectory.Backlog.OWN);
     }
 
@@ -291,37 +294,60 @@
         mCaller.refuse(FinalOutcome.QUARANTINED, Duration.ZERO);
     }
 
+    /** A request that may not be tried again looks for no place, but the reason is the same. */
     private boolean isPaced() {
-        return mIsPaced || mEngines.map(EnginePlacer::isPaced).orElse(false);
+        return mIsPaced
+                || mEngines.map(EnginePlacer::isPaced).orElse(false)
+                || mContext.areAllPassedOver(
+                        mService.name(), stage(), mContext.pace().passedOver());
+    }
+
+    private Stage stage() {
+        return mEngines.isEmpty() ? Stage.NONE : Stage.DECODE;
     }
 
     private void refuse() throws IOException, TimeoutException, InterruptedException {
+        mIsPaced = isPaced();
         FinalOutcome outcome = FinalOutcome.of(mHistory, !left().isPositive());
         LOG.info(
                 "%s: %s after %d attempts: %s",
                 mRequest.id(),
                 outcome,
                 mHistory.attempts(),
-                isPaced() ? "upstreams have got what they take" : mAttempts.lastFailure());
+                mIsPaced ? "no upstream takes more by what it states" : mAttempts.lastFailure());
         mCaller.refuse(outcome, retryAfter());
     }
 
-    /** Returns when to come back; where upstreams state limits, once there is room again. */
+    /** Returns when to come back; where upstreams state when they take work, by then. */
     private Duration retryAfter() {
-        if (isPaced()) {
-            Stage stage = mEngines.isEmpty() ? Stage.NONE : Stage.DECODE;
-            Duration untilRoom =
+        List<Incarnation> upstreams = mContext.upstreams().takingWork(mService.name(), stage());
+        if (mIsPaced && !upstreams.isEmpty()) {
+            Duration untilTaken =
                     mContext.pace()
                             .comeBackAfter(
                                     mService.name(),
-                                    mContext.upstreams().takingWork(mService.name(), stage),
+                                    upstreams,
+                                    unlimitedPerSecond(upstreams.size()),
                                     mRequest.left(mContext.clock().nanoTime()));
-            return RetryAfter.limit(untilRoom, ThreadLocalRandom.current());
+            return RetryAfter.limit(untilTaken, ThreadLocalRandom.current());
         }
         if (mEngines.isEmpty()) {
             return RetryAfter.plainService();
         }
-        EnginePace pace = mContext.enginePace(mService.name()).pace();
-        return RetryAfter.engines(pace, ThreadLocalRandom.current());
+        return RetryAfter.engines(enginePace(), ThreadLocalRandom.current());
+    }
+
+    private EnginePace enginePace() {
+        return mContext.enginePace(mService.name()).pace();
+    }
+
+    /** Returns the requests a second that an upstream without a limit is expected to take. */
+    private double unlimitedPerSecond(int upstreams) {
+        if (mRequest.prompt().isPresent()) {
+            int tokens = mRequest.prompt().get().tokens();
+            return MILLIS_PER_SECOND / enginePace().requestMillis(tokens);
+        }
+        double slots = mContext.upstreams().slots(mService.name(), stage());
+        return MILLIS_PER_SECOND / UpstreamCost.PLAIN_REQUEST_MILLIS * slots / upstreams;
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -189,6 +189,22 @@
         }
     }
 
+    /**
+     * Counts the requests that the upstreams of a service work on at once.
+     *
+     * @param service the service
+     * @param stage their stage
+     * @return the sum over those that take work
+     */
+    int slots(String service, Stage stage) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            return mUpstreams.values().stream()
+                    .filter(upstream -> takesWork(upstream, service, stage))
+                    .mapToInt(upstream -> upstream.registration().slots())
+                    .sum();
+        }
+    }
+
     /**
      * Names the upstreams of a service that are not fit for something.
      *
