An upstream that says in an answer that it leaves gets no more work from any instance

What callers saw: nothing; an upstream that leaves and says so in its answers went on to get work until its registration said so too, or for ever.

Cause: that an upstream leaves was known from registrations alone.

Change: the entry that has such an answer, from a request, prefill, reservation or release, marks that incarnation as draining at once and passes its registration, as that of one that leaves, to all voters, which hold it as if it had registered so and pass it on; the same from reports and orders of a voter. An entry tells a voter that it links to of those that drain, since one that has started again may know them as they register: ready. The frame is the one that carries registrations, known to all earlier builds. An end after that is planned; another start of the upstream, and another one at its address, are used.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ControlPinTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ControlPinTest.java
@@ -133,7 +133,8 @@
                                     return result;
                                 }),
                         "voter-1",
-                        new UpstreamPauses(new ManualClock()));
+                        new UpstreamPauses(new ManualClock()),
+                        leaving -> {});
         for (long millis = 0; millis < 50_000; millis += 50) {
             long term = millis < 30_000 ? 7 : 8;
             controller.tick(term, engines(6, prefill), List.of(), () -> true, millis * 1_000_000);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StageControllerTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StageControllerTest.java
@@ -46,7 +46,8 @@
                                 return mResult;
                             }),
                     "voter-1",
-                    new UpstreamPauses(new ManualClock()));
+                    new UpstreamPauses(new ManualClock()),
+                    leaving -> {});
     private long mNowMillis;
 
     @Test
@@ -100,7 +101,8 @@
                                             : StageOrders.Result.TAKEN;
                                 }),
                         "voter-1",
-                        new UpstreamPauses(new ManualClock()));
+                        new UpstreamPauses(new ManualClock()),
+                        leaving -> {});
         long millis = 0;
         while (orders.isEmpty()) {
             controller.tick(TERM, ENGINES, List.of(), () -> true, millis * MILLI);
@@ -160,7 +162,8 @@
                                     return StageOrders.Result.REFUSED;
                                 }),
                         "voter-1",
-                        new UpstreamPauses(new ManualClock()));
+                        new UpstreamPauses(new ManualClock()),
+                        leaving -> {});
         long millis = 0;
         while (held.isEmpty()) {
             controller.tick(TERM, ENGINES, List.of(), () -> true, millis * MILLI);
@@ -216,7 +219,8 @@
                                     return StageOrders.Result.REFUSED;
                                 }),
                         "voter-1",
-                        new UpstreamPauses(clock));
+                        new UpstreamPauses(clock),
+                        leaving -> {});
         while (orders.get() == 0) {
             passWith(controller, clock);
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -336,6 +336,36 @@
         mTasks.post(() -> mRecords.announce(limit));
     }
 
+    /**
+     * Passes on that an upstream leaves, which it has said here in an answer. Voters hold it as if
+     * it had registered so, and pass it on. Returns at once.
+     *
+     * @param leaving its registration, as that of one that leaves
+     */
+    public void announceDeparture(Registration leaving) {
+        mTasks.post(
+                () -> {
+                    mRegistry.merge(leaving, mClock.nanoTime());
+                    mLinks.keySet().forEach(voter -> voter.send(departures(List.of(leaving))));
+                });
+    }
+
+    /** It names the start of each, if that is known, so that it is merged and not acknowledged. */
+    private static Registrations departures(List<Registration> leaving) {
+        return new Registrations(0, leaving);
+    }
+
+    /** A voter that has started again may know these as they register: ready. */
+    private void repeatDepartures(Link voter) {
+        List<Registration> leaving =
+                mRegistry.all().stream()
+                        .filter(held -> held.state() == Registration.State.DRAINING)
+                        .toList();
+        if (!leaving.isEmpty()) {
+            voter.send(departures(leaving));
+        }
+    }
+
     /**
      * Reaches the owner that counts what upstreams take and gives turns. Voters of earlier builds
      * may know no questions; while one of them is linked, which may come to lead, there is no
@@ -431,6 +461,7 @@
         mQuotaRequests.linked(voter, link);
         mGreetings.put(link, greeting);
         mRecords.linked(link, greeting);
+        repeatDepartures(link);
         learn(greeting.voter());
         LOG.info("voter %s is reached", greeting.node());
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/StageController.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
@@ -62,6 +63,7 @@
     private final StageOrders mOrders;
     private final EngineStagePlan mPlan;
     private final UpstreamPauses mPauses;
+    private final Consumer<Registration> mDepartures;
     private final String mHolder;
     private final AtomicBoolean mCalling = new AtomicBoolean();
     private final AtomicReference<Ended> mEnded = new AtomicReference<>();
@@ -86,10 +88,17 @@
      * @param config the engines, and how they are ordered
      * @param holder the name that orders are given under
      * @param pauses the pauses that engines ask this instance for
+     * @param departures takes the registrations of engines that say in an answer that they leave,
+     *     from any thread
      */
-    StageController(VoterConfig.Stages config, String holder, UpstreamPauses pauses) {
+    StageController(
+            VoterConfig.Stages config,
+            String holder,
+            UpstreamPauses pauses,
+            Consumer<Registration> departures) {
         mConfig = config;
         mPauses = pauses;
+        mDepartures = departures;
         mOrders = config.orders();
         mPlan = new EngineStagePlan(config.prefillShare());
         mHolder = holder;
@@ -244,6 +253,9 @@
 
     private void observe(Registration engine, UpstreamStatement stated) {
         mPauses.observe(engine.incarnation(), stated.pause());
+        if (stated.isLeaving()) {
+            mDepartures.accept(engine.in(Registration.State.DRAINING));
+        }
     }
 
     private void settle(Ended ended) {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -39,7 +39,6 @@
 import org.orchidmount.consensus.ReplicaEffects;
 import org.orchidmount.consensus.ReplicaMessage;
 import org.orchidmount.internal.log.PartLog;
-import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
 import org.orchidmount.pacing.UpstreamPauses;
@@ -68,12 +67,6 @@
     /** Pause between two notices of the table to all entries. */
     private static final long NOTICE_MILLIS = 1_000;
 
-    /**
-     * Announcements are gathered this long, so that many entries cost few frames: a quarter of the
-     * 30 ms after which an entry counts on all others to have received its own.
-     */
-    private static final long GATHER_MILLIS = 8;
-
     /** Nanoseconds for which an upstream that has left is remembered. */
     private static final long REMEMBER_NANOS = Duration.ofMinutes(10).toNanos();
 
@@ -89,13 +82,11 @@
     private final PendingDepartures mDepartures = new PendingDepartures();
     private final VoterQuota mQuota;
     private final VoterRecords mRecords;
+    private final GatheredSequences mSequences;
 
     /** Registrations received here since the other voters were last sent any. */
     private final Map<String, Registration> mReceived = new HashMap<>();
 
-    /** Announcements of entries that were not passed on yet. */
-    private final List<InFlightSequence> mAnnounced = new ArrayList<>();
-
     /** Keeps registrations of unknown services apart; null if all services count as known. */
     private ServiceGate mGate;
 
@@ -131,8 +122,14 @@
                         config.seeds().stream().map(VoterConfig.Seed::address).toList(),
                         handler);
         mRecords = new VoterRecords(config.node(), config.folder(), mLinks, clock);
+        mSequences = new GatheredSequences(mLinks, mTasks);
         mServer = new LinkServer(config.address(), greeting, handler);
-        mStages = new StageController(config.stages(), config.node(), new UpstreamPauses(clock));
+        mStages =
+                new StageController(
+                        config.stages(),
+                        config.node(),
+                        new UpstreamPauses(clock),
+                        leaving -> mTasks.post(() -> leaves(leaving)));
         mQuota = new VoterQuota(mReplica, mSelf, config.firstStart(), clock.nanoTime());
         mTasks.every(TICK_MILLIS, this::tick);
         mTasks.every(NOTICE_MILLIS, this::refresh);
@@ -371,6 +368,11 @@
         return changed;
     }
 
+    /** Takes what an engine has said in an answer to this voter. */
+    private void leaves(Registration leaving) {
+        mRegistry.merge(leaving, mClock.nanoTime()).ifPresent(this::forward);
+    }
+
     private static boolean isLeaving(Registration registration) {
         return registration.state() != Registration.State.READY;
     }
@@ -457,7 +459,7 @@
         if (message instanceof Replication replication) {
             onReplication(replication);
         } else if (message instanceof InFlightSequences announced) {
-            onSequences(announced);
+            mSequences.add(announced);
         } else if (message instanceof QuotaRequest request) {
             onQuotaRequest(link, request);
         } else if (message instanceof QuotaReturn units) {
@@ -559,23 +561,6 @@
         }
     }
 
-    /**
-     * Passes announcements on to the entries of the own availability zone. Each entry announces to
-     * a voter in every zone, so that an announcement crosses to another zone once, however many
-     * entries are there. The sender takes its own as known.
-     */
-    private void onSequences(InFlightSequences announced) {
-        if (mAnnounced.isEmpty()) {
-            mTasks.after(GATHER_MILLIS, this::sendAnnounced);
-        }
-        mAnnounced.addAll(announced.sequences());
-    }
-
-    private void sendAnnounced() {
-        mLinks.sendToNearEntries(new InFlightSequences(mAnnounced));
-        mAnnounced.clear();
-    }
-
     private TableNotice notice() {
         return new TableNotice(mCommitted.tableVersion(), mReplica.isInTouch(), mLinks.entries());
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -27,6 +27,7 @@
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.pacing.SendPermit;
 import org.orchidmount.pacing.UpstreamPace;
+import org.orchidmount.pacing.UpstreamStatement;
 import org.orchidmount.quarantine.CrashReports;
 import org.orchidmount.routing.ClientRetryDetector;
 import org.orchidmount.routing.EnginePaceEstimator;
@@ -108,11 +109,14 @@
 
     private void observe(
             Assignment assignment, ClientResponse response, boolean hasServed, long sentNanos) {
-        protocol.statement(response)
-                .ifPresent(
-                        stated ->
-                                pace.observe(
-                                        assignment.incarnation(), stated, hasServed, sentNanos));
+        Optional<UpstreamStatement> statement = protocol.statement(response);
+        if (statement.isEmpty()) {
+            return;
+        }
+        pace.observe(assignment.incarnation(), statement.get(), hasServed, sentNanos);
+        if (statement.get().isLeaving()) {
+            upstreams.leaves(assignment);
+        }
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -25,6 +25,7 @@
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
+import org.orchidmount.membership.Registration.State;
 import org.orchidmount.routing.UpstreamCost;
 import org.orchidmount.routing.UpstreamHealth;
 import org.orchidmount.upstream.CancelSignal;
@@ -54,6 +55,7 @@
     private final RandomGenerator mRandom;
     private final String mZone;
     private volatile Consumer<Registration> mObserver = registration -> {};
+    private volatile Consumer<Registration> mDepartureAnnouncer = leaving -> {};
 
     /**
      * Creates an empty directory.
@@ -85,6 +87,30 @@
         mObserver = observer;
     }
 
+    /**
+     * Passes on from now on what upstreams say in their answers here, and not yet in their
+     * registrations: that they leave.
+     *
+     * @param announcer takes the registration of each, as that of one that leaves; returns at once
+     */
+    public void announceDepartures(Consumer<Registration> announcer) {
+        mDepartureAnnouncer = announcer;
+    }
+
+    /** Notes that an upstream has said in an answer that it leaves. */
+    void leaves(Assignment assignment) {
+        Registration leaving;
+        try (OrderedLock.Held _ = mLock.hold()) {
+            if (!assignment.upstream().isReady()) {
+                return;
+            }
+            leaving = assignment.upstream().registration().in(State.DRAINING);
+        }
+        LOG.info("upstream %s says in an answer that it leaves", assignment.incarnation());
+        update(leaving);
+        mDepartureAnnouncer.accept(leaving);
+    }
+
     /** Tells whether an upstream has said that it leaves, so that its end is planned. */
     boolean isLeaving(Assignment assignment) {
         try (OrderedLock.Held _ = mLock.hold()) {
