A plain upstream that was passed over for a while is used again like the others

What callers saw: nothing yet. A runner whose pause or limit had ended, or that had refused for a while, got no request any more while others had room: 0 of 240 in the 4 s that began 3 s after it served again. That capacity is missing once load rises.

Cause: the time expected of an upstream is the time of ordinary speed, a constant for plain requests, times how much slower it was seen to be, 0.7 at the least. What was seen fades to 1. So where a service answers faster than the constant, those in use are expected to be faster than one that is idle, which nobody tries again. Not a lock-out: its back-off had ended, and it was used once the others had 30% more to do.

Change: what was seen of a plain upstream fades to what is seen of the others of its service, if these are faster than ordinary. Engines are not concerned: what they need is estimated from what all of their service have needed. Where a service is slower than the constant nothing changes.

Test: UpstreamDirectoryTest.oneThatWasPassedOverGetsItsShareAgain failed for 4 and 20 ms of work and passes for 4 to 200; UpstreamPauseTest, 10 of 17 cases failed for this (aRunnerIsUsedAgain, whatIsNoTime, anotherStart), all 17 pass.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -8,7 +8,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -16,6 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.orchidmount.junit.ManualClock;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
@@ -168,6 +171,36 @@
         assertThat(mDirectory.estimateMillis(queued).getAsDouble()).isWithin(1).of(700);
     }
 
+    /**
+     * Guards against an upstream that nobody tries any more once it was passed over for a while.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {4, 20, 70, 200})
+    void oneThatWasPassedOverGetsItsShareAgain(int workMillis) {
+        for (int machine = 1; machine <= 3; machine++) {
+            mDirectory.update(ready("i-" + machine, "a", machine));
+        }
+        serve(200, workMillis, Set.of("i-1"));
+        Map<String, Integer> served = serve(300, workMillis, Set.of());
+        assertThat(served.getOrDefault("i-1", 0)).isAtLeast(50);
+    }
+
+    /** Serves requests one after another; returns how many each upstream got. */
+    private Map<String, Integer> serve(int requests, int workMillis, Set<String> passedOver) {
+        UpstreamDirectory.Need need =
+                new UpstreamDirectory.Need(
+                        "s", Stage.NONE, 70, 15, true, passedOver, UpstreamDirectory.Backlog.OWN);
+        Map<String, Integer> served = new HashMap<>();
+        for (int i = 0; i < requests; i++) {
+            Assignment assignment = mDirectory.assign(need, Set.of()).get();
+            mClock.advance(Duration.ofMillis(workMillis));
+            mDirectory.succeeded(assignment);
+            mDirectory.release(assignment);
+            served.merge(assignment.id(), 1, Integer::sum);
+        }
+        return served;
+    }
+
     @Test
     void whatOthersHaveGivenToAnUpstreamCounts() {
         mDirectory.update(ready("i-a", "a", 1));
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -9,6 +9,7 @@
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.State;
+import org.orchidmount.routing.Slowness;
 import org.orchidmount.routing.UpstreamCost;
 import org.orchidmount.routing.UpstreamHealth;
 import org.orchidmount.upstream.CancelSignal;
@@ -86,8 +87,17 @@
     }
 
     /** Returns when a piece of work is expected to be done, by what calls have shown. */
-    double expectedMillis(double workMillis, UpstreamDirectory.Backlog backlog, long nowNanos) {
-        return mHealth.expectedMillis(ordinaryMillis(workMillis, backlog), nowNanos);
+    double expectedMillis(
+            double workMillis,
+            UpstreamDirectory.Backlog backlog,
+            double unobserved,
+            long nowNanos) {
+        double ordinaryMillis = ordinaryMillis(workMillis, backlog);
+        return mHealth.expectedMillis(ordinaryMillis, unobserved, nowNanos);
+    }
+
+    Slowness slowness() {
+        return mHealth.slowness();
     }
 
     boolean isEjected(long nowNanos) {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -26,6 +26,7 @@
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
+import org.orchidmount.routing.Slowness;
 import org.orchidmount.routing.UpstreamCost;
 import org.orchidmount.routing.UpstreamHealth;
 import org.orchidmount.upstream.CancelSignal;
@@ -183,8 +184,9 @@
             long nowNanos = mClock.nanoTime();
             Upstream best = null;
             double leastMillis = 0;
+            double unobserved = unobserved(need.service(), need.stage(), nowNanos);
             for (Upstream upstream : candidates(need, tried)) {
-                double millis = costMillis(upstream, need, nowNanos);
+                double millis = costMillis(upstream, need, unobserved, nowNanos);
                 if (best == null || millis < leastMillis) {
                     best = upstream;
                     leastMillis = millis;
@@ -274,11 +276,28 @@
                 && registration.id().equals(mIdByAddress.get(registration.address()));
     }
 
-    private double costMillis(Upstream upstream, Need need, long nowNanos) {
+    /**
+     * Returns the slowness of upstreams of which nothing was observed lately. What an engine needs
+     * is estimated from what all engines of its service have needed, so for these it is ordinary.
+     */
+    private double unobserved(String service, Stage stage, long nowNanos) {
+        if (stage != Stage.NONE) {
+            return Slowness.ORDINARY;
+        }
+        List<Slowness> observed = new ArrayList<>();
+        for (Upstream upstream : mUpstreams.values()) {
+            if (takesWork(upstream, service, stage)) {
+                observed.add(upstream.slowness());
+            }
+        }
+        return Slowness.unobserved(observed, nowNanos);
+    }
+
+    private double costMillis(Upstream upstream, Need need, double unobserved, long nowNanos) {
         boolean sameZone = upstream.registration().zone().equals(mZone);
         double draw = mRandom.nextDouble();
         return UpstreamCost.millis(
-                upstream.expectedMillis(need.workMillis(), need.backlog(), nowNanos),
+                upstream.expectedMillis(need.workMillis(), need.backlog(), unobserved, nowNanos),
                 need.workMillis(),
                 sameZone ? 0 : need.otherZoneMillis(),
                 draw);
@@ -293,11 +312,15 @@
     OptionalDouble estimateMillis(Need need) {
         try (OrderedLock.Held _ = mLock.hold()) {
             long nowNanos = mClock.nanoTime();
+            double unobserved = unobserved(need.service(), need.stage(), nowNanos);
             return candidates(need, Set.of()).stream()
                     .mapToDouble(
                             upstream ->
                                     upstream.expectedMillis(
-                                            need.workMillis(), need.backlog(), nowNanos))
+                                            need.workMillis(),
+                                            need.backlog(),
+                                            unobserved,
+                                            nowNanos))
                     .min();
         }
     }
@@ -311,9 +334,8 @@
 
     /** Learns from an upstream that did what it was given. */
     void succeeded(Assignment assignment) {
-        learn(
-                assignment,
-                (health, nowNanos) -> afterAnswer(health, assignment, nowNanos).afterSuccess());
+        answered(assignment);
+        proved(assignment);
     }
 
     /** Learns that an upstream did what it was given, as became known later. */
@@ -326,11 +348,13 @@
         learn(assignment, (health, nowNanos) -> afterAnswer(health, assignment, nowNanos));
     }
 
-    private static UpstreamHealth afterAnswer(
+    private UpstreamHealth afterAnswer(
             UpstreamHealth health, Assignment assignment, long nowNanos) {
         double tookMillis = Millis.ofNanos(nowNanos - assignment.sinceNanos());
         double ordinaryMillis = Math.max(MIN_ORDINARY_MILLIS, assignment.ordinaryMillis());
-        return health.afterAnswer(tookMillis / ordinaryMillis, nowNanos);
+        Registration upstream = assignment.upstream().registration();
+        double unobserved = unobserved(upstream.service(), upstream.stage(), nowNanos);
+        return health.afterAnswer(tookMillis / ordinaryMillis, unobserved, nowNanos);
     }
 
     /** Learns from an upstream that failed. */
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/Slowness.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/Slowness.java
@@ -6,21 +6,30 @@
 package org.orchidmount.routing;
 
 import java.time.Duration;
+import java.util.Collection;
 
 /**
- * How much longer an upstream takes than one of ordinary speed would, queueing included. Immutable.
+ * How much longer an upstream takes than one of ordinary speed would, queueing included. What was
+ * observed counts less as time passes; then an upstream is expected to be as fast as the others of
+ * its service, but not slower than ordinary. Immutable.
  *
  * @param factor the smoothed ratio, 1 for ordinary speed, at {@code atNanos}
  * @param atNanos the monotonic time of the latest observation
  */
 public record Slowness(double factor, long atNanos) {
-    /** Ordinary speed. */
+    /** Of an upstream of which nothing was observed. */
     public static final Slowness NONE = new Slowness(1, 0);
 
+    /** The factor of ordinary speed. */
+    public static final double ORDINARY = 1;
+
+    /** How much ordinary speed counts beside what was observed; little, until that has faded. */
+    private static final double ORDINARY_WEIGHT = 0.01;
+
     /** Smoothing factor: how much one answer counts. */
     private static final double SMOOTHING = 0.3;
 
-    /** Returns to ordinary speed by half in this time, or a slow upstream got no second chance. */
+    /** An observation counts half after this time, or a slow upstream got no second chance. */
     private static final Duration HALF_LIFE = Duration.ofMillis(1_500);
 
     /** Bounds of one observation: a fast cached answer or a pause is no measure. */
@@ -30,13 +39,44 @@
     private static final double MAX_RATIO = 10;
 
     /** Takes the ratio of the time that an answer took to the time that was expected of it. */
-    Slowness afterAnswer(double ratio, long nowNanos) {
+    Slowness afterAnswer(double ratio, double unobserved, long nowNanos) {
         double bounded = Math.clamp(ratio, MIN_RATIO, MAX_RATIO);
-        double before = at(nowNanos);
+        double before = at(nowNanos, unobserved);
         return new Slowness(before + SMOOTHING * (bounded - before), nowNanos);
     }
 
-    double at(long nowNanos) {
-        return 1 + (factor - 1) * ExponentialDecay.weight(nowNanos - atNanos, HALF_LIFE);
+    /**
+     * Returns what is expected now.
+     *
+     * @param nowNanos the present time
+     * @param unobserved the factor of an upstream of which nothing was observed lately
+     * @return the factor
+     */
+    double at(long nowNanos, double unobserved) {
+        return unobserved + (factor - unobserved) * weight(nowNanos);
+    }
+
+    private double weight(long nowNanos) {
+        return atNanos == 0 ? 0 : ExponentialDecay.weight(nowNanos - atNanos, HALF_LIFE);
+    }
+
+    /**
+     * Returns the factor of an upstream of which nothing was observed lately: the mean of what was
+     * observed of others, each by how much it still counts, or 1 if that is less. Without it an
+     * upstream that others are faster than was passed over for good once it had been for a while.
+     *
+     * @param others what was observed of the upstreams of the service
+     * @param nowNanos the present time
+     * @return the factor, at most 1
+     */
+    public static double unobserved(Collection<Slowness> others, long nowNanos) {
+        double weights = ORDINARY_WEIGHT;
+        double sum = ORDINARY_WEIGHT * ORDINARY;
+        for (Slowness other : others) {
+            double weight = other.weight(nowNanos);
+            weights += weight;
+            sum += weight * other.factor;
+        }
+        return Math.min(ORDINARY, sum / weights);
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamHealth.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamHealth.java
@@ -37,11 +37,12 @@
      * Counts how long an answer took, whether or not it was of any use.
      *
      * @param ratio the time it took by the time expected of an upstream of ordinary speed
+     * @param unobserved the slowness of an upstream of which nothing was observed lately
      * @param nowNanos the present time
      * @return the state after it
      */
-    public UpstreamHealth afterAnswer(double ratio, long nowNanos) {
-        Slowness next = slowness.afterAnswer(ratio, nowNanos);
+    public UpstreamHealth afterAnswer(double ratio, double unobserved, long nowNanos) {
+        Slowness next = slowness.afterAnswer(ratio, unobserved, nowNanos);
         return new UpstreamHealth(next, failures, backoff, refusals);
     }
 
@@ -105,11 +106,13 @@
      * Estimates when work would be done here.
      *
      * @param ordinaryMillis when an upstream of ordinary speed would have done it
+     * @param unobserved the slowness of an upstream of which nothing was observed lately
      * @param nowNanos the present time
      * @return milliseconds from now
      */
-    public double expectedMillis(double ordinaryMillis, long nowNanos) {
-        double millis = ordinaryMillis * slowness.at(nowNanos) + failures.millis(nowNanos);
+    public double expectedMillis(double ordinaryMillis, double unobserved, long nowNanos) {
+        double factor = slowness.at(nowNanos, unobserved);
+        double millis = ordinaryMillis * factor + failures.millis(nowNanos);
         if (refusals.isRefusing(nowNanos)) {
             millis += REFUSING_MILLIS;
         }
