What an answer says of its upstream counts, whatever it proves of its request

What callers saw: nothing. A 503 that asks for a pause, or any answer that says its upstream leaves, was passed over where it lacks the proof that the request has not run, or a signature: such an answer counts as a failure, and nothing else of it was read.

Change: if it names the request as its own, what it says of its upstream is taken in, as from other calls; what it proves of the request stays nothing.

Test: UpstreamStatementsTest plays each kind of call (run, prefill, reservation, release) with each kind of answer; two of 15 cases failed before (a pause and a departure in a 503 without that proof), all pass.

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -216,6 +216,10 @@
                 yield AttemptOutcome.NOT_RUN;
             }
             case FOREIGN -> {
+                // It proves nothing of the request, but what it says of its upstream is true.
+                if (mContext.protocol().isResponseTo(mRequest, response)) {
+                    mContext.respondedToCall(assignment, response, sentNanos);
+                }
                 mContext.upstreams().failed(assignment);
                 mLastFailure = "the response of another request";
                 call.abort();
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamProtocol.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamProtocol.java
@@ -44,6 +44,15 @@
      */
     ResponseKind classify(RelayRequest request, ClientResponse response);
 
+    /**
+     * Tells whether a response names a request as its own, whatever else it is worth.
+     *
+     * @param request the request
+     * @param response the head of the response
+     * @return false if it is that of another request, or names none
+     */
+    boolean isResponseTo(RelayRequest request, ClientResponse response);
+
     /**
      * Reads what a response to any call states of its upstream.
      *
