The daemon leaves a plain service of its table alone for as long as it asks

What callers saw: nothing yet; the same fault on the other path, found by looking for it: a plain service that refuses with 503 and a time to come back was called for every other request of its route all the same.

Change: Blackboard holds a pause for the upstream, never shortened; while all of a route's pause, callers are refused, not run, with the end of the first pause. RetryAfterField reads the standard field for both paths.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainForwarder.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainForwarder.java
@@ -32,6 +32,8 @@
 import org.orchidmount.internal.http.ServerExchange;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.internal.upstream.EngineProtocol;
+import org.orchidmount.pacing.PauseStatement;
+import org.orchidmount.pacing.RetryAfterField;
 import org.orchidmount.routing.RetryAfter;
 import org.orchidmount.routing.TableAttemptRule;
 import org.orchidmount.table.RouteRow;
@@ -143,11 +145,16 @@
                                 StatusCodes.SERVICE_UNAVAILABLE,
                                 "no_upstream",
                                 message,
-                                RetryAfter.TABLE_MILLIS);
+                                Math.max(RetryAfter.TABLE_MILLIS, untilPauseEnds(route)));
         count(refusal.outcome());
         Answers.refuse(exchange, id, refusal, mWriteTimeout);
     }
 
+    /** Returns the milliseconds until an instance of the route takes work; 0 if one may now. */
+    long untilPauseEnds(RouteRow route) {
+        return mParts.board().untilPauseEnds(route.pool()).toMillis();
+    }
+
     /** Makes one call; returns null if the whole answer was passed on. */
     private Failure callAndAnswer(
             ServerExchange exchange,
@@ -164,6 +171,7 @@
                 passBodyOn(exchange, call, route, timeout);
             }
             ClientResponse response = call.awaitResponse(timeout);
+            observe(peer, response);
             answer(exchange, id, response, call, timeout);
             mParts.board().succeeded(peer.name());
             return null;
@@ -172,6 +180,12 @@
         }
     }
 
+    private void observe(Peer peer, ClientResponse response) {
+        if (RetryAfterField.read(response) instanceof PauseStatement.Lasting pause) {
+            mParts.board().paused(peer.name(), pause.length());
+        }
+    }
+
     private HttpCall open(
             Peer peer, HttpHead head, byte[] held, Duration timeout, CancelSignal cancel)
             throws CallFailedException {
@@ -282,6 +296,7 @@
                 mParts.connections()
                         .callFresh(peer, Step.FORWARD, head, body, timeout, new CancelSignal())) {
             ClientResponse response = call.awaitResponse(timeout);
+            observe(peer, response);
             return record(response, call, timeout);
         }
     }
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainHandler.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainHandler.java
@@ -129,10 +129,10 @@
         switch (mParts.claims().claim(key, fingerprint(exchange, body))) {
             case ClaimResult.Granted _ -> {
                 ClaimResult end = runOnce(key, head, body, id, route);
-                answer(exchange, id, end);
+                answer(exchange, id, route, end);
             }
-            case ClaimResult.Running running -> answer(exchange, id, await(running, route));
-            case ClaimResult other -> answer(exchange, id, other);
+            case ClaimResult.Running running -> answer(exchange, id, route, await(running, route));
+            case ClaimResult other -> answer(exchange, id, route, other);
         }
     }
 
@@ -167,7 +167,7 @@
         }
     }
 
-    private void answer(ServerExchange exchange, String id, ClaimResult end)
+    private void answer(ServerExchange exchange, String id, RouteRow route, ClaimResult end)
             throws IOException, TimeoutException, InterruptedException {
         Refusal refusal =
                 switch (end) {
@@ -186,7 +186,9 @@
                                     StatusCodes.SERVICE_UNAVAILABLE,
                                     "no_upstream",
                                     Messages.NO_UPSTREAM.formatted("the route"),
-                                    RetryAfter.TABLE_MILLIS);
+                                    Math.max(
+                                            RetryAfter.TABLE_MILLIS,
+                                            mForwarder.untilPauseEnds(route)));
                     case ClaimResult.Mismatch _ ->
                             Refusal.bad(
                                     StatusCodes.UNPROCESSABLE_ENTITY,
--- a/org.orchidmount/src/main/java/org/orchidmount/blackboard/Blackboard.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/blackboard/Blackboard.java
@@ -5,6 +5,7 @@
  */
 package org.orchidmount.blackboard;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -288,6 +289,40 @@
         }
     }
 
+    /**
+     * Notes that an upstream takes nothing for a time.
+     *
+     * @param upstream the upstream's name
+     * @param length the time from now on
+     */
+    public void paused(String upstream, Duration length) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            UpstreamSlot slot = mSlots.get(upstream);
+            if (slot != null) {
+                slot.pause(mClock.nanoTime() + length.toNanos());
+            }
+        }
+        LOG.info("upstream %s takes nothing for %d ms", upstream, length.toMillis());
+    }
+
+    /**
+     * Tells when the first upstream of a pool takes work that has asked for a pause.
+     *
+     * @param pool the pool
+     * @return the time until then; zero if there is one that has asked for none
+     */
+    public Duration untilPauseEnds(String pool) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            long nowNanos = mClock.nanoTime();
+            long leastNanos =
+                    mTable.upstreamsOf(pool).stream()
+                            .mapToLong(row -> mSlots.get(row.name()).pauseLeftNanos(nowNanos))
+                            .min()
+                            .orElse(0);
+            return Duration.ofNanos(leastNanos);
+        }
+    }
+
     /**
      * Takes over an engine's report.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/blackboard/UpstreamSlot.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/blackboard/UpstreamSlot.java
@@ -39,6 +39,8 @@
     private long mNextEvent;
     private CircuitBreaker mBreaker = CircuitBreaker.CLOSED;
     private boolean mEjected;
+    private boolean mIsPaused;
+    private long mPauseEndNanos;
     private UpstreamView mView;
 
     UpstreamSlot(UpstreamRow row) {
@@ -125,8 +127,31 @@
         return mEjected && !wasEjected;
     }
 
-    /** Lets single requests through again once the circuit has been open for a while. */
+    /**
+     * Notes that it takes nothing until a time; one that is earlier than before changes nothing.
+     */
+    void pause(long endNanos) {
+        if (!mIsPaused || endNanos - mPauseEndNanos > 0) {
+            mIsPaused = true;
+            mPauseEndNanos = endNanos;
+            mView = null;
+        }
+    }
+
+    /** Returns what is left of its pause; zero without one. */
+    long pauseLeftNanos(long nowNanos) {
+        return mIsPaused ? Math.max(0, mPauseEndNanos - nowNanos) : 0;
+    }
+
+    /**
+     * Lets single requests through again once the circuit has been open for a while, and all once a
+     * pause is over.
+     */
     void tick(long nowNanos) {
+        if (mIsPaused && nowNanos - mPauseEndNanos >= 0) {
+            mIsPaused = false;
+            mView = null;
+        }
         if (mEjected && !mBreaker.isEjected(nowNanos)) {
             mEjected = false;
             mView = null;
@@ -141,7 +166,7 @@
                             mRow.name(),
                             mRow.zone(),
                             mRow.weight(),
-                            mRow.mode() == UpstreamMode.ACTIVE && !mEjected,
+                            mRow.mode() == UpstreamMode.ACTIVE && !mEjected && !mIsPaused,
                             mRow.maxRunning(),
                             mOwnRunning,
                             mReportedRunning,
