A departure is confirmed only by voters, each of them counted once

That an upstream leaves is acknowledged once a quorum of voters holds it. The replies were counted, not who replied: one voter that replied twice, or a replica that does not vote, counted for a quorum.

Change: PendingDepartures holds who has replied; replies of replicas that are no members of the group do not count.

Test: PendingDeparturesTest has the case of a voter that replies twice where two others are needed, which a count of replies confirms. VoterNodeTest and RestartedUpstreamTest pass.

--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/PendingDepartures.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/PendingDepartures.java
@@ -6,7 +6,9 @@
 package org.orchidmount.cluster;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -22,10 +24,10 @@
     private final Map<Long, Pending> mPending = new HashMap<>();
     private long mNumber;
 
-    /** A departure, and how many voters are known to hold it. */
+    /** A departure, and the other voters that are known to hold it. */
     private static final class Pending {
         private final CompletableFuture<Boolean> mDone;
-        private int mHolders = 1;
+        private final Set<HostPort> mHolders = new HashSet<>();
 
         Pending(CompletableFuture<Boolean> done) {
             mDone = done;
@@ -39,11 +41,11 @@
         return mNumber;
     }
 
-    /** Counts a voter that holds a departure. */
-    void held(long number, int quorum) {
+    /** Counts a voter that holds a departure, once, however often it says so. */
+    void held(long number, HostPort voter, int quorum) {
         Pending pending = mPending.get(number);
         if (pending != null) {
-            pending.mHolders++;
+            pending.mHolders.add(voter);
             complete(number, quorum);
         }
     }
@@ -51,7 +53,7 @@
     /** Confirms a departure if a quorum holds it. */
     void complete(long number, int quorum) {
         Pending pending = mPending.get(number);
-        if (pending != null && pending.mHolders >= quorum) {
+        if (pending != null && 1 + pending.mHolders.size() >= quorum) {
             pending.mDone.complete(true);
         }
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.consensus.Member;
@@ -84,8 +85,9 @@
         return mVoterLinks.containsKey(link) || mEntryLinks.containsKey(link);
     }
 
-    boolean isVoter(Link link) {
-        return mVoterLinks.containsKey(link);
+    /** Returns the address of the replica at the other end of a link; nothing if it is none. */
+    Optional<HostPort> voterAddress(Link link) {
+        return Optional.ofNullable(mVoterLinks.get(link)).map(VoterPeer::address);
     }
 
     void closed(Link link) {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -485,11 +485,18 @@
     }
 
     private void onRegistrationsHeld(Link link, RegistrationsHeld held) {
-        if (mLinks.isVoter(link)) {
-            mDepartures.held(held.number(), mReplica.state().quorum());
+        Optional<HostPort> sender = mLinks.voterAddress(link);
+        if (sender.isPresent() && isMember(sender.get())) {
+            mDepartures.held(held.number(), sender.get(), mReplica.state().quorum());
         }
     }
 
+    /** A replica that does not vote yet, or no longer, is linked too. */
+    private boolean isMember(HostPort address) {
+        return mReplica.state().members().stream()
+                .anyMatch(member -> HostPort.parse(member.address()).equals(address));
+    }
+
     private void onGreeting(Link link, Greeting greeting) {
         if (greeting.protocol() != PROTOCOL) {
             LOG.warn(
