A plain upstream that was slow once is not left aside for seconds

What callers saw: an instance sent all requests of a plain service to one of three runners for up to 7 s, while the other two were idle and as fast.

Cause: the first answers of new processes are slow (1.1 times the constant of 70 ms; 20 ms afterwards, which counts as 0.7). An upstream that is passed over fades to the mean of what was seen of its service, of which its own slow answer is a part that still counts; the one in use is below that mean, by more than the random share of the choice. A trace of each choice showed factors of 0.71, 0.86 and 0.82 over 5 s, and all requests at the first.

Change: what was seen fades to the fastest of the service instead of the mean, still at most ordinary speed. Engines are not concerned.

Ruled out: the pause itself (over at all entries at that time), back-offs of refusals and failures (none), zones (one).

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -185,6 +185,34 @@
         assertThat(served.getOrDefault("i-1", 0)).isAtLeast(50);
     }
 
+    /** Guards against an instance that leaves all to one upstream, as others were slow once. */
+    @ParameterizedTest
+    @ValueSource(ints = {4, 20, 70, 200})
+    void oneThatWasSlowOnceGetsItsShareAgain(int workMillis) {
+        for (int machine = 1; machine <= 3; machine++) {
+            mDirectory.update(ready("i-" + machine, "a", machine));
+        }
+        int slowMillis = workMillis + 100;
+        serve(1, slowMillis, Set.of("i-2", "i-3"));
+        serve(1, slowMillis, Set.of("i-1", "i-3"));
+        Duration interval = Duration.ofMillis(80);
+        serveAtIntervals(50, workMillis, interval);
+        Map<String, Integer> served = serveAtIntervals(50, workMillis, interval);
+        assertThat(served.getOrDefault("i-1", 0)).isAtLeast(8);
+        assertThat(served.getOrDefault("i-2", 0)).isAtLeast(8);
+    }
+
+    private Map<String, Integer> serveAtIntervals(int requests, int workMillis, Duration interval) {
+        Map<String, Integer> served = new HashMap<>();
+        for (int i = 0; i < requests; i++) {
+            serve(1, workMillis, Set.of())
+                    .keySet()
+                    .forEach(id -> served.merge(id, 1, Integer::sum));
+            mClock.advance(interval);
+        }
+        return served;
+    }
+
     /** Serves requests one after another; returns how many each upstream got. */
     private Map<String, Integer> serve(int requests, int workMillis, Set<String> passedOver) {
         UpstreamDirectory.Need need =
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -284,13 +284,11 @@
         if (stage != Stage.NONE) {
             return Slowness.ORDINARY;
         }
-        List<Slowness> observed = new ArrayList<>();
-        for (Upstream upstream : mUpstreams.values()) {
-            if (takesWork(upstream, service, stage)) {
-                observed.add(upstream.slowness());
-            }
-        }
-        return Slowness.unobserved(observed, nowNanos);
+        return Slowness.unobserved(
+                mUpstreams.values().stream()
+                        .filter(upstream -> takesWork(upstream, service, stage))
+                        .map(Upstream::slowness),
+                nowNanos);
     }
 
     private double costMillis(Upstream upstream, Need need, double unobserved, long nowNanos) {
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/Slowness.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/Slowness.java
@@ -6,11 +6,11 @@
 package org.orchidmount.routing;
 
 import java.time.Duration;
-import java.util.Collection;
+import java.util.stream.Stream;
 
 /**
  * How much longer an upstream takes than one of ordinary speed would, queueing included. What was
- * observed counts less as time passes; then an upstream is expected to be as fast as the others of
+ * observed counts less as time passes; then an upstream is expected to be as fast as the fastest of
  * its service, but not slower than ordinary. Immutable.
  *
  * @param factor the smoothed ratio, 1 for ordinary speed, at {@code atNanos}
@@ -23,9 +23,6 @@
     /** The factor of ordinary speed. */
     public static final double ORDINARY = 1;
 
-    /** How much ordinary speed counts beside what was observed; little, until that has faded. */
-    private static final double ORDINARY_WEIGHT = 0.01;
-
     /** Smoothing factor: how much one answer counts. */
     private static final double SMOOTHING = 0.3;
 
@@ -61,22 +58,16 @@
     }
 
     /**
-     * Returns the factor of an upstream of which nothing was observed lately: the mean of what was
-     * observed of others, each by how much it still counts, or 1 if that is less. Without it an
-     * upstream that others are faster than was passed over for good once it had been for a while.
+     * Returns the factor of an upstream of which nothing was observed lately: that of the fastest
+     * of the others, or 1 if that is less. If it were more, those in use would stay ahead of an
+     * upstream that had been passed over for a while, which would be passed over for good.
      *
      * @param others what was observed of the upstreams of the service
      * @param nowNanos the present time
      * @return the factor, at most 1
      */
-    public static double unobserved(Collection<Slowness> others, long nowNanos) {
-        double weights = ORDINARY_WEIGHT;
-        double sum = ORDINARY_WEIGHT * ORDINARY;
-        for (Slowness other : others) {
-            double weight = other.weight(nowNanos);
-            weights += weight;
-            sum += weight * other.factor;
-        }
-        return Math.min(ORDINARY, sum / weights);
+    public static double unobserved(Stream<Slowness> others, long nowNanos) {
+        return others.mapToDouble(other -> other.at(nowNanos, ORDINARY))
+                .reduce(ORDINARY, Math::min);
     }
 }
