An upstream is used again once another instance says that its limit has ended

What callers saw: 503 for up to 1.3 s after runners had ceased to state limits, at some instances, though all had been told.

Cause: an instance that is refused a right notes until when the owner expects room, and passes the upstream over until then. A change that it hears from the upstream itself ended that; one that another instance tells did not, neither the end of a limit nor a higher one.

Change: what is noted names the limit that was reached, and counts only while that limit holds.

Ruled out: news that come late (all logged it within 12 ms), the queue of returning callers (it only sets Retry-After).

--- a/org.orchidmount.test/src/test/java/org/orchidmount/pacing/UpstreamPaceTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/pacing/UpstreamPaceTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
@@ -148,6 +149,23 @@
         assertThat(mAnnounced.getLast().isInForce()).isFalse();
     }
 
+    /** Guards against an upstream that is passed over for a limit which holds no longer. */
+    @ParameterizedTest
+    @ValueSource(doubles = {Double.POSITIVE_INFINITY, 50})
+    void aChangeThatAnotherInstanceTellsCountsAtOnce(double perSecond) throws InterruptedException {
+        names(UPSTREAM, 0.25);
+        takeAll();
+        assertThat(mPace.passedOver()).containsExactly("i-1");
+        OptionalDouble told =
+                Double.isInfinite(perSecond)
+                        ? OptionalDouble.empty()
+                        : OptionalDouble.of(perSecond);
+        mLimits.merge(List.of(new UpstreamLimit(UPSTREAM, told, 2, "there")));
+        assertThat(mPace.passedOver()).isEmpty();
+        mClock.advance(Duration.ofMillis(100));
+        assertThat(take()).isTrue();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"many", "", "3.6, 3.6"})
     void whatCannotBeReadChangesNothing(String text) {
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
@@ -71,8 +71,7 @@
     private final ReturnQueue mReturns;
     private final UpstreamPauses mPauses;
 
-    /** Until when this instance does not ask for more. */
-    private final Map<Incarnation, Long> mFullUntilNanos = new ConcurrentHashMap<>();
+    private final Map<Incarnation, Full> mFull = new ConcurrentHashMap<>();
 
     private final AtomicLong mChanges = new AtomicLong();
     private final UnreadableStatements mUnreadable =
@@ -81,6 +80,14 @@
     private final AtomicLong mAlone = new AtomicLong();
     private final AtomicLong mHeldBack = new AtomicLong();
 
+    /**
+     * This instance does not ask for more of an upstream.
+     *
+     * @param limit the limit that it has reached; once another holds, it is asked for more again
+     * @param untilNanos when there may be room under that limit
+     */
+    private record Full(UpstreamLimit limit, long untilNanos) {}
+
     /**
      * Creates it.
      *
@@ -140,7 +147,6 @@
         Optional<UpstreamLimit> changed = mLimits.observe(upstream, stated, sentNanos);
         if (changed.isPresent()) {
             mChanges.incrementAndGet();
-            mFullUntilNanos.remove(upstream);
             mAnnouncer.announce(changed.get());
         }
     }
@@ -172,9 +178,9 @@
             return SendPermit.counted(ask);
         }
         if (answer.outcome() == QuotaAnswer.Outcome.NO_OWNER) {
-            return takeAlone(upstream, ask.limit().ratePerSecond());
+            return takeAlone(limit.get());
         }
-        full(upstream, answer.comeBackAfter());
+        full(limit.get(), answer.comeBackAfter());
         return refused();
     }
 
@@ -188,13 +194,13 @@
         return Math.max(LEAST_PER_SECOND, limit.perSecond().orElseThrow());
     }
 
-    private SendPermit takeAlone(Incarnation upstream, double perSecond) {
-        Duration wait = mLonePace.take(upstream, perSecond);
+    private SendPermit takeAlone(UpstreamLimit limit) {
+        Duration wait = mLonePace.take(limit.upstream(), rate(limit));
         if (wait.isZero()) {
             mAlone.incrementAndGet();
             return SendPermit.FREE;
         }
-        full(upstream, wait.compareTo(ASK_AGAIN_AFTER) < 0 ? wait : ASK_AGAIN_AFTER);
+        full(limit, wait.compareTo(ASK_AGAIN_AFTER) < 0 ? wait : ASK_AGAIN_AFTER);
         return refused();
     }
 
@@ -203,8 +209,8 @@
         return SendPermit.REFUSED;
     }
 
-    private void full(Incarnation upstream, Duration wait) {
-        mFullUntilNanos.put(upstream, mClock.nanoTime() + wait.toNanos());
+    private void full(UpstreamLimit limit, Duration wait) {
+        mFull.put(limit.upstream(), new Full(limit, mClock.nanoTime() + wait.toNanos()));
     }
 
     /**
@@ -240,7 +246,7 @@
      */
     public boolean refusedBy(Incarnation upstream) {
         Optional<UpstreamLimit> limit = mLimits.find(upstream);
-        limit.ifPresent(known -> full(upstream, pause(rate(known))));
+        limit.ifPresent(known -> full(known, pause(rate(known))));
         return limit.isPresent() || mPauses.isPaused(upstream);
     }
 
@@ -268,13 +274,13 @@
 
     /** Returns how long this instance does not ask for more of an upstream. */
     private Duration untilRoom(Incarnation upstream) {
-        Long untilNanos = mFullUntilNanos.get(upstream);
-        if (untilNanos == null) {
+        Full full = mFull.get(upstream);
+        if (full == null) {
             return Duration.ZERO;
         }
-        long leftNanos = untilNanos - mClock.nanoTime();
-        if (leftNanos <= 0) {
-            mFullUntilNanos.remove(upstream, untilNanos);
+        long leftNanos = full.untilNanos() - mClock.nanoTime();
+        if (leftNanos <= 0 || !mLimits.find(upstream).equals(Optional.of(full.limit()))) {
+            mFull.remove(upstream, full);
             return Duration.ZERO;
         }
         return Duration.ofNanos(leftNanos);
@@ -287,11 +293,11 @@
      */
     public Set<String> passedOver() {
         Set<String> paused = mPauses.paused();
-        if (mFullUntilNanos.isEmpty()) {
+        if (mFull.isEmpty()) {
             return paused;
         }
         Set<String> names = new HashSet<>(paused);
-        for (Incarnation upstream : mFullUntilNanos.keySet()) {
+        for (Incarnation upstream : mFull.keySet()) {
             if (!untilRoom(upstream).isZero()) {
                 names.add(upstream.id());
             }
@@ -338,7 +344,7 @@
             return;
         }
         mLimits.forget(upstream -> UpstreamLimits.isEnded(upstream, registration));
-        mFullUntilNanos.keySet().removeIf(one -> UpstreamLimits.isEnded(one, registration));
+        mFull.keySet().removeIf(one -> UpstreamLimits.isEnded(one, registration));
         mLonePace.forget(upstream -> UpstreamLimits.isEnded(upstream, registration));
     }
 
