All instances together open no more connections to an upstream than it accepts

What callers saw: nothing of their own. A service under more load than it bears got up to 21 connections at a runner that accepts 6, and a runner resets those beyond that number.

Cause: max_connections of a service was checked for its type and then dropped.

Change: it is part of a service; an instance gives one upstream at most an equal part of it at once, 1 at the least, counted under the lock under which upstreams are chosen. Where all have that much, a plain request is refused at once and one for engines waits as for memory.

Left: calls that release memory come on top; where there are more entries than connections, all together may open more. Whether parts by need serve more than equal ones was not compared.

The pins stay as they were.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/RelayRulesPinTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/RelayRulesPinTest.java
@@ -61,7 +61,14 @@
                             : UpstreamDirectory.Backlog.OWN;
             UpstreamDirectory.Need need =
                     new UpstreamDirectory.Need(
-                            "s", stage, work, 15, random.nextBoolean(), excluded, queue);
+                            "s",
+                            stage,
+                            work,
+                            15,
+                            random.nextBoolean(),
+                            excluded,
+                            UpstreamDirectory.Need.ANY_NUMBER,
+                            queue);
             Optional<Assignment> assignment = directory.assign(need, avoided);
             assignment.ifPresent(held::add);
             String outcome = held.isEmpty() ? "" : outcome(directory, held, random);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -6,10 +6,13 @@
 package org.orchidmount.relay;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.orchidmount.relay.UpstreamDirectory.Need.ANY_NUMBER;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
@@ -31,7 +34,14 @@
 final class UpstreamDirectoryTest {
     private static final UpstreamDirectory.Need NEED =
             new UpstreamDirectory.Need(
-                    "s", Stage.NONE, 70, 15, true, Set.of(), UpstreamDirectory.Backlog.OWN);
+                    "s",
+                    Stage.NONE,
+                    70,
+                    15,
+                    true,
+                    Set.of(),
+                    ANY_NUMBER,
+                    UpstreamDirectory.Backlog.OWN);
 
     private final ManualClock mClock = new ManualClock();
     private final UpstreamDirectory mDirectory =
@@ -160,7 +170,8 @@
         mDirectory.update(ready("i-a", "a", 1));
         UpstreamDirectory.Backlog queue = (id, ownMillis) -> 630;
         UpstreamDirectory.Need queued =
-                new UpstreamDirectory.Need("s", Stage.PREFILL, 70, 15, true, Set.of(), queue);
+                new UpstreamDirectory.Need(
+                        "s", Stage.PREFILL, 70, 15, true, Set.of(), ANY_NUMBER, queue);
         mDirectory.update(engine("i-p"));
         for (int i = 0; i < 20; i++) {
             Assignment assignment = mDirectory.assign(queued, Set.of()).get();
@@ -217,7 +228,14 @@
     private Map<String, Integer> serve(int requests, int workMillis, Set<String> passedOver) {
         UpstreamDirectory.Need need =
                 new UpstreamDirectory.Need(
-                        "s", Stage.NONE, 70, 15, true, passedOver, UpstreamDirectory.Backlog.OWN);
+                        "s",
+                        Stage.NONE,
+                        70,
+                        15,
+                        true,
+                        passedOver,
+                        ANY_NUMBER,
+                        UpstreamDirectory.Backlog.OWN);
         Map<String, Integer> served = new HashMap<>();
         for (int i = 0; i < requests; i++) {
             Assignment assignment = mDirectory.assign(need, Set.of()).get();
@@ -229,13 +247,34 @@
         return served;
     }
 
+    /** Guards against more connections to an upstream than it accepts. */
+    @Test
+    void anUpstreamHasNoMoreAssignmentsAtOnceThanItMay() {
+        mDirectory.update(ready("i-1", "a", 1));
+        mDirectory.update(ready("i-2", "a", 2));
+        UpstreamDirectory.Need need =
+                new UpstreamDirectory.Need(
+                        "s", Stage.NONE, 70, 15, true, Set.of(), 2, UpstreamDirectory.Backlog.OWN);
+        List<Assignment> held = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            held.add(mDirectory.assign(need, Set.of()).get());
+        }
+        assertThat(mDirectory.assign(need, Set.of())).isEmpty();
+        mDirectory.release(held.getFirst());
+        mDirectory.release(held.getFirst());
+        assertThat(mDirectory.assign(need, Set.of()).get().id()).isEqualTo(held.getFirst().id());
+        assertThat(mDirectory.assign(need, Set.of())).isEmpty();
+        assertThat(mDirectory.assign(NEED, Set.of())).isPresent();
+    }
+
     @Test
     void whatOthersHaveGivenToAnUpstreamCounts() {
         mDirectory.update(ready("i-a", "a", 1));
         mDirectory.update(ready("i-b", "b", 2));
         UpstreamDirectory.Backlog queue = (id, ownMillis) -> id.equals("i-a") ? 400 : ownMillis;
         UpstreamDirectory.Need need =
-                new UpstreamDirectory.Need("s", Stage.NONE, 70, 15, true, Set.of(), queue);
+                new UpstreamDirectory.Need(
+                        "s", Stage.NONE, 70, 15, true, Set.of(), ANY_NUMBER, queue);
         assertThat(mDirectory.assign(need, Set.of()).get().id()).isEqualTo("i-b");
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
@@ -286,6 +286,17 @@
         return Duration.ofNanos(leftNanos);
     }
 
+    /**
+     * Returns what this instance may have of something that all instances share, without asking the
+     * others. Where there are more instances than there is of it, all together may exceed it.
+     *
+     * @param ofAll what there is for all together
+     * @return an equal part, at least 1
+     */
+    public int equalPart(int ofAll) {
+        return Math.max(1, ofAll / mInstances.getAsInt());
+    }
+
     /**
      * Names the upstreams that are to be passed over now.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -347,6 +347,7 @@
                 UpstreamCost.OTHER_ZONE_ENGINE_MILLIS,
                 mayTakeTried,
                 excluded,
+                mContext.mostAtOnce(mService),
                 this::backlogMillis);
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
@@ -113,6 +113,7 @@
                 UpstreamCost.OTHER_ZONE_ENGINE_MILLIS,
                 false,
                 mContext.pace().passedOver(),
+                mContext.mostAtOnce(mService),
                 this::backlogMillis);
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -29,6 +29,7 @@
 import org.orchidmount.pacing.UpstreamPace;
 import org.orchidmount.pacing.UpstreamStatement;
 import org.orchidmount.quarantine.CrashReports;
+import org.orchidmount.routes.Service;
 import org.orchidmount.routing.ClientRetryDetector;
 import org.orchidmount.routing.EnginePaceEstimator;
 import org.orchidmount.routing.OutputLengthEstimator;
@@ -119,6 +120,16 @@
         }
     }
 
+    /**
+     * Returns how many assignments an upstream of a service may have from this instance at once.
+     * Each has one connection, and the upstream counts those of all instances.
+     */
+    int mostAtOnce(Service service) {
+        return service.maxConnections().isEmpty()
+                ? UpstreamDirectory.Need.ANY_NUMBER
+                : pace.equalPart(service.maxConnections().getAsInt());
+    }
+
     /**
      * Takes the right to send a request to the upstream that was chosen for it.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -211,6 +211,7 @@
                 UpstreamCost.OTHER_ZONE_PLAIN_MILLIS,
                 !mLastHadNoRoom,
                 passedOver,
+                mContext.mostAtOnce(mService),
                 UpstreamDirectory.Backlog.OWN);
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -25,6 +25,7 @@
     private UpstreamHealth mHealth = UpstreamHealth.UNKNOWN;
     private final CancelSignal mEnd = new CancelSignal();
     private boolean mIsReplaced;
+    private int mAssignments;
 
     Upstream(Registration registration) {
         mRegistration = registration;
@@ -71,13 +72,20 @@
     }
 
     void beginWork(double workMillis) {
+        mAssignments++;
         mPendingMillis += workMillis;
     }
 
     void endWork(double workMillis) {
+        mAssignments--;
         mPendingMillis = Math.max(0, mPendingMillis - workMillis);
     }
 
+    /** Counts the assignments that have not ended. */
+    int assignments() {
+        return mAssignments;
+    }
+
     /** Returns when a piece of work would be done at ordinary speed. */
     double ordinaryMillis(double workMillis, UpstreamDirectory.Backlog backlog) {
         boolean serial = mRegistration.stage() != Registration.Stage.NONE;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -265,6 +265,7 @@
 
     private boolean isCandidate(Upstream upstream, Need need) {
         return takesWork(upstream, need.service(), need.stage())
+                && upstream.assignments() < need.mostAtOnce()
                 && !need.excluded().contains(upstream.registration().id());
     }
 
@@ -430,6 +431,7 @@
      * @param otherZoneMillis what an upstream in another availability zone is counted as
      * @param mayTakeTried whether one that was tried may be taken if there is no other
      * @param excluded identities that are never taken
+     * @param mostAtOnce the assignments that an upstream may have at once from this instance
      * @param backlog what else an upstream has to do
      */
     record Need(
@@ -439,7 +441,11 @@
             double otherZoneMillis,
             boolean mayTakeTried,
             Set<String> excluded,
-            Backlog backlog) {}
+            int mostAtOnce,
+            Backlog backlog) {
+        /** Needs an upstream that may have any number of assignments at once. */
+        static final int ANY_NUMBER = Integer.MAX_VALUE;
+    }
 
     /** Tells what an upstream has to do before it begins with more. Thread-safe. */
     @FunctionalInterface
