The daemon logs a time to come back that it cannot read; names that say what they tell

A plain service whose Retry-After is no number of seconds was treated as one that states none, and nothing said so. It is now counted and logged as at entries. untilAnyTakesWork says what untilAnyIsTaken told; QuotaKeys.isOfUpstream had no caller. No change of behaviour otherwise: UpstreamPaceTest, UpstreamPausesTest and PlainPauseTest as before.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainForwarder.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainForwarder.java
@@ -34,6 +34,7 @@
 import org.orchidmount.internal.upstream.EngineProtocol;
 import org.orchidmount.pacing.PauseStatement;
 import org.orchidmount.pacing.RetryAfterField;
+import org.orchidmount.pacing.UnreadableStatements;
 import org.orchidmount.routing.RetryAfter;
 import org.orchidmount.routing.TableAttemptRule;
 import org.orchidmount.table.RouteRow;
@@ -60,6 +61,8 @@
     private final Parts mParts;
     private final Duration mWriteTimeout;
     private final Duration mBodyTimeout;
+    private final UnreadableStatements mUnreadable =
+            new UnreadableStatements("a time to come back that is no number of seconds");
 
     PlainForwarder(Parts parts) {
         mParts = parts;
@@ -181,8 +184,10 @@
     }
 
     private void observe(Peer peer, ClientResponse response) {
-        if (RetryAfterField.read(response) instanceof PauseStatement.Lasting pause) {
-            mParts.board().paused(peer.name(), pause.length());
+        switch (RetryAfterField.read(response)) {
+            case PauseStatement.None _ -> {}
+            case PauseStatement.Lasting pause -> mParts.board().paused(peer.name(), pause.length());
+            case PauseStatement.Unreadable pause -> mUnreadable.add(peer.name(), pause.text());
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/QuotaKeys.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/QuotaKeys.java
@@ -23,14 +23,4 @@
     public static String ofUpstream(Incarnation upstream) {
         return PREFIX + upstream;
     }
-
-    /**
-     * Tells whether a bucket is that of an upstream.
-     *
-     * @param key the key of the bucket
-     * @return false for one of a client account
-     */
-    public static boolean isOfUpstream(String key) {
-        return key.startsWith(PREFIX);
-    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UnreadableStatements.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UnreadableStatements.java
@@ -7,10 +7,9 @@
 
 import java.util.concurrent.atomic.AtomicLong;
 import org.orchidmount.internal.log.PartLog;
-import org.orchidmount.membership.Incarnation;
 
 /** Counts the statements of one kind that cannot be read, and logs some. Thread-safe. */
-final class UnreadableStatements {
+public final class UnreadableStatements {
     private static final PartLog LOG = PartLog.of("pacing");
 
     /** The longest foreign text in a line. */
@@ -19,13 +18,22 @@
     private final String mKind;
     private final AtomicLong mCount = new AtomicLong();
 
-    /** Creates it for what stands in the lines, such as "a limit that is no number". */
-    UnreadableStatements(String kind) {
+    /**
+     * Creates it without any.
+     *
+     * @param kind what stands in the lines, such as "a limit that is no number"
+     */
+    public UnreadableStatements(String kind) {
         mKind = kind;
     }
 
-    /** Logs the first, the second, the fourth and so on, so that lines stay few. */
-    void add(Incarnation upstream, String text) {
+    /**
+     * Counts one. Logs the first, the second, the fourth and so on, so that lines stay few.
+     *
+     * @param upstream the name of the upstream
+     * @param text what it states
+     */
+    public void add(String upstream, String text) {
         long count = mCount.incrementAndGet();
         if (Long.bitCount(count) == 1) {
             int length = Math.min(text.length(), MAX_LOGGED_CHARACTERS);
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
@@ -137,7 +137,7 @@
             return;
         }
         if (statement instanceof LimitStatement.Unreadable unreadable) {
-            mUnreadable.add(upstream, unreadable.text());
+            mUnreadable.add(upstream.toString(), unreadable.text());
             return;
         }
         OptionalDouble stated =
@@ -261,12 +261,15 @@
      * @param upstreams the upstreams, at least one
      * @return the time until then
      */
-    public Duration untilAnyIsTaken(Collection<Incarnation> upstreams) {
-        return upstreams.stream().map(this::untilTaken).min(Duration::compareTo).orElseThrow();
+    public Duration untilAnyTakesWork(Collection<Incarnation> upstreams) {
+        return upstreams.stream()
+                .map(this::untilItTakesWork)
+                .min(Duration::compareTo)
+                .orElseThrow();
     }
 
     /** Returns how long this instance sends nothing to an upstream. */
-    private Duration untilTaken(Incarnation upstream) {
+    private Duration untilItTakesWork(Incarnation upstream) {
         Duration untilRoom = untilRoom(upstream);
         Duration pause = mPauses.left(upstream);
         return pause.compareTo(untilRoom) > 0 ? pause : untilRoom;
@@ -337,10 +340,10 @@
                         .mapToDouble(
                                 limit -> limit.map(UpstreamPace::rate).orElse(unlimitedPerSecond))
                         .sum();
-        Duration untilTaken = untilAnyIsTaken(upstreams);
+        Duration untilOneTakesWork = untilAnyTakesWork(upstreams);
         Duration pause = pause(perSecond / mInstances.getAsInt());
-        Duration wait = mReturns.join(service, untilTaken, pause, longest);
-        Duration most = untilTaken.plus(LONGEST_QUEUE);
+        Duration wait = mReturns.join(service, untilOneTakesWork, pause, longest);
+        Duration most = untilOneTakesWork.plus(LONGEST_QUEUE);
         return wait.compareTo(most) < 0 ? wait : most;
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPauses.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPauses.java
@@ -47,7 +47,7 @@
         if (statement instanceof PauseStatement.Lasting pause) {
             extend(upstream, pause.length());
         } else if (statement instanceof PauseStatement.Unreadable unreadable) {
-            mUnreadable.add(upstream, unreadable.text());
+            mUnreadable.add(upstream.toString(), unreadable.text());
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -171,7 +171,7 @@
     private boolean noneTakesWorkBefore(long waitNanos) {
         List<Incarnation> engines = mContext.upstreams().takingWork(mService.name(), Stage.DECODE);
         return engines.isEmpty()
-                || mIsPaced && mContext.pace().untilAnyIsTaken(engines).toNanos() > waitNanos;
+                || mIsPaced && mContext.pace().untilAnyTakesWork(engines).toNanos() > waitNanos;
     }
 
     /** Tells whether the last look found that each engine is passed over for what it states. */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -323,14 +323,14 @@
     private Duration retryAfter() {
         List<Incarnation> upstreams = mContext.upstreams().takingWork(mService.name(), stage());
         if (mIsPaced && !upstreams.isEmpty()) {
-            Duration untilTaken =
+            Duration comeBackAfter =
                     mContext.pace()
                             .comeBackAfter(
                                     mService.name(),
                                     upstreams,
                                     unlimitedPerSecond(upstreams.size()),
                                     mRequest.left(mContext.clock().nanoTime()));
-            return RetryAfter.limit(untilTaken, ThreadLocalRandom.current());
+            return RetryAfter.limit(comeBackAfter, ThreadLocalRandom.current());
         }
         if (mEngines.isEmpty()) {
             return RetryAfter.plainService();
