Copies of a crashing request do not run at once because the owner of turns is busy

What callers saw: nothing of their own; a request that crashes its engine, and came in eight copies at four entries, ended four engines where three may.

Cause: once a crash is known, copies take turns that the owner of shared limits gives. An entry waited twice 50 ms for it and then gave the turn by itself, as if there were no owner. Beside a load of 22 to 25 answers took longer, most of all the first, which a voter that does not own them passes on.

Three entries first heard who the owner is 107 to 117 ms after the first; two of them then ran copies that broke off 15 ms apart, the later 12 ms after the request was quarantined.

Change: the owner is waited for twice 250 ms. Only a request under which an engine has crashed before asks; without an owner it waits that long before it runs.

Not ruled out: that a copy began before a crash was known at its entry.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/PacedTurnsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/PacedTurnsTest.java
@@ -9,6 +9,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.orchidmount.junit.ManualClock;
@@ -31,11 +32,16 @@
     private final class Owner implements QuotaOwnerClient {
         private final QuotaOwner mBuckets = new QuotaOwner();
         private boolean mIsSilent;
+        private long mAnswersAfterMillis;
 
         @Override
         public CompletableFuture<QuotaAnswer> askOwner(QuotaAsk ask) {
-            return CompletableFuture.completedFuture(
-                    mIsSilent ? QuotaAnswer.NO_OWNER : mBuckets.ask(ask, mClock.nanoTime()));
+            QuotaAnswer answer =
+                    mIsSilent ? QuotaAnswer.NO_OWNER : mBuckets.ask(ask, mClock.nanoTime());
+            return mAnswersAfterMillis == 0
+                    ? CompletableFuture.completedFuture(answer)
+                    : new CompletableFuture<QuotaAnswer>()
+                            .completeOnTimeout(answer, mAnswersAfterMillis, TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -77,6 +83,14 @@
         assertThat(mTwo.tryTake(REQUEST)).isFalse();
     }
 
+    /** Guards against two copies that run at once because a busy owner was taken for none. */
+    @Test
+    void anOwnerThatIsSlowIsWaitedFor() {
+        mOwner.mAnswersAfterMillis = 120;
+        assertThat(mOne.tryTake(REQUEST)).isTrue();
+        assertThat(mTwo.tryTake(REQUEST)).isFalse();
+    }
+
     @Test
     void withoutAnOwnerEachGivesTurnsByItself() {
         mOwner.mIsSilent = true;
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/PacedTurns.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/PacedTurns.java
@@ -27,8 +27,8 @@
     /** A burst far below one turn, so that no two are given at once. */
     private static final QuotaLimit LIMIT = new QuotaLimit(1, 0.001, 1, Duration.ofSeconds(1));
 
-    /** Some round trips; twice at most. */
-    private static final Duration OWNER_WAIT = Duration.ofMillis(50);
+    /** Waited for twice at most. An owner that is busy must not be taken for none. */
+    private static final Duration OWNER_WAIT = Duration.ofMillis(250);
 
     private final SharedQuota mQuota;
     private final Set<RequestFingerprint> mTaken = ConcurrentHashMap.newKeySet();
