A choice looks at the upstreams of its service, not at all of them

What callers saw: nothing. At the target's 7,800 upstreams a choice of a plain upstream took 1.0 to 1.5 ms and each answer 0.5 to 0.6 ms under the directory's lock, since both went through the upstreams of all services.

Change: the directory holds its upstreams by service too (UpstreamIndex). An upstream that registers for another service moves.

The pins stay as they were.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -247,6 +247,18 @@
         return served;
     }
 
+    /** Guards against requests of the service that an upstream served before. */
+    @Test
+    void anUpstreamServesTheServiceThatItNamedLast() {
+        mDirectory.update(ready("i-1", "a", 1));
+        mDirectory.update(ready("i-2", "a", 2));
+        Registration other =
+                new Registration("i-1", "t", "10.0.0.1:80", "a", 4, Stage.NONE, State.READY, 2);
+        mDirectory.update(other);
+        assertThat(mDirectory.takingWork("s", Stage.NONE)).hasSize(1);
+        assertThat(mDirectory.takingWork("t", Stage.NONE)).containsExactly(other.incarnation());
+    }
+
     /** Guards against more connections to an upstream than it accepts. */
     @Test
     void anUpstreamHasNoMoreAssignmentsAtOnceThanItMay() {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -50,7 +50,7 @@
     private static final double MIN_ORDINARY_MILLIS = 1;
 
     private final OrderedLock mLock = new OrderedLock(LockRank.BOARD);
-    private final Map<String, Upstream> mUpstreams = new HashMap<>();
+    private final UpstreamIndex mUpstreams = new UpstreamIndex();
     private final Map<String, String> mIdByAddress = new HashMap<>();
     private final MonotonicClock mClock;
     private final RandomGenerator mRandom;
@@ -142,7 +142,7 @@
                 return Optional.ofNullable(known);
             }
             Incarnation before = known.incarnation();
-            known.update(registration);
+            mUpstreams.update(known, registration);
             if (!known.incarnation().equals(before)) {
                 mIdByAddress.put(registration.address(), registration.id());
             }
@@ -159,9 +159,9 @@
 
     private void begin(Registration registration) {
         if (mUpstreams.size() > FORGET_COUNT) {
-            mUpstreams.values().removeIf(upstream -> !upstream.isReady());
+            mUpstreams.removeIf(upstream -> !upstream.isReady());
         }
-        mUpstreams.put(registration.id(), new Upstream(registration));
+        mUpstreams.put(new Upstream(registration));
         mIdByAddress.put(registration.address(), registration.id());
     }
 
@@ -210,7 +210,7 @@
      */
     List<Incarnation> takingWork(String service, Stage stage) {
         try (OrderedLock.Held _ = mLock.hold()) {
-            return mUpstreams.values().stream()
+            return mUpstreams.ofService(service).stream()
                     .filter(upstream -> takesWork(upstream, service, stage))
                     .map(Upstream::incarnation)
                     .toList();
@@ -226,7 +226,7 @@
      */
     int slots(String service, Stage stage) {
         try (OrderedLock.Held _ = mLock.hold()) {
-            return mUpstreams.values().stream()
+            return mUpstreams.ofService(service).stream()
                     .filter(upstream -> takesWork(upstream, service, stage))
                     .mapToInt(upstream -> upstream.registration().slots())
                     .sum();
@@ -243,7 +243,7 @@
      */
     Set<String> unfit(String service, Stage stage, Predicate<String> isFit) {
         try (OrderedLock.Held _ = mLock.hold()) {
-            return mUpstreams.values().stream()
+            return mUpstreams.ofService(service).stream()
                     .filter(upstream -> upstream.serves(service, stage))
                     .map(upstream -> upstream.registration().id())
                     .filter(isFit.negate())
@@ -254,7 +254,7 @@
     private List<Upstream> candidates(Need need, Set<Incarnation> tried) {
         List<Upstream> untriedOnes = new ArrayList<>();
         List<Upstream> triedOnes = new ArrayList<>();
-        for (Upstream upstream : mUpstreams.values()) {
+        for (Upstream upstream : mUpstreams.ofService(need.service())) {
             if (isCandidate(upstream, need)) {
                 boolean wasTried = tried.contains(upstream.incarnation());
                 (wasTried ? triedOnes : untriedOnes).add(upstream);
@@ -286,7 +286,7 @@
             return Slowness.ORDINARY;
         }
         return Slowness.unobserved(
-                mUpstreams.values().stream()
+                mUpstreams.ofService(service).stream()
                         .filter(upstream -> takesWork(upstream, service, stage))
                         .map(Upstream::slowness),
                 nowNanos);
@@ -388,7 +388,7 @@
             long nowNanos = mClock.nanoTime();
             Set<String> avoided = new HashSet<>();
             boolean hasOther = false;
-            for (Upstream upstream : mUpstreams.values()) {
+            for (Upstream upstream : mUpstreams.ofService(service)) {
                 if (!takesWork(upstream, service, stage)) {
                     continue;
                 }
