One piece each for what is told twice of pauses; heartbeats leave the index alone

UpstreamIndex took each upstream out of its service and put it back with every registration; it does so now only if the service is another one. The time to come back of a refusal of the daemon's plain services stood in two places (PlainForwarder. comeBackAfterMillis), as did the words of an unreadable one (UnreadableStatements.ofTimesToComeBack). No change of behaviour.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainForwarder.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainForwarder.java
@@ -61,8 +61,7 @@
     private final Parts mParts;
     private final Duration mWriteTimeout;
     private final Duration mBodyTimeout;
-    private final UnreadableStatements mUnreadable =
-            new UnreadableStatements("a time to come back that is no number of seconds");
+    private final UnreadableStatements mUnreadable = UnreadableStatements.ofTimesToComeBack();
 
     PlainForwarder(Parts parts) {
         mParts = parts;
@@ -148,14 +147,15 @@
                                 StatusCodes.SERVICE_UNAVAILABLE,
                                 "no_upstream",
                                 message,
-                                Math.max(RetryAfter.TABLE_MILLIS, untilPauseEnds(route)));
+                                comeBackAfterMillis(route));
         count(refusal.outcome());
         Answers.refuse(exchange, id, refusal, mWriteTimeout);
     }
 
-    /** Returns the milliseconds until an instance of the route takes work; 0 if one may now. */
-    long untilPauseEnds(RouteRow route) {
-        return mParts.board().untilPauseEnds(route.pool()).toMillis();
+    /** Returns when to come back: not before an upstream of the route takes work. */
+    long comeBackAfterMillis(RouteRow route) {
+        Duration untilPauseEnds = mParts.board().untilPauseEnds(route.pool());
+        return Math.max(RetryAfter.TABLE_MILLIS, untilPauseEnds.toMillis());
     }
 
     /** Makes one call; returns null if the whole answer was passed on. */
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainHandler.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainHandler.java
@@ -186,9 +186,7 @@
                                     StatusCodes.SERVICE_UNAVAILABLE,
                                     "no_upstream",
                                     Messages.NO_UPSTREAM.formatted("the route"),
-                                    Math.max(
-                                            RetryAfter.TABLE_MILLIS,
-                                            mForwarder.untilPauseEnds(route)));
+                                    mForwarder.comeBackAfterMillis(route));
                     case ClaimResult.Mismatch _ ->
                             Refusal.bad(
                                     StatusCodes.UNPROCESSABLE_ENTITY,
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UnreadableStatements.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UnreadableStatements.java
@@ -18,13 +18,18 @@
     private final String mKind;
     private final AtomicLong mCount = new AtomicLong();
 
+    /** Creates it for what stands in the lines, such as "a limit that is no number". */
+    UnreadableStatements(String kind) {
+        mKind = kind;
+    }
+
     /**
-     * Creates it without any.
+     * Creates it for what stands in place of a pause.
      *
-     * @param kind what stands in the lines, such as "a limit that is no number"
+     * @return one without any
      */
-    public UnreadableStatements(String kind) {
-        mKind = kind;
+    public static UnreadableStatements ofTimesToComeBack() {
+        return new UnreadableStatements("a time to come back that is no number of seconds");
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPace.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.membership.Incarnation;
@@ -353,13 +354,14 @@
      * @param registration the registration
      */
     public void registered(Registration registration) {
-        mPauses.forget(upstream -> UpstreamLimits.isEnded(upstream, registration));
+        Predicate<Incarnation> hasEnded = one -> UpstreamLimits.isEnded(one, registration);
+        mPauses.forget(hasEnded);
         if (mLimits.isEmpty()) {
             return;
         }
-        mLimits.forget(upstream -> UpstreamLimits.isEnded(upstream, registration));
-        mFull.keySet().removeIf(one -> UpstreamLimits.isEnded(one, registration));
-        mLonePace.forget(upstream -> UpstreamLimits.isEnded(upstream, registration));
+        mLimits.forget(hasEnded);
+        mFull.keySet().removeIf(hasEnded);
+        mLonePace.forget(hasEnded);
     }
 
     /** Returns what was counted, for logs. */
--- a/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPauses.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/pacing/UpstreamPauses.java
@@ -29,8 +29,7 @@
     private final MonotonicClock mClock;
     private final Map<Incarnation, Long> mEndNanos = new ConcurrentHashMap<>();
     private final AtomicLong mAsked = new AtomicLong();
-    private final UnreadableStatements mUnreadable =
-            new UnreadableStatements("a time to come back that is no number of seconds");
+    private final UnreadableStatements mUnreadable = UnreadableStatements.ofTimesToComeBack();
 
     /** Creates it without any pauses. */
     public UpstreamPauses(MonotonicClock clock) {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamIndex.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamIndex.java
@@ -40,16 +40,19 @@
     void put(Upstream upstream) {
         Upstream before = mById.put(upstream.registration().id(), upstream);
         if (before != null) {
-            removeFromService(before);
+            removeFromService(before, before.registration().service());
         }
         addToService(upstream);
     }
 
     /** Passes a registration to an upstream that was added. */
     void update(Upstream upstream, Registration registration) {
-        removeFromService(upstream);
+        String before = upstream.registration().service();
         upstream.update(registration);
-        addToService(upstream);
+        if (!upstream.registration().service().equals(before)) {
+            removeFromService(upstream, before);
+            addToService(upstream);
+        }
     }
 
     void removeIf(Predicate<Upstream> isForgotten) {
@@ -65,12 +68,11 @@
                 .put(registration.id(), upstream);
     }
 
-    private void removeFromService(Upstream upstream) {
-        Registration registration = upstream.registration();
-        Map<String, Upstream> upstreams = mByService.get(registration.service());
-        upstreams.remove(registration.id());
+    private void removeFromService(Upstream upstream, String service) {
+        Map<String, Upstream> upstreams = mByService.get(service);
+        upstreams.remove(upstream.registration().id());
         if (upstreams.isEmpty()) {
-            mByService.remove(registration.service());
+            mByService.remove(service);
         }
     }
 }
