--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -33,20 +33,17 @@
 /** Tests {@code UpstreamDirectory}. */
 final class UpstreamDirectoryTest {
     private static final UpstreamDirectory.Need NEED =
-            new UpstreamDirectory.Need(
-                    "s",
-                    Stage.NONE,
-                    70,
-                    15,
-                    true,
-                    Set.of(),
-                    ANY_NUMBER,
-                    UpstreamDirectory.Backlog.OWN);
+            need(Stage.NONE, Set.of(), ANY_NUMBER, UpstreamDirectory.Backlog.OWN);
 
     private final ManualClock mClock = new ManualClock();
     private final UpstreamDirectory mDirectory =
             new UpstreamDirectory("a", mClock, new SplittableRandom(3));
 
+    private static UpstreamDirectory.Need need(
+            Stage stage, Set<String> excluded, int mostAtOnce, UpstreamDirectory.Backlog backlog) {
+        return new UpstreamDirectory.Need("s", stage, 70, 15, true, excluded, mostAtOnce, backlog);
+    }
+
     @Test
     void theOwnZoneIsPreferredUntilItIsBusy() {
         mDirectory.update(ready("i-a", "a", 1));
@@ -169,9 +166,7 @@
     void waitingBehindOthersIsNotSlowness() {
         mDirectory.update(ready("i-a", "a", 1));
         UpstreamDirectory.Backlog queue = (id, ownMillis) -> 630;
-        UpstreamDirectory.Need queued =
-                new UpstreamDirectory.Need(
-                        "s", Stage.PREFILL, 70, 15, true, Set.of(), ANY_NUMBER, queue);
+        UpstreamDirectory.Need queued = need(Stage.PREFILL, Set.of(), ANY_NUMBER, queue);
         mDirectory.update(engine("i-p"));
         for (int i = 0; i < 20; i++) {
             Assignment assignment = mDirectory.assign(queued, Set.of()).get();
@@ -227,15 +222,7 @@
     /** Serves requests one after another; returns how many each upstream got. */
     private Map<String, Integer> serve(int requests, int workMillis, Set<String> passedOver) {
         UpstreamDirectory.Need need =
-                new UpstreamDirectory.Need(
-                        "s",
-                        Stage.NONE,
-                        70,
-                        15,
-                        true,
-                        passedOver,
-                        ANY_NUMBER,
-                        UpstreamDirectory.Backlog.OWN);
+                need(Stage.NONE, passedOver, ANY_NUMBER, UpstreamDirectory.Backlog.OWN);
         Map<String, Integer> served = new HashMap<>();
         for (int i = 0; i < requests; i++) {
             Assignment assignment = mDirectory.assign(need, Set.of()).get();
@@ -264,9 +251,7 @@
     void anUpstreamHasNoMoreAssignmentsAtOnceThanItMay() {
         mDirectory.update(ready("i-1", "a", 1));
         mDirectory.update(ready("i-2", "a", 2));
-        UpstreamDirectory.Need need =
-                new UpstreamDirectory.Need(
-                        "s", Stage.NONE, 70, 15, true, Set.of(), 2, UpstreamDirectory.Backlog.OWN);
+        UpstreamDirectory.Need need = need(Stage.NONE, Set.of(), 2, UpstreamDirectory.Backlog.OWN);
         List<Assignment> held = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             held.add(mDirectory.assign(need, Set.of()).get());
@@ -284,9 +269,7 @@
         mDirectory.update(ready("i-a", "a", 1));
         mDirectory.update(ready("i-b", "b", 2));
         UpstreamDirectory.Backlog queue = (id, ownMillis) -> id.equals("i-a") ? 400 : ownMillis;
-        UpstreamDirectory.Need need =
-                new UpstreamDirectory.Need(
-                        "s", Stage.NONE, 70, 15, true, Set.of(), ANY_NUMBER, queue);
+        UpstreamDirectory.Need need = need(Stage.NONE, Set.of(), ANY_NUMBER, queue);
         assertThat(mDirectory.assign(need, Set.of()).get().id()).isEqualTo("i-b");
     }
 
