A closed node's thread has ended before its links are closed

Cause: TaskThread.close interrupted the running task and returned at once, so VoterNode.close walked over the links beside it. Ruled out: a second thread of the node; links are changed by the node's thread only.

Change: close waits, at most 5 s, until the running task has ended; a task that closes its own node does not wait.

--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/TaskThread.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/TaskThread.java
@@ -5,6 +5,7 @@
  */
 package org.orchidmount.cluster;
 
+import java.time.Duration;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -16,7 +17,11 @@
  * Thread-safe.
  */
 final class TaskThread implements AutoCloseable {
+    /** Maximum wait for a running task; tasks do no I/O that takes longer. */
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
+
     private final PartLog mLog;
+    private volatile Thread mThread;
     private final ScheduledThreadPoolExecutor mExecutor;
 
     /**
@@ -29,7 +34,11 @@
         mLog = log;
         mExecutor =
                 new ScheduledThreadPoolExecutor(
-                        1, Thread.ofPlatform().name(name).daemon().factory());
+                        1,
+                        task -> {
+                            mThread = Thread.ofPlatform().name(name).daemon().unstarted(task);
+                            return mThread;
+                        });
         mExecutor.setRemoveOnCancelPolicy(true);
     }
 
@@ -61,8 +70,22 @@
         }
     }
 
+    /**
+     * Drops the queued tasks, interrupts the running one and waits until it has ended, so that the
+     * caller may access the node's state afterwards. Does not wait if called by a task.
+     */
     @Override
     public void close() {
         mExecutor.shutdownNow();
+        if (Thread.currentThread() == mThread) {
+            return;
+        }
+        try {
+            if (!mExecutor.awaitTermination(CLOSE_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS)) {
+                mLog.warn("a task is still running %d s after the end", CLOSE_TIMEOUT.toSeconds());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
