Shared state: the setting, the slots of engines, and when it is in force

Shared state must be off at sites that do not set it, and at sites where an entry contacts each engine often enough to know it from its own requests.

There is no default for entriesPerSlot inside the object: an empty object states nothing.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/settings/SiteSettingsReaderTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/settings/SiteSettingsReaderTest.java
@@ -99,6 +99,50 @@
         assertThat(invalid.problems().getFirst().line()).isEqualTo(9);
     }
 
+    /**
+     * Guards against shared state that is in force at a site whose operators did not ask for it.
+     */
+    @Test
+    void sharedStateIsOffUnlessSet() throws IOException {
+        SiteSettings absent = ((SiteSettingsReader.Result.Valid) read(ENTRY)).settings();
+        assertThat(absent.sharedState()).isEmpty();
+        SiteSettings stated =
+                ((SiteSettingsReader.Result.Valid)
+                                read(withSharedState("{ \"entriesPerSlot\": 6 }")))
+                        .settings();
+        assertThat(stated.sharedState()).hasValue(new SiteSettings.SharedState(6));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "{ \"entriesPerSlot\": 0 } | sharedState.entriesPerSlot | from 1 to 1000",
+                "{ \"entriesPerSlot\": 1001 } | sharedState.entriesPerSlot | from 1 to 1000",
+                "{ \"entriesPerSlot\": 4.5 } | sharedState.entriesPerSlot | a whole number",
+                "{ \"entriesPerSlot\": \"4\" } | sharedState.entriesPerSlot | a whole number",
+                "{} | sharedState.entriesPerSlot | is missing; give a whole number",
+                "{ \"entries\": 4 } | sharedState.entries | is not known",
+                "4 | sharedState | must be an object in braces",
+            })
+    void badSettingsOfSharedStateStateLocationAndRemedy(String section, String path, String remedy)
+            throws IOException {
+        SiteSettingsReader.Result.Invalid invalid =
+                (SiteSettingsReader.Result.Invalid) read(withSharedState(section));
+        SettingsProblem problem =
+                invalid.problems().stream()
+                        .filter(each -> each.path().equals(path))
+                        .findFirst()
+                        .orElseThrow();
+        assertThat(problem.line()).isEqualTo(9);
+        assertThat(problem.message()).contains(remedy);
+    }
+
+    private static String withSharedState(String section) {
+        return ENTRY.replace(
+                "\"stopSeconds\"", "\"sharedState\": " + section + ", \"stopSeconds\"");
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
--- a/org.orchidmount/src/main/java/org/orchidmount/routes/RouteTable.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routes/RouteTable.java
@@ -6,6 +6,7 @@
 package org.orchidmount.routes;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -127,6 +128,15 @@
         return Optional.ofNullable(mServices.get(name));
     }
 
+    /**
+     * Returns all services.
+     *
+     * @return the services, in no particular order
+     */
+    public Collection<Service> services() {
+        return mServices.values();
+    }
+
     /**
      * Returns the route of a request: among the routes of its host, the one with the longest
      * matching path prefix.
--- a/org.orchidmount/src/main/java/org/orchidmount/routes/Service.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routes/Service.java
@@ -27,6 +27,12 @@
      *
      * @param kvCacheTokens number of tokens that fit into the KV cache of one engine
      * @param tokensPerEvent number of tokens in one event of a stream
+     * @param slots number of requests that one engine runs concurrently; 0 if unknown
      */
-    public record Engine(long kvCacheTokens, int tokensPerEvent) {}
+    public record Engine(long kvCacheTokens, int tokensPerEvent, int slots) {
+        /** Creates the properties of engines whose number of slots is unknown. */
+        public Engine(long kvCacheTokens, int tokensPerEvent) {
+            this(kvCacheTokens, tokensPerEvent, 0);
+        }
+    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/Section.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/Section.java
@@ -121,6 +121,11 @@
         return (int) number(key, (long) defaultCount, least, most, "a whole number");
     }
 
+    /** Reads a count that must be given. */
+    int requiredCount(String key, int least, int most) {
+        return (int) number(key, null, least, most, "a whole number");
+    }
+
     int bytes(String key, int defaultBytes, int least, int most) {
         return (int) number(key, (long) defaultBytes, least, most, "a whole number of bytes");
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
@@ -25,6 +25,7 @@
  * @param limits by how much a window may exceed a limit of a client account
  * @param keyRevocation after which time a withdrawn key must not be served by an instance that may
  *     not know that it is withdrawn; nothing if it may serve on
+ * @param sharedState set if entries share what they know of upstreams and of waiting requests
  * @param stop how long a planned stop may take
  * @param suspensionsAfter how long after its start an instance begins to count the time that its
  *     machine is suspended
@@ -40,6 +41,7 @@
         Retries retries,
         QuotaTolerance limits,
         Optional<Duration> keyRevocation,
+        Optional<SharedState> sharedState,
         Duration stop,
         Duration suspensionsAfter,
         Settings.Log log) {
@@ -48,6 +50,13 @@
         seeds = List.copyOf(seeds);
     }
 
+    /**
+     * When entries share what they know of upstreams and of waiting requests.
+     *
+     * @param entriesPerSlot number of entries for each slot of an engine from which on they do
+     */
+    public record SharedState(int entriesPerSlot) {}
+
     /**
      * The settings of an instance that serves callers.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -31,6 +31,9 @@
     /** Upper bound of a setting; far more than any account has. */
     private static final double MOST_TOLERATED_UNITS = 1e12;
 
+    /** Upper bound of a setting; more than the entries of any site. */
+    private static final int MOST_ENTRIES_PER_SLOT = 1_000;
+
     private SiteSettingsReader() {}
 
     /** The settings, or all that is wrong with the file. */
@@ -73,6 +76,7 @@
                         retries(root.section("retries", false)),
                         limits(root.section("accountLimits", false)),
                         keyRevocation(root),
+                        sharedState(root),
                         seconds(root.decimal("stopSeconds", 8, 0.1, LONGEST_STOP_SECONDS)),
                         millis(root, "suspensionsAfterMillis", SUSPENSIONS_AFTER_MILLIS),
                         SettingsReader.log(root.section("log", false)));
@@ -143,6 +147,16 @@
                 : Optional.empty();
     }
 
+    private static Optional<SiteSettings.SharedState> sharedState(Section root) {
+        if (!root.has("sharedState")) {
+            return Optional.empty();
+        }
+        Section section = root.section("sharedState", true);
+        int entriesPerSlot = section.requiredCount("entriesPerSlot", 1, MOST_ENTRIES_PER_SLOT);
+        section.finish();
+        return Optional.of(new SiteSettings.SharedState(entriesPerSlot));
+    }
+
     private static Duration seconds(double seconds) {
         return Duration.ofMillis(Math.round(seconds * MILLIS));
     }
