Shared state: capability and frames 15 to 17 with their codec

Entries need frames for reports, digests and waiting requests, and a single bad element must not hide those beside it.

The greeting of line 24 is that of the earlier build, so ClusterCodecTest now creates it with the capabilities of that build instead of all of today.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -10,6 +10,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
@@ -46,6 +47,14 @@
                     new RequestFingerprint("000102030405060708090a0b0c0d0e0f"), 2, 4, 3, 70);
 
     static List<ClusterMessage> messages() {
+        List<ClusterMessage> messages = new ArrayList<>(earlierMessages());
+        messages.add(new ClusterMessage.Greeting(1, "a", "zone-a", A, Capability.own()));
+        messages.addAll(SharedStateCodecTest.messages());
+        return messages;
+    }
+
+    /** Messages as sent before entries shared state. */
+    private static List<ClusterMessage> earlierMessages() {
         return List.of(
                 new ClusterMessage.Greeting(1, "a", "zone-a", A),
                 new ClusterMessage.Greeting(1, "a", "zone-a", null),
@@ -80,7 +89,12 @@
                         List.of(sequence(startedEngine("i-2").incarnation()))),
                 new ClusterMessage.Greeting(1, "a", "zone-a", A, Set.of(Capability.CRASH_RECORDS)),
                 new ClusterMessage.CrashRecords(List.of(CRASHES)),
-                new ClusterMessage.Greeting(1, "a", "zone-a", A, Capability.own()),
+                new ClusterMessage.Greeting(
+                        1,
+                        "a",
+                        "zone-a",
+                        A,
+                        Set.of(Capability.CRASH_RECORDS, Capability.UPSTREAM_LIMITS)),
                 new ClusterMessage.UpstreamLimitRecords(
                         List.of(
                                 new UpstreamLimit(
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/Capability.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/Capability.java
@@ -26,7 +26,13 @@
      * them. With a voter that does not support it, each entry keeps to an equal share of a limit;
      * an entry that does not support it keeps to none.
      */
-    UPSTREAM_LIMITS(2);
+    UPSTREAM_LIMITS(2),
+
+    /**
+     * Accepts evidence about upstreams and waiting requests. An entry without it, or with voters
+     * that do not support it, decides from its own observations.
+     */
+    SHARED_STATE(4);
 
     private final int mBit;
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -21,6 +21,8 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 import org.orchidmount.cluster.ClusterMessage.CrashRecords;
+import org.orchidmount.cluster.ClusterMessage.EvidenceDigestMessage;
+import org.orchidmount.cluster.ClusterMessage.EvidenceReportMessage;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.InFlightSequences;
 import org.orchidmount.cluster.ClusterMessage.KeepAlive;
@@ -35,6 +37,7 @@
 import org.orchidmount.cluster.ClusterMessage.TableRequest;
 import org.orchidmount.cluster.ClusterMessage.UpstreamLimitRecords;
 import org.orchidmount.cluster.ClusterMessage.Voters;
+import org.orchidmount.cluster.ClusterMessage.WaitingRequestsMessage;
 import org.orchidmount.consensus.DurableState;
 import org.orchidmount.consensus.EntryId;
 import org.orchidmount.consensus.GroupState;
@@ -85,6 +88,9 @@
     private static final int QUOTA_RETURN = 12;
     private static final int CRASH_RECORDS = 13;
     private static final int UPSTREAM_LIMITS = 14;
+    private static final int EVIDENCE_REPORT = 15;
+    private static final int EVIDENCE_DIGEST = 16;
+    private static final int WAITING_REQUESTS = 17;
 
     /** Type numbers of consensus frames, part of the protocol. */
     private static final int VOTE_REQUEST = 20;
@@ -135,6 +141,15 @@
             out.packInt(QUOTA_REPLY).packLong(reply.number());
             out.packInt(reply.answer().outcome().ordinal());
             out.packLong(reply.answer().retryAfter().toNanos()).packString(reply.owner());
+        } else if (message instanceof WaitingRequestsMessage waiting) {
+            out.packInt(WAITING_REQUESTS);
+            SharedStateCodec.writeWaiting(out, waiting.requests());
+        } else if (message instanceof EvidenceDigestMessage evidence) {
+            out.packInt(EVIDENCE_DIGEST);
+            SharedStateCodec.writeDigest(out, evidence.digest());
+        } else if (message instanceof EvidenceReportMessage evidence) {
+            out.packInt(EVIDENCE_REPORT);
+            SharedStateCodec.writeReport(out, evidence.report());
         } else if (message instanceof Registrations registrations) {
             writeRegistrations(out, registrations);
         } else if (message instanceof RegistrationsAck held) {
@@ -295,6 +310,12 @@
             case REGISTRATIONS_ACK -> new RegistrationsAck(in.unpackLong());
             case CRASH_RECORDS -> new CrashRecords(CrashRecordCodec.read(in));
             case UPSTREAM_LIMITS -> new UpstreamLimitRecords(UpstreamLimitCodec.read(in));
+            case EVIDENCE_REPORT ->
+                    new EvidenceReportMessage(SharedStateCodec.readReport(in, rejections));
+            case EVIDENCE_DIGEST ->
+                    new EvidenceDigestMessage(SharedStateCodec.readDigest(in, rejections));
+            case WAITING_REQUESTS ->
+                    new WaitingRequestsMessage(SharedStateCodec.readWaiting(in, rejections));
             case QUOTA_REQUEST -> readQuotaRequest(in);
             case QUOTA_REPLY -> readQuotaReply(in);
             case QUOTA_RETURN -> new QuotaReturn(in.unpackString(), readCount(in));
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
@@ -9,12 +9,15 @@
 import java.util.Set;
 import org.orchidmount.consensus.Member;
 import org.orchidmount.consensus.ReplicaMessage;
+import org.orchidmount.evidence.EvidenceDigest;
+import org.orchidmount.evidence.EvidenceReport;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.pacing.UpstreamLimit;
 import org.orchidmount.quarantine.CrashRecord;
 import org.orchidmount.quota.QuotaAnswer;
 import org.orchidmount.quota.QuotaRequest;
+import org.orchidmount.waiting.WaitingRequest;
 
 /**
  * A message between instances.
@@ -73,6 +76,31 @@
         }
     }
 
+    /**
+     * What an entry has observed of upstreams, for a voter.
+     *
+     * @param report the observations since the previous report
+     */
+    record EvidenceReportMessage(EvidenceReport report) implements ClusterMessage {}
+
+    /**
+     * Merged evidence of a voter, for an entry.
+     *
+     * @param digest the evidence that has changed
+     */
+    record EvidenceDigestMessage(EvidenceDigest digest) implements ClusterMessage {}
+
+    /**
+     * Requests that wait for memory of decode engines.
+     *
+     * @param requests the requests, in the order of their announcement
+     */
+    record WaitingRequestsMessage(List<WaitingRequest> requests) implements ClusterMessage {
+        public WaitingRequestsMessage {
+            requests = List.copyOf(requests);
+        }
+    }
+
     /** Keep-alive, sent on an otherwise idle link. */
     record KeepAlive() implements ClusterMessage {}
 
