Shared state: entries report and announce, voters merge and relay

Entries must learn of failures and of waiting requests from each other, and a site without the setting, or with too few entries, must send no frame.

EntrySharedState sends reports (every 0.5 s, urgent ones immediately) and waiting requests to one voter in each zone that supports them, as sequences are sent, and hands on what it receives while SharedStateGate says so. VoterSharedState merges reports, relays waiting requests in batches of 8 ms and sends digests: new failures after at least 20 ms, the rest once a second. An entry does not get back its own waiting requests: voters relay to all near entries, so the entry drops those that it announced itself within 2 s. While no voter can be reached, reports are drained and lost, since evidence that is reported late would count as new.

Ruled out: a voter that leaves out the announcing entry, which would need a frame of its own for each recipient; a poll every 20 ms, which wakes a voter without work.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterSite.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterSite.java
@@ -12,11 +12,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.orchidmount.clock.SystemMonotonicClock;
 import org.orchidmount.consensus.Timing;
 import org.orchidmount.junit.Await;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
+import org.orchidmount.routes.RouteTableParser;
 
 /** Voters and entries of one site in this process, without tables. Confined to one thread. */
 final class VoterSite implements AutoCloseable {
@@ -98,16 +101,19 @@
 
     /** Starts an entry. */
     EntryNode addEntry(String name) {
+        return addEntry(
+                name,
+                "zone-0",
+                document -> {
+                    throw new IllegalArgumentException("there is no table here");
+                });
+    }
+
+    /** Starts an entry that reads tables. */
+    EntryNode addEntry(String name, String zone, RouteTableParser parser) {
         EntryNode entry =
                 new EntryNode(
-                        name,
-                        "zone-0",
-                        mAddresses,
-                        document -> {
-                            throw new IllegalArgumentException("there is no table here");
-                        },
-                        new Nothing(),
-                        new SystemMonotonicClock());
+                        name, zone, mAddresses, parser, new Nothing(), new SystemMonotonicClock());
         mEntries.add(entry);
         return entry;
     }
@@ -118,6 +124,28 @@
         entry.close();
     }
 
+    /** Commits a table. */
+    void putTable(long version, byte[] document) {
+        Await.until(
+                "table committed",
+                LONGEST,
+                () ->
+                        mVoters.stream()
+                                .map(voter -> voter.putTable(version, document))
+                                .anyMatch(VoterSite::isAccepted));
+    }
+
+    private static boolean isAccepted(CompletableFuture<TableReply> asked) {
+        return asked.completeOnTimeout(null, 800, TimeUnit.MILLISECONDS).join()
+                instanceof TableReply.Accepted;
+    }
+
+    /** Ends a voter for good. */
+    void endVoter(VoterNode voter) {
+        mVoters.remove(voter);
+        voter.close();
+    }
+
     /** Ends a voter and starts it again with its disk. */
     void restartVoter(int voter) throws IOException {
         mVoters.get(voter).close();
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -18,10 +18,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.InFlightSequences;
-import org.orchidmount.cluster.ClusterMessage.KeepAlive;
 import org.orchidmount.cluster.ClusterMessage.QuotaReply;
 import org.orchidmount.cluster.ClusterMessage.Registrations;
 import org.orchidmount.cluster.ClusterMessage.RegistrationsAck;
@@ -30,6 +30,8 @@
 import org.orchidmount.cluster.ClusterMessage.TableRequest;
 import org.orchidmount.cluster.ClusterMessage.Voters;
 import org.orchidmount.consensus.Member;
+import org.orchidmount.evidence.EvidenceReceiver;
+import org.orchidmount.evidence.EvidenceSource;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.load.SequenceAnnouncer;
@@ -46,6 +48,9 @@
 import org.orchidmount.quota.QuotaRequest;
 import org.orchidmount.routes.RouteTable;
 import org.orchidmount.routes.RouteTableParser;
+import org.orchidmount.waiting.WaitingAnnouncer;
+import org.orchidmount.waiting.WaitingReceiver;
+import org.orchidmount.waiting.WaitingRequest;
 
 /**
  * The cluster node of an entry: receives the route table and the upstream registrations from the
@@ -60,6 +65,7 @@
                 QuotaOwnerClient,
                 CrashAnnouncer,
                 UpstreamLimitAnnouncer,
+                WaitingAnnouncer,
                 AutoCloseable {
     private static final PartLog LOG = PartLog.of("entry");
 
@@ -104,7 +110,7 @@
     private final Listener mListener;
     private final Greeting mGreeting;
     private final Set<HostPort> mSeeds;
-    private final Link.Handler mHandler = new LinkEvents();
+    private final Link.Handler mHandler = new LinkTasks(mTasks, this::onMessage, this::onClosed);
     private final Map<HostPort, Dialer> mDialers = new HashMap<>();
     private final Map<HostPort, Long> mSeenNanos = new HashMap<>();
 
@@ -117,6 +123,7 @@
     private final Map<String, OwnSequence> mOwnSequences = new HashMap<>();
     private final QuotaRequests mQuotaRequests;
     private final EntryRecords mRecords;
+    private final EntrySharedState mSharedState;
     private final CountDownLatch mFirstTable = new CountDownLatch(1);
     private final long mStartNanos;
     private long mTableRequestedNanos;
@@ -181,6 +188,7 @@
         mSeeds = Set.copyOf(seeds);
         mQuotaRequests = new QuotaRequests(node.hashCode());
         mRecords = new EntryRecords(node, clock);
+        mSharedState = new EntrySharedState(this::sendSharedState, mTasks, clock);
         mStartNanos = clock.nanoTime();
         mTableRequestedNanos = mStartNanos - TABLE_REQUEST_INTERVAL.toNanos();
         mLastUnlinkedNanos = mStartNanos;
@@ -277,15 +285,28 @@
      * was lost just before, its zone learns of the sequences with the next progress announcement.
      */
     private void announce(List<InFlightSequence> sequences) {
-        Frame frame = new Frame(new InFlightSequences(sequences));
+        sendToEachZone(new InFlightSequences(sequences), voter -> true);
+    }
+
+    private void sendSharedState(ClusterMessage message) {
+        sendToEachZone(message, voter -> supports(voter, Capability.SHARED_STATE));
+    }
+
+    private void sendToEachZone(ClusterMessage message, Predicate<Link> isRecipient) {
+        Frame frame = new Frame(message);
         Set<String> reached = new HashSet<>();
         for (Link link : mNotices.sequencedKeySet().reversed()) {
-            if (link.isOpen() && reached.add(zoneOf(link))) {
+            if (link.isOpen() && isRecipient.test(link) && reached.add(zoneOf(link))) {
                 link.send(frame);
             }
         }
     }
 
+    private boolean supports(Link voter, Capability capability) {
+        Greeting greeting = mGreetings.get(voter);
+        return greeting != null && greeting.supports(capability);
+    }
+
     private String zoneOf(Link voter) {
         Greeting greeting = mGreetings.get(voter);
         return greeting == null ? "" : greeting.zone();
@@ -349,6 +370,41 @@
         mTasks.post(() -> mRecords.announce(limit));
     }
 
+    /**
+     * Shares state with the other entries while a gate determines that it is in force. Called once;
+     * without it, no such state is sent or used.
+     *
+     * @param gate determines whether shared state is in force
+     * @param source the source of reports to voters
+     * @param evidence the receiver of digests
+     * @param waiting the receiver of waiting requests of other entries
+     */
+    public void shareState(
+            SharedStateGate gate,
+            EvidenceSource source,
+            EvidenceReceiver evidence,
+            WaitingReceiver waiting) {
+        mTasks.post(
+                () -> {
+                    mSharedState.share(gate, source, evidence, waiting);
+                    mSharedState.update(mTable, mEntryCount);
+                });
+    }
+
+    /**
+     * Returns whether state is shared with the other entries.
+     *
+     * @return true while the setting, the table in force and the number of entries require it
+     */
+    public boolean isSharedStateInForce() {
+        return mSharedState.isInForce();
+    }
+
+    @Override
+    public void announce(WaitingRequest request) {
+        mTasks.post(() -> mSharedState.announce(request));
+    }
+
     /**
      * Announces to all voters that an upstream is leaving, as stated in one of its responses to
      * this instance. The voters hold and forward this as if the upstream had registered it. Returns
@@ -437,7 +493,7 @@
             voters.members().forEach(this::addVoter);
         } else if (message instanceof Greeting greeting) {
             onGreeting(link, greeting);
-        } else {
+        } else if (!mSharedState.received(mLinks.get(link), message)) {
             mRecords.received(message);
         }
     }
@@ -445,6 +501,7 @@
     private void onNotice(Link link, TableNotice notice) {
         mNotices.putLast(link, notice);
         mEntryCount = Math.max(1, largestEntryCount());
+        mSharedState.update(mTable, mEntryCount);
         requestNewerTableAndCheckReadiness();
         boolean isNewest = mTable != null && mTable.version() >= notice.version();
         if (notice.hasQuorum() && isNewest) {
@@ -530,6 +587,7 @@
         try {
             mTable = mParser.parse(document.document());
             mFirstTable.countDown();
+            mSharedState.update(mTable, mEntryCount);
             LOG.info("table %d is in force", document.version());
         } catch (IllegalArgumentException e) {
             LOG.error("table " + document.version() + " cannot be parsed and is not applied", e);
@@ -573,21 +631,8 @@
     @Override
     public void close() {
         mTasks.close();
+        mSharedState.close();
         Set<Dialer> dialers = new HashSet<>(mDialers.values());
         dialers.forEach(Dialer::close);
     }
-
-    private final class LinkEvents implements Link.Handler {
-        @Override
-        public void received(Link link, ClusterMessage message) {
-            if (!(message instanceof KeepAlive)) {
-                mTasks.post(() -> onMessage(link, message));
-            }
-        }
-
-        @Override
-        public void closed(Link link) {
-            mTasks.post(() -> onClosed(link));
-        }
-    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.consensus.Member;
 
@@ -39,7 +40,7 @@
     private record VoterPeer(HostPort address, String zone, Set<Capability> capabilities) {}
 
     /** An entry at the other end of a link. */
-    private record EntryPeer(String node, String zone, Set<Capability> capabilities) {}
+    record EntryPeer(String node, String zone, Set<Capability> capabilities) {}
 
     VoterLinks(HostPort self, Greeting greeting, Collection<HostPort> seeds, Link.Handler handler) {
         mSelf = self;
@@ -92,6 +93,11 @@
         return Optional.ofNullable(mVoterLinks.get(link)).map(VoterPeer::address);
     }
 
+    /** Returns the entry at the other end of a link; empty if the peer is none. */
+    Optional<EntryPeer> entry(Link link) {
+        return Optional.ofNullable(mEntryLinks.get(link));
+    }
+
     void closed(Link link) {
         mVoterLinks.remove(link);
         mEntryLinks.remove(link);
@@ -152,6 +158,15 @@
      * without a voter linked to this one.
      */
     void sendToNearEntries(ClusterMessage message) {
+        sendToNearEntries(new Frame(message), entry -> true);
+    }
+
+    /** Sends a frame to those near entries that support a capability. */
+    void sendToNearEntriesSupporting(Capability capability, Frame frame) {
+        sendToNearEntries(frame, entry -> entry.capabilities().contains(capability));
+    }
+
+    private void sendToNearEntries(Frame frame, Predicate<EntryPeer> isRecipient) {
         Set<String> otherZones = new HashSet<>();
         mVoterLinks.forEach(
                 (link, voter) -> {
@@ -160,9 +175,12 @@
                     }
                 });
         otherZones.remove(mGreeting.zone());
-        Frame frame = new Frame(message);
         mEntryLinks.forEach(
-                (link, entry) -> sendIf(!otherZones.contains(entry.zone()), link, frame));
+                (link, entry) ->
+                        sendIf(
+                                !otherZones.contains(entry.zone()) && isRecipient.test(entry),
+                                link,
+                                frame));
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -20,8 +20,6 @@
 import java.util.function.Supplier;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
-import org.orchidmount.cluster.ClusterMessage.InFlightSequences;
-import org.orchidmount.cluster.ClusterMessage.KeepAlive;
 import org.orchidmount.cluster.ClusterMessage.QuotaRequestMessage;
 import org.orchidmount.cluster.ClusterMessage.QuotaReturn;
 import org.orchidmount.cluster.ClusterMessage.Registrations;
@@ -38,6 +36,7 @@
 import org.orchidmount.consensus.Replica;
 import org.orchidmount.consensus.ReplicaEffects;
 import org.orchidmount.consensus.ReplicaMessage;
+import org.orchidmount.evidence.ReportMerger;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
@@ -83,7 +82,7 @@
     private final PendingDepartures mDepartures = new PendingDepartures();
     private final VoterQuota mQuota;
     private final VoterRecords mRecords;
-    private final SequenceRelay mSequenceRelay;
+    private final VoterSharedState mSharedState;
 
     /** Registrations received from upstreams since the last batch to the other voters. */
     private final Map<String, Registration> mUnsent = new HashMap<>();
@@ -105,7 +104,7 @@
         mSelf = new Member(durable.self(), config.address().toString(), config.controlAddress());
         Greeting greeting =
                 new Greeting(PROTOCOL, config.node(), config.zone(), mSelf, Capability.own());
-        Link.Handler handler = new LinkEvents();
+        Link.Handler handler = new LinkTasks(mTasks, this::onMessage, this::onClosed);
         mPersister = new Persister<>("disk", write -> file.write(write.state()), this::onPersisted);
         mReplica =
                 new Replica(
@@ -123,7 +122,7 @@
                         config.seeds().stream().map(VoterConfig.Seed::address).toList(),
                         handler);
         mRecords = new VoterRecords(config.node(), config.folder(), mLinks, clock);
-        mSequenceRelay = new SequenceRelay(mLinks, mTasks);
+        mSharedState = new VoterSharedState(mLinks, mTasks, clock);
         mServer = new LinkServer(config.address(), greeting, handler);
         mStages =
                 new StageController(
@@ -271,6 +270,17 @@
         return query(() -> mRecords.limits().limitsWithUse(mQuota));
     }
 
+    // ---- Shared state
+
+    /**
+     * Merges the evidence that entries report, and sends them digests of it, from now on.
+     *
+     * @param merger the merger, called on this voter's thread only
+     */
+    public void mergeReports(ReportMerger merger) {
+        mTasks.post(() -> mSharedState.mergeWith(merger, mRegistry.all()));
+    }
+
     /** Evaluates a query on the voter's thread. */
     private <T> CompletableFuture<T> query(Supplier<T> query) {
         CompletableFuture<T> answer = new CompletableFuture<>();
@@ -436,6 +446,7 @@
     }
 
     private void forward(List<Registration> changed) {
+        changed.forEach(mSharedState::onRegistration);
         Registrations message = new Registrations(0, changed);
         mLinks.sendToVoters(message);
         mLinks.sendToEntries(message);
@@ -465,8 +476,6 @@
         }
         if (message instanceof Replication replication) {
             onReplication(replication);
-        } else if (message instanceof InFlightSequences announced) {
-            mSequenceRelay.add(announced);
         } else if (message instanceof QuotaRequestMessage quotaRequest) {
             onQuotaRequest(link, quotaRequest);
         } else if (message instanceof QuotaReturn units) {
@@ -479,11 +488,15 @@
             link.send(new TableDocument(mCommitted.tableVersion(), mCommitted.tableDocument()));
         } else if (message instanceof Voters voters) {
             voters.members().forEach(this::learn);
-        } else {
+        } else if (!mSharedState.received(link, message)) {
             mRecords.received(message);
         }
     }
 
+    private void onClosed(Link link) {
+        mLinks.closed(link);
+    }
+
     /** Ticks the replica first: if this process was suspended, another voter may lead by now. */
     private void onQuotaRequest(Link link, QuotaRequestMessage message) {
         long nowNanos = mClock.nanoTime();
@@ -644,25 +657,12 @@
     public void close() {
         mServer.close();
         mTasks.close();
+        mSharedState.close();
         mPersister.close();
         mRecords.close();
         mLinks.close();
     }
 
-    private final class LinkEvents implements Link.Handler {
-        @Override
-        public void received(Link link, ClusterMessage message) {
-            if (!(message instanceof KeepAlive)) {
-                mTasks.post(() -> onMessage(link, message));
-            }
-        }
-
-        @Override
-        public void closed(Link link) {
-            mTasks.post(() -> mLinks.closed(link));
-        }
-    }
-
     private final class Effects implements ReplicaEffects {
         @Override
         public void send(Member to, ReplicaMessage message) {
