--- a/org.orchidmount/src/main/java/org/orchidmount/internal/lock/LockRank.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/lock/LockRank.java
@@ -24,6 +24,8 @@
     CLAIMS,
     /** Idle connections to upstreams. */
     CONNECTIONS,
+    /** Evidence about upstreams. */
+    EVIDENCE,
     /** Crashes of upstreams that are not proved yet. */
     CRASHES,
     /** Records of requests that crash upstreams. */
