Evidence: upstreams are chosen by what all entries have observed

Cause: an entry contacts a given engine about once in 100 s. Each entry learned about a dark or slow engine separately, each time at the expense of a caller.

Change: UpstreamDirectory reports outcomes to UpstreamEvidenceView, avoids what is ejected, and scales the time at an engine by its own slowness, which thereby applies to estimates and prefill time-outs. EngineCosts (from EnginePlacer) and EngineLoads use the speed of each engine for memory growth, idle checks and cost; the cost of a decode engine includes a tenth of the extra time of a mean output. A prompt is not prefilled unsplit where that pauses other streams beyond the largest event gap, unless no other engine is left. SequenceTracker and Prefiller measure.

Ruled out: a component of RelayContext of its own. The directory needs the view anyway, and Relay takes it from there, so that no constructor of Relay changes.

--- a/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/load/EngineLoads.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.orchidmount.clock.Millis;
 import org.orchidmount.clock.MonotonicClock;
@@ -184,12 +185,26 @@
      */
     public Set<String> saturatedEngines(
             InFlightSequence candidate, long memoryTokens, EngineSpeed speed) {
+        return saturatedEngines(candidate, memoryTokens, upstreamId -> speed);
+    }
+
+    /**
+     * Returns the engines whose memory has no room for one more sequence.
+     *
+     * @param candidate the sequence to place; its engine is ignored
+     * @param memoryTokens KV cache memory of each engine, in tokens
+     * @param speedOf returns the measured speed of an engine by its id
+     * @return ids of the full engines; an engine without sequences is never included
+     */
+    public Set<String> saturatedEngines(
+            InFlightSequence candidate, long memoryTokens, Function<String, EngineSpeed> speedOf) {
         try (OrderedLock.Held _ = mLock.hold()) {
             long nowNanos = mClock.nanoTime();
             removeExpired(nowNanos);
             Set<String> saturated = new HashSet<>();
             mSequences.forEach(
                     (upstreamId, atEngine) -> {
+                        EngineSpeed speed = speedOf.apply(upstreamId);
                         if (!fits(atEngine, candidate, memoryTokens, speed, nowNanos)) {
                             saturated.add(upstreamId);
                         }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -17,7 +17,6 @@
 import org.orchidmount.pacing.SendPermit;
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.routes.Service;
-import org.orchidmount.routing.EngineSpeed;
 import org.orchidmount.routing.MemoryForecast;
 import org.orchidmount.routing.MemoryRule;
 import org.orchidmount.routing.MemoryWaitRule;
@@ -57,6 +56,7 @@
     private final SequenceTracker mTracker;
     private final Prefiller mPrefiller;
     private final MemoryReservations mReservations;
+    private final EngineCosts mCosts;
     private final boolean mIsClientRetry;
     private boolean mLacksPrefill;
     private boolean mIsTooLarge;
@@ -106,6 +106,7 @@
                         cancel,
                         progress,
                         crashReporter);
+        mCosts = new EngineCosts(context, service, prompt.tokens(), request.route().maxEventGap());
         mReservations = new MemoryReservations(context, request.id(), cancel, progress);
     }
 
@@ -300,11 +301,34 @@
         if (choice == PrefillRule.Choice.UNSPLIT_IF_IDLE) {
             excluded.addAll(
                     mContext.upstreams()
-                            .idsNotMatching(mService.name(), Stage.DECODE, this::isNearlyIdle));
+                            .idsNotMatching(mService.name(), Stage.DECODE, mCosts::isNearlyIdle));
+        }
+        if (choice == PrefillRule.Choice.UNSPLIT && mContext.evidence().isInForce()) {
+            excludePausing(excluded);
         }
         return excluded;
     }
 
+    /**
+     * Excludes engines whose other streams the prefill would pause for too long, unless no engine
+     * would be left.
+     */
+    private void excludePausing(Set<String> excluded) {
+        Set<String> withPausing = new HashSet<>(excluded);
+        withPausing.addAll(
+                mContext.upstreams()
+                        .idsNotMatching(
+                                mService.name(),
+                                Stage.DECODE,
+                                upstreamId -> !mCosts.pausesTooLong(upstreamId)));
+        boolean isAnyLeft =
+                mContext.upstreams().available(mService.name(), Stage.DECODE).stream()
+                        .anyMatch(engine -> !withPausing.contains(engine.id()));
+        if (isAnyLeft) {
+            excluded.addAll(withPausing);
+        }
+    }
+
     private Set<String> saturatedEngines() {
         return mService.engine()
                 .map(
@@ -313,7 +337,7 @@
                                         .saturatedEngines(
                                                 mOutput,
                                                 availableTokens(engine.kvCacheTokens()),
-                                                engineSpeed()))
+                                                mCosts::engineSpeed))
                 .orElseGet(Set::of);
     }
 
@@ -321,14 +345,6 @@
         return MemoryRule.availableTokens(initialForecast(), mIsClientRetry, memoryTokens);
     }
 
-    private boolean isNearlyIdle(String upstreamId) {
-        return PrefillRule.isNearlyIdle(
-                engineSpeed().decodeEngineMillis(mPrompt.tokens()),
-                memoryShare(upstreamId),
-                mContext.loads().prefillBacklogTokens(upstreamId),
-                mRequest.route().maxEventGap().toMillis());
-    }
-
     /**
      * Checks a placement again once all instances have received its announcement. The wait is
      * skipped if the engine has ample free memory.
@@ -341,7 +357,7 @@
         long uncheckedTokens = MemoryRule.uncheckedTokens(memoryTokens);
         String engine = placement.assignment().id();
         if (!mContext.loads()
-                .saturatedEngines(mOutput, uncheckedTokens, engineSpeed())
+                .saturatedEngines(mOutput, uncheckedTokens, mCosts::engineSpeed)
                 .contains(engine)) {
             return true;
         }
@@ -349,7 +365,9 @@
         return !mCancel.await(ANNOUNCEMENT_DELAY)
                 && mContext.loads()
                         .keepsPlacement(
-                                placement.output().orElseThrow(), memoryTokens, engineSpeed());
+                                placement.output().orElseThrow(),
+                                memoryTokens,
+                                mCosts.engineSpeed(engine));
     }
 
     private int reservedTokens() {
@@ -364,37 +382,12 @@
         return new UpstreamDirectory.Need(
                 mService.name(),
                 Stage.DECODE,
-                requestMillis(),
+                mCosts.requestMillis(),
                 UpstreamCost.CROSS_ZONE_ENGINE_MILLIS,
                 mayTakeTried,
                 excluded,
                 mContext.maxAssignments(mService),
-                this::backlogMillis);
-    }
-
-    /**
-     * Estimates the backlog of an engine so that engines with more free memory and fewer queued
-     * prefills are preferred.
-     */
-    private double backlogMillis(String upstreamId, double ownMillis) {
-        int prefillTokens = mContext.loads().prefillBacklogTokens(upstreamId);
-        return ownMillis
-                + engineSpeed().decodeEngineMillis(prefillTokens)
-                + UpstreamCost.memoryMillis(memoryShare(upstreamId), requestMillis());
-    }
-
-    private double requestMillis() {
-        return engineSpeed().requestMillis(mPrompt.tokens());
-    }
-
-    private EngineSpeed engineSpeed() {
-        return mContext.speedEstimator(mService.name()).speed();
-    }
-
-    private double memoryShare(String upstreamId) {
-        double memoryTokens = mService.engine().map(Service.Engine::kvCacheTokens).orElse(0L);
-        double usedTokens = mContext.loads().usedMemoryTokens(upstreamId, engineSpeed());
-        return memoryTokens > 0 ? usedTokens / memoryTokens : 0;
+                mCosts);
     }
 
     /** Releases the memory reserved for a placement that the request did not use. */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
@@ -189,9 +189,13 @@
             mPrefilledNanos = mContext.clock().nanoTime();
             if (cache.isPresent()) {
                 mPrefilledTokens += mPrompt.tokens();
-                long tookNanos = mPrefilledNanos - assignment.assignedNanos();
-                mContext.speedEstimator(mService.name())
-                        .observePrefill(queueTokens, Millis.ofNanos(tookNanos));
+                double tookMillis = Millis.ofNanos(mPrefilledNanos - assignment.assignedNanos());
+                mContext.evidence()
+                        .measured(
+                                assignment.incarnation(),
+                                tookMillis,
+                                engineSpeed().prefillEngineMillis(queueTokens));
+                mContext.speedEstimator(mService.name()).observePrefill(queueTokens, tookMillis);
             }
             mPrefillAssignment = Optional.of(assignment);
             return cache;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -16,6 +16,7 @@
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
+import org.orchidmount.evidence.UpstreamEvidenceView;
 import org.orchidmount.internal.http.HttpCall;
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.http.HttpHead;
@@ -31,6 +32,7 @@
 import org.orchidmount.quarantine.CrashReports;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.ClientRetryDetector;
+import org.orchidmount.routing.EngineSpeed;
 import org.orchidmount.routing.EngineSpeedEstimator;
 import org.orchidmount.routing.OutputLengthEstimator;
 import org.orchidmount.upstream.CancelSignal;
@@ -84,6 +86,16 @@
         return speedEstimators.computeIfAbsent(service, name -> new EngineSpeedEstimator());
     }
 
+    /** Returns what all entries have observed of upstreams. */
+    UpstreamEvidenceView evidence() {
+        return upstreams.evidence();
+    }
+
+    /** Returns the speed of one engine of a service, as far as entries have measured it. */
+    EngineSpeed engineSpeed(String service, String upstreamId) {
+        return speedEstimator(service).speed().slowedBy(evidence().slowness(upstreamId));
+    }
+
     /** Updates the health of an upstream after a failed call, unless the request was cancelled. */
     void callFailed(Assignment assignment, Failure failure, CancelSignal cancel) {
         LOG.debug(failure.describe());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/SequenceTracker.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/SequenceTracker.java
@@ -5,9 +5,11 @@
  */
 package org.orchidmount.relay;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.orchidmount.clock.Millis;
 import org.orchidmount.load.InFlightSequence;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.EngineSpeedEstimator;
 
@@ -27,6 +29,7 @@
     private final EngineSpeedEstimator mSpeedEstimator;
     private final int mEventTokens;
     private final AtomicInteger mGeneratedTokens = new AtomicInteger();
+    private Optional<Incarnation> mOutputEngine = Optional.empty();
     private int mPlacements;
 
     SequenceTracker(RelayContext context, Service service) {
@@ -71,6 +74,7 @@
      * Updates the estimated speed with the time that the engine took to the first part of a stream.
      */
     void observeFirst(Placement placement) {
+        mOutputEngine = Optional.of(placement.assignment().incarnation());
         long assignedNanos = placement.assignment().assignedNanos();
         double tookMillis = Millis.ofNanos(mContext.clock().nanoTime() - assignedNanos);
         mSpeedEstimator.observeFirstToken(tookMillis);
@@ -82,7 +86,13 @@
     /** Updates the estimated speed with a complete stream, unless it is too short. */
     void observe(long events, StreamTiming timing) {
         if (events >= MIN_EVENTS) {
-            mSpeedEstimator.observeOutput((events - 1) * mEventTokens, timing.durationMillis());
+            double tokens = (events - 1) * mEventTokens;
+            double nominalMillis = tokens / mSpeedEstimator.speed().outputTokensPerMilli();
+            mOutputEngine.ifPresent(
+                    engine ->
+                            mContext.evidence()
+                                    .measured(engine, timing.durationMillis(), nominalMillis));
+            mSpeedEstimator.observeOutput(tokens, timing.durationMillis());
         }
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -98,13 +98,11 @@
                 workMillis, backlogMillis, mRegistration.slots(), isSerial);
     }
 
-    /** Returns the time in which work is expected to be finished, given the observed health. */
-    double expectedMillis(
-            double workMillis,
-            UpstreamDirectory.Backlog backlog,
-            double unobservedSlowness,
-            long nowNanos) {
-        double nominalMillis = nominalMillis(workMillis, backlog);
+    /**
+     * Returns the time in which work is expected to be finished, given the observed health and the
+     * time at nominal speed.
+     */
+    double expectedMillis(double nominalMillis, double unobservedSlowness, long nowNanos) {
         return mHealth.expectedMillis(nominalMillis, unobservedSlowness, nowNanos);
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -5,11 +5,7 @@
  */
 package org.orchidmount.relay;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
@@ -19,6 +15,7 @@
 import java.util.stream.Collectors;
 import org.orchidmount.clock.Millis;
 import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.evidence.UpstreamEvidenceView;
 import org.orchidmount.internal.lock.LockRank;
 import org.orchidmount.internal.lock.OrderedLock;
 import org.orchidmount.internal.log.PartLog;
@@ -26,7 +23,6 @@
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
-import org.orchidmount.routing.Slowness;
 import org.orchidmount.routing.UpstreamCost;
 import org.orchidmount.routing.UpstreamHealth;
 import org.orchidmount.upstream.CancelSignal;
@@ -44,12 +40,6 @@
 public final class UpstreamDirectory {
     private static final PartLog LOG = PartLog.of("upstreams");
 
-    /**
-     * Upstreams beyond which those that have left are forgotten; half the number of upstreams for
-     * which the system is designed.
-     */
-    private static final int REMOVAL_THRESHOLD = 4_096;
-
     /**
      * Lower bound of the expected time in a ratio of speeds; shorter times say little about speed.
      */
@@ -57,10 +47,9 @@
 
     private final OrderedLock mLock = new OrderedLock(LockRank.BOARD);
     private final UpstreamIndex mUpstreams = new UpstreamIndex();
-    private final Map<String, String> mIdByAddress = new HashMap<>();
+    private final UpstreamSelection mSelection;
+    private final UpstreamEvidenceView mEvidence;
     private final MonotonicClock mClock;
-    private final RandomGenerator mRandom;
-    private final String mZone;
     private volatile Consumer<Registration> mObserver = registration -> {};
     private volatile Consumer<Registration> mDepartureAnnouncer = leaving -> {};
 
@@ -72,9 +61,30 @@
      * @param random the source of randomness that breaks ties
      */
     public UpstreamDirectory(String zone, MonotonicClock clock, RandomGenerator random) {
-        mZone = zone;
+        this(zone, clock, random, UpstreamEvidenceView.off(clock));
+    }
+
+    /**
+     * Creates an empty directory.
+     *
+     * @param zone the availability zone of this instance
+     * @param clock the clock
+     * @param random the source of randomness that breaks ties
+     * @param evidence what all entries have observed; without effect while not in force
+     */
+    public UpstreamDirectory(
+            String zone,
+            MonotonicClock clock,
+            RandomGenerator random,
+            UpstreamEvidenceView evidence) {
         mClock = clock;
-        mRandom = random;
+        mEvidence = evidence;
+        mSelection = new UpstreamSelection(mUpstreams, zone, random, evidence);
+    }
+
+    /** Returns what all entries have observed. */
+    UpstreamEvidenceView evidence() {
+        return mEvidence;
     }
 
     /**
@@ -89,6 +99,7 @@
                         ended ->
                                 ended.restartSignal()
                                         .cancel(CancelSignal.Reason.UPSTREAM_STARTED_AGAIN));
+        mEvidence.onRegistration(registration.incarnation());
         mObserver.accept(registration);
     }
 
@@ -139,44 +150,15 @@
         }
         String address = assignment.peer().host() + ":" + assignment.peer().port();
         try (OrderedLock.Held _ = mLock.hold()) {
-            String owner = mIdByAddress.getOrDefault(address, assignment.id());
-            return assignment.upstream().isReplaced() || !owner.equals(assignment.id());
+            return assignment.upstream().isReplaced()
+                    || !mUpstreams.mayOwn(assignment.id(), address);
         }
     }
 
-    /** Applies a registration; returns the incarnation that it ends, if any. */
     private Optional<Upstream> apply(Registration registration) {
         try (OrderedLock.Held _ = mLock.hold()) {
-            Upstream known = mUpstreams.get(registration.id());
-            if (known == null || isNewIncarnation(registration, known)) {
-                add(registration);
-                return Optional.ofNullable(known);
-            }
-            Incarnation before = known.incarnation();
-            mUpstreams.update(known, registration);
-            if (!known.incarnation().equals(before)) {
-                mIdByAddress.put(registration.address(), registration.id());
-            }
-            return Optional.empty();
-        }
-    }
-
-    /**
-     * An upstream that has left may be followed by an incarnation with an earlier start, if the
-     * registry has removed it in between.
-     */
-    private static boolean isNewIncarnation(Registration registration, Upstream known) {
-        Incarnation incarnation = registration.incarnation();
-        boolean isOther = !incarnation.equals(known.incarnation());
-        return isOther && (incarnation.supersedes(known.incarnation()) || known.isGone());
-    }
-
-    private void add(Registration registration) {
-        if (mUpstreams.size() > REMOVAL_THRESHOLD) {
-            mUpstreams.removeIf(upstream -> !upstream.isReady());
+            return mUpstreams.apply(registration);
         }
-        mUpstreams.put(new Upstream(registration));
-        mIdByAddress.put(registration.address(), registration.id());
     }
 
     /**
@@ -199,22 +181,15 @@
     Optional<Assignment> assign(Need need, Set<Incarnation> tried) {
         try (OrderedLock.Held _ = mLock.hold()) {
             long nowNanos = mClock.nanoTime();
-            Upstream best = null;
-            double leastMillis = 0;
-            double unobservedSlowness = unobservedSlowness(need.service(), need.stage(), nowNanos);
-            for (Upstream upstream : candidates(need, tried)) {
-                double millis = costMillis(upstream, need, unobservedSlowness, nowNanos);
-                if (best == null || millis < leastMillis) {
-                    best = upstream;
-                    leastMillis = millis;
-                }
-            }
-            if (best == null) {
+            Optional<Upstream> best = mSelection.best(need, tried, nowNanos);
+            if (best.isEmpty()) {
                 return Optional.empty();
             }
-            double nominalMillis = best.nominalMillis(need.workMillis(), need.backlog());
-            best.beginWork(need.workMillis());
-            return Optional.of(new Assignment(best, need.workMillis(), nominalMillis, nowNanos));
+            double nominalMillis = mSelection.nominalMillis(best.get(), need);
+            best.get().beginWork(need.workMillis());
+            mEvidence.chosen(best.get().incarnation());
+            return Optional.of(
+                    new Assignment(best.get(), need.workMillis(), nominalMillis, nowNanos));
         }
     }
 
@@ -227,10 +202,7 @@
      */
     List<Incarnation> available(String service, Stage stage) {
         try (OrderedLock.Held _ = mLock.hold()) {
-            return mUpstreams.ofService(service).stream()
-                    .filter(upstream -> isAvailable(upstream, service, stage))
-                    .map(Upstream::incarnation)
-                    .toList();
+            return mUpstreams.available(service, stage).map(Upstream::incarnation).toList();
         }
     }
 
@@ -243,8 +215,8 @@
      */
     int slots(String service, Stage stage) {
         try (OrderedLock.Held _ = mLock.hold()) {
-            return mUpstreams.ofService(service).stream()
-                    .filter(upstream -> isAvailable(upstream, service, stage))
+            return mUpstreams
+                    .available(service, stage)
                     .mapToInt(upstream -> upstream.registration().slots())
                     .sum();
         }
@@ -268,59 +240,6 @@
         }
     }
 
-    private List<Upstream> candidates(Need need, Set<Incarnation> tried) {
-        List<Upstream> untried = new ArrayList<>();
-        List<Upstream> alreadyTried = new ArrayList<>();
-        for (Upstream upstream : mUpstreams.ofService(need.service())) {
-            if (isCandidate(upstream, need)) {
-                boolean wasTried = tried.contains(upstream.incarnation());
-                (wasTried ? alreadyTried : untried).add(upstream);
-            }
-        }
-        return untried.isEmpty() && need.mayTakeTried() ? alreadyTried : untried;
-    }
-
-    private boolean isCandidate(Upstream upstream, Need need) {
-        return isAvailable(upstream, need.service(), need.stage())
-                && upstream.assignments() < need.maxAssignments()
-                && !need.excluded().contains(upstream.registration().id());
-    }
-
-    /** A crashed upstream announces nothing, but its successor takes over its address. */
-    private boolean isAvailable(Upstream upstream, String service, Stage stage) {
-        Registration registration = upstream.registration();
-        return upstream.isReady()
-                && upstream.serves(service, stage)
-                && registration.id().equals(mIdByAddress.get(registration.address()));
-    }
-
-    /**
-     * Returns the slowness of upstreams without recent observations. For engines it is nominal,
-     * because the time that an engine needs is already estimated from all engines of its service.
-     */
-    private double unobservedSlowness(String service, Stage stage, long nowNanos) {
-        if (stage != Stage.NONE) {
-            return Slowness.NOMINAL;
-        }
-        return Slowness.unobserved(
-                mUpstreams.ofService(service).stream()
-                        .filter(upstream -> isAvailable(upstream, service, stage))
-                        .map(Upstream::slowness),
-                nowNanos);
-    }
-
-    private double costMillis(
-            Upstream upstream, Need need, double unobservedSlowness, long nowNanos) {
-        boolean sameZone = upstream.registration().zone().equals(mZone);
-        double draw = mRandom.nextDouble();
-        return UpstreamCost.millis(
-                upstream.expectedMillis(
-                        need.workMillis(), need.backlog(), unobservedSlowness, nowNanos),
-                need.workMillis(),
-                sameZone ? 0 : need.crossZoneMillis(),
-                draw);
-    }
-
     /**
      * Estimates the time in which the best upstream would finish the work.
      *
@@ -329,17 +248,7 @@
      */
     OptionalDouble estimateMillis(Need need) {
         try (OrderedLock.Held _ = mLock.hold()) {
-            long nowNanos = mClock.nanoTime();
-            double unobservedSlowness = unobservedSlowness(need.service(), need.stage(), nowNanos);
-            return candidates(need, Set.of()).stream()
-                    .mapToDouble(
-                            upstream ->
-                                    upstream.expectedMillis(
-                                            need.workMillis(),
-                                            need.backlog(),
-                                            unobservedSlowness,
-                                            nowNanos))
-                    .min();
+            return mSelection.estimateMillis(need, mClock.nanoTime());
         }
     }
 
@@ -359,6 +268,7 @@
     /** Records that an upstream has succeeded, where this becomes known only after its response. */
     void confirmed(Assignment assignment) {
         updateHealth(assignment, (health, nowNanos) -> health.afterSuccess());
+        mEvidence.succeeded(assignment.incarnation());
     }
 
     /** Records the time of a response of which it is not known yet whether it is usable. */
@@ -372,18 +282,20 @@
         double nominalMillis = Math.max(MIN_NOMINAL_MILLIS, assignment.nominalMillis());
         Registration upstream = assignment.upstream().registration();
         double unobservedSlowness =
-                unobservedSlowness(upstream.service(), upstream.stage(), nowNanos);
+                mSelection.unobservedSlowness(upstream.service(), upstream.stage(), nowNanos);
         return health.afterResponse(tookMillis / nominalMillis, unobservedSlowness, nowNanos);
     }
 
     /** Records that an upstream has failed. */
     void failed(Assignment assignment) {
         updateHealth(assignment, UpstreamHealth::afterFailure);
+        mEvidence.failed(assignment.incarnation());
     }
 
     /** Records that no connection to an upstream could be made. */
     void unreachable(Assignment assignment) {
         updateHealth(assignment, UpstreamHealth::afterUnreachable);
+        mEvidence.unreachable(assignment.incarnation());
     }
 
     /** Records that an upstream has refused its work. */
@@ -406,20 +318,7 @@
      */
     Set<String> avoided(String service, Stage stage) {
         try (OrderedLock.Held _ = mLock.hold()) {
-            long nowNanos = mClock.nanoTime();
-            Set<String> avoided = new HashSet<>();
-            boolean hasOther = false;
-            for (Upstream upstream : mUpstreams.ofService(service)) {
-                if (!isAvailable(upstream, service, stage)) {
-                    continue;
-                }
-                if (upstream.isAvoided(nowNanos)) {
-                    avoided.add(upstream.registration().id());
-                } else {
-                    hasOther = true;
-                }
-            }
-            return hasOther ? avoided : Set.of();
+            return mSelection.avoided(service, stage, mClock.nanoTime());
         }
     }
 
@@ -484,5 +383,15 @@
          * @return the backlog in milliseconds
          */
         double millis(String upstreamId, double ownMillis);
+
+        /**
+         * Returns a cost of an upstream that does not delay the work.
+         *
+         * @param upstreamId the id of the upstream
+         * @return the cost in milliseconds, which may be negative
+         */
+        default double extraCostMillis(String upstreamId) {
+            return 0;
+        }
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamIndex.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamIndex.java
@@ -8,27 +8,81 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
+import org.orchidmount.membership.Registration.Stage;
 
 /**
- * Index of the upstreams of a directory by id and by service, so that a choice examines the
- * upstreams of one service only.
+ * Index of the upstreams of a directory by id, by address and by service, so that a choice examines
+ * the upstreams of one service only.
  *
- * <p>Invariant: each upstream is indexed under the service of its registration, and under no other.
- * Not thread-safe: guarded by the directory's lock.
+ * <p>Invariants: each upstream is indexed under the service of its registration, and under no
+ * other; an address belongs to the upstream that registered there last. Not thread-safe: guarded by
+ * the directory's lock.
  */
 final class UpstreamIndex {
+    /**
+     * Upstreams beyond which those that have left are forgotten; half the number of upstreams for
+     * which the system is designed.
+     */
+    private static final int REMOVAL_THRESHOLD = 4_096;
+
+    private final Map<String, String> mIdByAddress = new HashMap<>();
     private final Map<String, Upstream> mById = new HashMap<>();
     private final Map<String, Map<String, Upstream>> mByService = new HashMap<>();
 
-    /** Returns the upstream with an id; null if there is none. */
-    Upstream get(String id) {
-        return mById.get(id);
+    /** Applies a registration; returns the incarnation that it ends, if any. */
+    Optional<Upstream> apply(Registration registration) {
+        Upstream known = mById.get(registration.id());
+        if (known == null || isNewIncarnation(registration, known)) {
+            add(registration);
+            return Optional.ofNullable(known);
+        }
+        Incarnation before = known.incarnation();
+        update(known, registration);
+        if (!known.incarnation().equals(before)) {
+            mIdByAddress.put(registration.address(), registration.id());
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * An upstream that has left may be followed by an incarnation with an earlier start, if the
+     * registry has removed it in between.
+     */
+    private static boolean isNewIncarnation(Registration registration, Upstream known) {
+        Incarnation incarnation = registration.incarnation();
+        boolean isOther = !incarnation.equals(known.incarnation());
+        return isOther && (incarnation.supersedes(known.incarnation()) || known.isGone());
     }
 
-    int size() {
-        return mById.size();
+    private void add(Registration registration) {
+        if (mById.size() > REMOVAL_THRESHOLD) {
+            removeIf(upstream -> !upstream.isReady());
+        }
+        put(new Upstream(registration));
+        mIdByAddress.put(registration.address(), registration.id());
+    }
+
+    /** Returns whether an address belongs to an upstream or to none. */
+    boolean mayOwn(String id, String address) {
+        return mIdByAddress.getOrDefault(address, id).equals(id);
+    }
+
+    /** Returns the upstreams that are available according to their registrations. */
+    Stream<Upstream> available(String service, Stage stage) {
+        return ofService(service).stream()
+                .filter(upstream -> upstream.isReady() && upstream.serves(service, stage))
+                .filter(this::ownsAddress);
+    }
+
+    /** A crashed upstream announces nothing, but its successor takes over its address. */
+    private boolean ownsAddress(Upstream upstream) {
+        Registration registration = upstream.registration();
+        return registration.id().equals(mIdByAddress.get(registration.address()));
     }
 
     /** Returns all upstreams of a service, including those that are not available. */
@@ -37,7 +91,7 @@
     }
 
     /** Adds an upstream, replacing the one that had the same id. */
-    void put(Upstream upstream) {
+    private void put(Upstream upstream) {
         Upstream before = mById.put(upstream.registration().id(), upstream);
         if (before != null) {
             removeFromService(before, before.registration().service());
@@ -49,7 +103,7 @@
      * Applies a registration to an indexed upstream, and moves the upstream if its service has
      * changed.
      */
-    void update(Upstream upstream, Registration registration) {
+    private void update(Upstream upstream, Registration registration) {
         String before = upstream.registration().service();
         upstream.update(registration);
         if (!upstream.registration().service().equals(before)) {
@@ -58,7 +112,7 @@
         }
     }
 
-    void removeIf(Predicate<Upstream> filter) {
+    private void removeIf(Predicate<Upstream> filter) {
         mById.values().removeIf(filter);
         mByService.values().forEach(upstreams -> upstreams.values().removeIf(filter));
         mByService.values().removeIf(Map::isEmpty);
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/EngineSpeed.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/EngineSpeed.java
@@ -55,4 +55,21 @@
     public double requestMillis(int promptTokens) {
         return decodeEngineMillis(promptTokens) + FIRST_TOKEN_WORK_SHARE * firstTokenMillis;
     }
+
+    /**
+     * Returns the speed of an engine that is slower or faster than the mean of its service.
+     *
+     * @param slowness the factor by which it takes longer
+     * @return the scaled speed
+     */
+    public EngineSpeed slowedBy(double slowness) {
+        return slowness == 1
+                ? this
+                : new EngineSpeed(
+                        prefillMillisPerToken * slowness,
+                        decodePrefillMillisPerToken * slowness,
+                        outputTokensPerMilli / slowness,
+                        firstTokenMillis * slowness,
+                        outputMillis * slowness);
+    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/PrefillRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/PrefillRule.java
@@ -100,4 +100,17 @@
                 && backlogTokens == 0
                 && prefillMillis < PAUSE_SHARE * longestPauseMillis;
     }
+
+    /**
+     * Returns whether a prefill on a decode engine would pause its other streams for too long.
+     *
+     * @param prefillMillis time that the engine takes to prefill the prompt
+     * @param usedMemoryTokens memory that its streams use
+     * @param longestPauseMillis longest pause of a stream that does no harm
+     * @return true if the engine has streams and a pause would harm them
+     */
+    public static boolean pausesTooLong(
+            double prefillMillis, double usedMemoryTokens, double longestPauseMillis) {
+        return usedMemoryTokens > 0 && prefillMillis > longestPauseMillis;
+    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamCost.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamCost.java
@@ -34,6 +34,12 @@
     /** Additional cost of a request on an engine with full memory, as a multiple of its work. */
     private static final double FULL_MEMORY_FACTOR = 1.25;
 
+    /**
+     * Fraction of the extra time of an output that a slow engine costs: the output holds its memory
+     * for longer and pauses more often.
+     */
+    private static final double EXTRA_OUTPUT_SHARE = 0.1;
+
     private UpstreamCost() {}
 
     /**
@@ -63,6 +69,17 @@
         return FULL_MEMORY_FACTOR * memoryShare * workMillis;
     }
 
+    /**
+     * Returns the cost of the extra time that a mean output takes on an engine.
+     *
+     * @param slowness the factor by which the engine takes longer than the mean of its service
+     * @param outputMillis duration of a mean output
+     * @return milliseconds; negative for an engine that is faster than the mean
+     */
+    public static double extraOutputMillis(double slowness, double outputMillis) {
+        return EXTRA_OUTPUT_SHARE * (slowness - 1) * outputMillis;
+    }
+
     /**
      * Returns the cost of an upstream.
      *
