--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -188,7 +188,7 @@
         mSeeds = Set.copyOf(seeds);
         mQuotaRequests = new QuotaRequests(node.hashCode());
         mRecords = new EntryRecords(node, clock);
-        mSharedState = new EntrySharedState(this::sendSharedState, mTasks, clock);
+        mSharedState = new EntrySharedState(zone, this::sendSharedState, mTasks, clock);
         mStartNanos = clock.nanoTime();
         mTableRequestedNanos = mStartNanos - TABLE_REQUEST_INTERVAL.toNanos();
         mLastUnlinkedNanos = mStartNanos;
@@ -400,6 +400,17 @@
         return mSharedState.isInForce();
     }
 
+    /**
+     * Returns the number of availability zones of which a voter has been linked, this instance's
+     * own included. It never decreases, so that a cut does not make one zone look like the whole
+     * site.
+     *
+     * @return at least 1
+     */
+    public int zones() {
+        return mSharedState.zones();
+    }
+
     @Override
     public void announce(WaitingRequest request) {
         mTasks.post(() -> mSharedState.announce(request));
@@ -539,6 +550,7 @@
         mLinks.put(link, voter);
         mQuotaRequests.onVoterLinked(voter, link);
         mGreetings.put(link, greeting);
+        mSharedState.onZone(greeting.zone());
         mRecords.linked(link, greeting);
         resendDepartures(link);
         addVoter(greeting.voter());
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntrySharedState.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntrySharedState.java
@@ -9,6 +9,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.cluster.ClusterMessage.EvidenceDigestMessage;
@@ -51,6 +53,9 @@
     /** Time of the last announcement of each own waiting request, in order of that time. */
     private final Map<String, Long> mAnnouncedNanos = new LinkedHashMap<>();
 
+    /** The availability zones known so far; at most a few. */
+    private final Set<String> mZones = ConcurrentHashMap.newKeySet();
+
     private Connections mConnections;
     private volatile boolean mIsInForce;
     private long mReports;
@@ -68,11 +73,17 @@
     /**
      * Creates the part, which does nothing until {@link #share} is called.
      *
+     * @param zone the entry's availability zone
      * @param sender sends a message to one voter in each availability zone
      * @param tasks the entry's thread
      * @param clock the monotonic clock
      */
-    EntrySharedState(Consumer<ClusterMessage> sender, TaskThread tasks, MonotonicClock clock) {
+    EntrySharedState(
+            String zone,
+            Consumer<ClusterMessage> sender,
+            TaskThread tasks,
+            MonotonicClock clock) {
+        mZones.add(zone);
         mSender = sender;
         mTasks = tasks;
         mClock = clock;
@@ -113,6 +124,17 @@
         return mIsInForce;
     }
 
+    /** Records the availability zone of a voter; empty if it has not stated one. */
+    void onZone(String zone) {
+        if (!zone.isEmpty()) {
+            mZones.add(zone);
+        }
+    }
+
+    int zones() {
+        return mZones.size();
+    }
+
     private void tick() {
         long nowNanos = mClock.nanoTime();
         mAnnouncedNanos
--- a/org.orchidmount/src/main/java/org/orchidmount/evidence/MergedUpstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/evidence/MergedUpstream.java
@@ -27,6 +27,12 @@
      */
     private static final int MAX_REQUESTS_PER_REPORT = 16;
 
+    /**
+     * Factor by which the slowness must have changed to be sent again. Smaller changes alter no
+     * choice, and each digest costs every entry processor time.
+     */
+    private static final double MIN_CHANGE = 1.05;
+
     /** Number of entries whose latest failure is kept; the oldest is dropped. */
     private static final int MAX_FAILED_ENTRIES = 64;
 
@@ -40,6 +46,7 @@
     private double mLogWeight;
     private long mDecayedNanos;
     private long mReportedNanos;
+    private double mSentSlowness = SlownessRule.NOMINAL;
     private boolean mIsChanged;
     private boolean mHasNewFailure;
 
@@ -106,7 +113,14 @@
                 Math.clamp(observed.logSlownessSum() / observed.slownessCount(), -bound, bound);
         mLogSum += count * mean;
         mLogWeight += count;
-        mIsChanged = true;
+        double change = slowness() / mSentSlowness;
+        mIsChanged |= Math.max(change, 1 / change) > MIN_CHANGE;
+    }
+
+    private double slowness() {
+        return mLogWeight > 0
+                ? SlownessRule.slowness(mLogSum / mLogWeight, mLogWeight)
+                : SlownessRule.NOMINAL;
     }
 
     private void addFailure(String instance, Failure failure) {
@@ -132,6 +146,7 @@
         mIsChanged = false;
         mHasNewFailure = false;
         decay(nowNanos);
+        mSentSlowness = slowness();
         mFailures.values().removeIf(failure -> nowNanos - failure.atNanos() > retention.toNanos());
         double requests = mSuccesses + mFailed;
         return new UpstreamEvidence(
