--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntrySharedState.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntrySharedState.java
@@ -79,10 +79,7 @@
      * @param clock the monotonic clock
      */
     EntrySharedState(
-            String zone,
-            Consumer<ClusterMessage> sender,
-            TaskThread tasks,
-            MonotonicClock clock) {
+            String zone, Consumer<ClusterMessage> sender, TaskThread tasks, MonotonicClock clock) {
         mZones.add(zone);
         mSender = sender;
         mTasks = tasks;
