Ranks of urgency from the priorities of routes and client accounts

Cause: the priorities of a configuration were checked loosely and not used; engines assumed 5 for every request.

UrgencyRanks orders the pairs (account priority, else the route's; route priority) that a service can receive; RouteTable.urgency returns the rank, or nothing where a service receives only one pair.

An absent priority of a route counts as 5, as engines assume, instead of 0.

Ruled out: ranks from the values of the priorities (7 and 9 would differ from 0 and 1); the header to plain services, which do not read it.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/report/RequestReportTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/report/RequestReportTest.java
@@ -8,10 +8,12 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests {@code RequestReport}. */
 final class RequestReportTest {
@@ -47,6 +49,23 @@
         assertThat(e).hasMessageThat().contains(reason);
     }
 
+    /** Guards against logs of earlier builds, or of services without ranks, that are not read. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", " account=mill", " route=- urgency=-"})
+    void aLineWithoutRouteAndUrgencyIsRead(String fields) {
+        String whole = report(RequestEnd.IN_TIME, 1, 1).toLine();
+        String earlier = whole.substring(0, whole.indexOf(" account=")) + fields;
+        RequestReport read = RequestReport.parse("request: " + earlier);
+        assertThat(read.route()).isEqualTo(RequestReport.NO_ROUTE);
+        assertThat(read.urgency()).isEqualTo(OptionalInt.empty());
+        assertThat(read.urgencyText()).isEqualTo("-");
+    }
+
+    @Test
+    void routeAndUrgencyAreWritten() {
+        assertThat(report(RequestEnd.IN_TIME, 1, 1).toLine()).endsWith(" route=r-1 urgency=2");
+    }
+
     @Test
     void otherLinesAreNoReports() {
         assertThat(RequestReport.isReport("relay: id-1: attempt 1")).isFalse();
@@ -54,7 +73,21 @@
 
     private static RequestReport report(RequestEnd end, int prompt, int prefilled) {
         return new RequestReport(
-                "id-1", end, "s", true, 2, prompt, prefilled, 120, 340, 610, 55, 3_900, "i-1",
-                "acme");
+                "id-1",
+                end,
+                "s",
+                true,
+                2,
+                prompt,
+                prefilled,
+                120,
+                340,
+                610,
+                55,
+                3_900,
+                "i-1",
+                "acme",
+                "r-1",
+                OptionalInt.of(2));
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRequest.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRequest.java
@@ -9,6 +9,7 @@
 import io.undertow.util.HttpString;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.orchidmount.routes.ClientAccount;
 import org.orchidmount.routes.Route;
 
@@ -25,6 +26,8 @@
  * @param body the complete body
  * @param endNanos the monotonic time by which the request must be answered
  * @param callerEndNanos the monotonic time until which the caller waits, at least {@code endNanos}
+ * @param urgency the rank of urgency within the service of the request, 0 being the most urgent;
+ *     empty if urgency is not in force for the service
  * @param prompt the properties of the prompt; present for requests to model engines only
  */
 public record RelayRequest(
@@ -37,7 +40,34 @@
         byte[] body,
         long endNanos,
         long callerEndNanos,
+        OptionalInt urgency,
         Optional<Prompt> prompt) {
+    /** Creates a request to a service for which urgency is not in force. */
+    public RelayRequest(
+            String id,
+            Route route,
+            Optional<ClientAccount> account,
+            HttpString method,
+            String pathAndQuery,
+            HeaderMap headers,
+            byte[] body,
+            long endNanos,
+            long callerEndNanos,
+            Optional<Prompt> prompt) {
+        this(
+                id,
+                route,
+                account,
+                method,
+                pathAndQuery,
+                headers,
+                body,
+                endNanos,
+                callerEndNanos,
+                OptionalInt.empty(),
+                prompt);
+    }
+
     /**
      * Properties of a request to a model engine that are known before it runs.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
@@ -91,7 +91,9 @@
                         mLastUpstream,
                         mRequest.account()
                                 .map(ClientAccount::name)
-                                .orElse(RequestReport.NO_ACCOUNT));
+                                .orElse(RequestReport.NO_ACCOUNT),
+                        mRequest.route().name(),
+                        mRequest.urgency());
         LOG.info("%s", report.toLine());
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
@@ -7,6 +7,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalInt;
 
 /**
  * The outcome of one request at one instance. Times are in milliseconds. Immutable.
@@ -29,6 +30,9 @@
  * @param totalMillis time to the end of the request
  * @param upstream upstream of the last attempt; "-" if there was none
  * @param account client account that the request counts for; "-" if there is none
+ * @param route route of the request; "-" if an instance of an earlier version wrote the report
+ * @param urgency rank of urgency within the service, 0 being the most urgent; empty if urgency is
+ *     not in force for the service
  */
 public record RequestReport(
         String id,
@@ -44,7 +48,9 @@
         long pauseMillis,
         long totalMillis,
         String upstream,
-        String account) {
+        String account,
+        String route,
+        OptionalInt urgency) {
     /** The log part of report lines, which prefixes each of them. */
     public static final String PART = "request";
 
@@ -57,6 +63,12 @@
     /** Value of {@code account} if the request counts for no client account. */
     public static final String NO_ACCOUNT = "-";
 
+    /** Value of {@code route} if the report does not state it. */
+    public static final String NO_ROUTE = "-";
+
+    /** Form of an empty {@code urgency} in a line. */
+    private static final String NO_URGENCY = "-";
+
     private static final String PREFIX = PART + ": ";
 
     /** Positions in a line: the request id, the outcome, then key=value fields. */
@@ -72,10 +84,17 @@
      * @param end reason for the refusal
      * @param service service of the route
      * @param account client account, or {@link #NO_ACCOUNT}
+     * @param route name of the route
+     * @param urgency rank of urgency within the service, if it is in force and known
      * @return the report
      */
     public static RequestReport refusedWithoutAttempt(
-            String id, RequestEnd end, String service, String account) {
+            String id,
+            RequestEnd end,
+            String service,
+            String account,
+            String route,
+            OptionalInt urgency) {
         return new RequestReport(
                 id,
                 end,
@@ -90,7 +109,9 @@
                 0,
                 0,
                 NO_UPSTREAM,
-                account);
+                account,
+                route,
+                urgency);
     }
 
     /**
@@ -124,7 +145,18 @@
                 "pauseMillis=" + pauseMillis,
                 "totalMillis=" + totalMillis,
                 "upstream=" + upstream,
-                "account=" + account);
+                "account=" + account,
+                "route=" + route,
+                "urgency=" + urgencyText());
+    }
+
+    /**
+     * Returns the rank of urgency as it is written in a line.
+     *
+     * @return the rank; "-" if urgency is not in force for the service
+     */
+    public String urgencyText() {
+        return urgency.isPresent() ? String.valueOf(urgency.getAsInt()) : NO_URGENCY;
     }
 
     /**
@@ -165,7 +197,9 @@
                 fields.number("pauseMillis"),
                 fields.number("totalMillis"),
                 fields.text("upstream"),
-                fields.textOrDefault("account", NO_ACCOUNT));
+                fields.textOrDefault("account", NO_ACCOUNT),
+                fields.textOrDefault("route", NO_ROUTE),
+                fields.optionalNumber("urgency", NO_URGENCY));
     }
 
     /** The key=value fields of a line. */
@@ -195,6 +229,13 @@
             return values.getOrDefault(name, defaultValue);
         }
 
+        /** Returns a field that may be absent, or have a text that stands for no number. */
+        OptionalInt optionalNumber(String name, String none) {
+            return textOrDefault(name, none).equals(none)
+                    ? OptionalInt.empty()
+                    : OptionalInt.of((int) number(name));
+        }
+
         long number(String name) {
             String value = text(name);
             try {
--- a/org.orchidmount/src/main/java/org/orchidmount/routes/ClientAccount.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routes/ClientAccount.java
@@ -6,15 +6,23 @@
 package org.orchidmount.routes;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
  * A client account of a route table. Its keys are stored in {@link ClientAccounts}. Immutable.
  *
  * @param name name of the account, which is also sent to upstreams
+ * @param priority priority of the account's requests, 0 being the most urgent, which takes
+ *     precedence over that of the route; empty if the priority of the route applies
  * @param limit usage limit over all instances together; empty if unlimited
  */
-public record ClientAccount(String name, Optional<Limit> limit) {
+public record ClientAccount(String name, OptionalInt priority, Optional<Limit> limit) {
+    /** Creates an account to which the priorities of routes apply. */
+    public ClientAccount(String name, Optional<Limit> limit) {
+        this(name, OptionalInt.empty(), limit);
+    }
+
     /**
      * The usage limit of an account.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/routes/ClientAccounts.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routes/ClientAccounts.java
@@ -7,6 +7,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -49,6 +50,15 @@
         return Optional.ofNullable(mByKeyHash.get(KeyHash.of(key)));
     }
 
+    /**
+     * Returns the accounts that requests can use, that is, those that have a key.
+     *
+     * @return the accounts, in no particular order
+     */
+    List<ClientAccount> withKeys() {
+        return mByKeyHash.values().stream().distinct().toList();
+    }
+
     /** Builds the accounts of a route table. Not thread-safe. */
     public static final class Builder {
         private final Map<String, ClientAccount> mByKeyHash = new HashMap<>();
--- a/org.orchidmount/src/main/java/org/orchidmount/routes/Route.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routes/Route.java
@@ -21,7 +21,7 @@
  * @param timeout maximum time that a request is kept open
  * @param targetLatency target latency of a response
  * @param maxEventGap longest gap between the events of a stream that counts as harmless
- * @param priority priority, 0 being the most urgent
+ * @param priority priority from 0 to 9, 0 being the most urgent
  * @param maxAttempts maximum number of upstreams that one request is sent to
  * @param destinations services that receive the requests, with their weights
  */
@@ -38,6 +38,9 @@
         int priority,
         int maxAttempts,
         List<Destination> destinations) {
+    /** Priority of a route that states none: engines assume it for requests without a priority. */
+    public static final int DEFAULT_PRIORITY = 5;
+
     /** Creates a route with its own copy of the list of destinations. */
     public Route {
         destinations = List.copyOf(destinations);
--- a/org.orchidmount/src/main/java/org/orchidmount/routes/RouteTable.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routes/RouteTable.java
@@ -12,6 +12,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * All routes and services of one configuration version. Immutable and thread-safe.
@@ -25,6 +26,7 @@
     private final Map<String, Service> mServices;
     private final CallerLimits mLimits;
     private final ClientAccounts mAccounts;
+    private final UrgencyRanks mUrgencyRanks;
 
     /**
      * Creates a table.
@@ -53,6 +55,7 @@
         }
         Comparator<Route> longestFirst =
                 Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+        mUrgencyRanks = UrgencyRanks.of(routes, accounts);
         mRoutesByHost.values().forEach(list -> list.sort(longestFirst));
     }
 
@@ -127,6 +130,18 @@
         return Optional.ofNullable(mServices.get(name));
     }
 
+    /**
+     * Returns the rank of urgency of a request among those that its service can receive.
+     *
+     * @param service name of the service
+     * @param route route of the request
+     * @param account account of the request, if any
+     * @return the rank from 0 (most urgent) to 9; empty if urgency is not in force for the service
+     */
+    public OptionalInt urgency(String service, Route route, Optional<ClientAccount> account) {
+        return mUrgencyRanks.rank(service, route, account);
+    }
+
     /**
      * Returns the route of a request: among the routes of its host, the one with the longest
      * matching path prefix.
