Memory of engines that less urgent requests leave to more urgent ones

Cause: in a burst of a less urgent class, urgent requests were refused for lack of memory as often as others.

Change: UrgentReserve (pure) withholds memory from a request for the more urgent ones that are expected while it runs; UrgentArrivals learns these from the arrivals of the last 10 s at the instance, scaled by the number of instances. AvailableMemory applies it together with MemoryRule; EnginePlacer only asks it. Of four consecutive requests of a rank at an instance at least one is exempt. A request that is refused although an engine had memory but for the reserve ends as REFUSED_FOR_URGENT. Without ranks nothing is recorded and MemoryRule decides alone.

Ruled out: the whole need of the arrivals as the reserve (tokens per second times the duration of an output).

EndClassifierTest got a column; its earlier rows are the same.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/EndClassifierTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/EndClassifierTest.java
@@ -46,30 +46,44 @@
         Optional<Duration> first = Optional.of(Duration.ofMillis(firstMillis));
         Duration pause = Duration.ofMillis(pauseMillis);
         AttemptRule.History none = AttemptRule.History.NONE;
-        assertThat(classify(End.SERVED, none, isClientRetry, false, first, pause)).isEqualTo(end);
+        assertThat(classify(End.SERVED, none, isClientRetry, false, false, first, pause))
+                .isEqualTo(end);
     }
 
     @ParameterizedTest
     @CsvSource({
-        "GIVEN_UP, 0, 0, false, 500, REFUSED_NO_ROOM",
-        "GIVEN_UP, 0, 0, true, 500, REFUSED_NO_PREFILL",
-        "GIVEN_UP, 2, 0, false, 500, REFUSED_BY_UPSTREAMS",
-        "GIVEN_UP, 2, 1, false, 500, FAILED",
-        "GIVEN_UP, 2, 1, false, 14000, TIMED_OUT",
-        "CUT, 1, 1, false, 500, CUT",
-        "UPSTREAM_ERROR, 1, 1, false, 500, UPSTREAM_ERROR",
-        "CALLER_LEFT, 0, 0, false, 500, CALLER_LEFT"
+        "GIVEN_UP, 0, 0, false, false, 500, REFUSED_NO_ROOM",
+        "GIVEN_UP, 0, 0, true, false, 500, REFUSED_NO_PREFILL",
+        "GIVEN_UP, 0, 0, true, true, 500, REFUSED_NO_PREFILL",
+        "GIVEN_UP, 0, 0, false, true, 500, REFUSED_FOR_URGENT",
+        "GIVEN_UP, 2, 0, false, true, 500, REFUSED_BY_UPSTREAMS",
+        "GIVEN_UP, 2, 1, false, true, 500, FAILED",
+        "GIVEN_UP, 2, 0, false, false, 500, REFUSED_BY_UPSTREAMS",
+        "GIVEN_UP, 2, 1, false, false, 500, FAILED",
+        "GIVEN_UP, 2, 1, false, false, 14000, TIMED_OUT",
+        "CUT, 1, 1, false, false, 500, CUT",
+        "UPSTREAM_ERROR, 1, 1, false, false, 500, UPSTREAM_ERROR",
+        "CALLER_LEFT, 0, 0, false, false, 500, CALLER_LEFT"
     })
     void whatWasNotServedSaysWhy(
             End last,
             int attempts,
             int executions,
             boolean lacksPrefill,
+            boolean isHeldBack,
             long ageMillis,
             RequestEnd end) {
         pass(Activity.PLACEMENT, ageMillis);
         AttemptRule.History history = new AttemptRule.History(attempts, attempts, executions);
-        assertThat(classify(last, history, false, lacksPrefill, Optional.empty(), Duration.ZERO))
+        assertThat(
+                        classify(
+                                last,
+                                history,
+                                false,
+                                lacksPrefill,
+                                isHeldBack,
+                                Optional.empty(),
+                                Duration.ZERO))
                 .isEqualTo(end);
     }
 
@@ -84,6 +98,7 @@
             AttemptRule.History history,
             boolean isClientRetry,
             boolean lacksPrefill,
+            boolean isHeldBack,
             Optional<Duration> first,
             Duration pause) {
         Route route =
@@ -95,6 +110,7 @@
                         isClientRetry,
                         false,
                         lacksPrefill,
+                        isHeldBack,
                         false,
                         route,
                         first,
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
@@ -41,6 +41,7 @@
      * @param isClientRetry whether the caller repeats a request that was refused before
      * @param isTooLarge whether the request exceeds the memory of an engine
      * @param lacksPrefill whether memory was available, but no engine that could prefill in time
+     * @param isHeldBack whether memory was available, but reserved for more urgent requests
      * @param isThrottled whether every upstream was at its stated limit or had asked for a pause
      * @param route the route of the request
      * @param first the time to the first part of a response, if any came
@@ -53,6 +54,7 @@
             boolean isClientRetry,
             boolean isTooLarge,
             boolean lacksPrefill,
+            boolean isHeldBack,
             boolean isThrottled,
             Route route,
             Optional<Duration> first,
@@ -132,6 +134,9 @@
         if (facts.isTooLarge()) {
             return RequestEnd.REFUSED_TOO_LARGE;
         }
-        return facts.lacksPrefill() ? RequestEnd.REFUSED_NO_PREFILL : RequestEnd.REFUSED_NO_ROOM;
+        if (facts.lacksPrefill()) {
+            return RequestEnd.REFUSED_NO_PREFILL;
+        }
+        return facts.isHeldBack() ? RequestEnd.REFUSED_FOR_URGENT : RequestEnd.REFUSED_NO_ROOM;
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -18,7 +18,6 @@
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.EngineSpeed;
-import org.orchidmount.routing.MemoryForecast;
 import org.orchidmount.routing.MemoryRule;
 import org.orchidmount.routing.MemoryWaitRule;
 import org.orchidmount.routing.OutputLengthEstimator;
@@ -57,7 +56,7 @@
     private final SequenceTracker mTracker;
     private final Prefiller mPrefiller;
     private final MemoryReservations mReservations;
-    private final boolean mIsClientRetry;
+    private final AvailableMemory mAvailableMemory;
     private boolean mLacksPrefill;
     private boolean mIsTooLarge;
     private boolean mIsThrottled;
@@ -89,7 +88,7 @@
                         prompt.maxOutputTokens() > 0
                                 ? prompt.maxOutputTokens()
                                 : Integer.MAX_VALUE);
-        mIsClientRetry = isClientRetry;
+        mAvailableMemory = new AvailableMemory(context, request, service, mOutput, isClientRetry);
         mNewRequestWait = newRequestWait();
         mMaxWait =
                 isClientRetry
@@ -117,6 +116,10 @@
         return mTracker;
     }
 
+    AvailableMemory availableMemory() {
+        return mAvailableMemory;
+    }
+
     private Duration newRequestWait() {
         Duration target = mRequest.route().targetLatency();
         int tokens = mOutput.promptTokens() + mOutput.expectedTokens();
@@ -193,13 +196,7 @@
     }
 
     private boolean canEverFit() {
-        return mService.engine()
-                .map(engine -> MemoryRule.canEverFit(initialForecast(), engine.kvCacheTokens()))
-                .orElse(true);
-    }
-
-    private MemoryForecast.Sequence initialForecast() {
-        return mOutput.forecastInput(0);
+        return mAvailableMemory.canEverFit();
     }
 
     /** Returns whether the last search found memory, but no engine that could prefill in time. */
@@ -318,7 +315,7 @@
     }
 
     private long availableTokens(long memoryTokens) {
-        return MemoryRule.availableTokens(initialForecast(), mIsClientRetry, memoryTokens);
+        return mAvailableMemory.tokens(memoryTokens);
     }
 
     private boolean isNearlyIdle(String upstreamId) {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -20,6 +20,7 @@
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.ClientRetryDetector;
 import org.orchidmount.routing.OutputLengthEstimator;
+import org.orchidmount.routing.UrgentArrivals;
 import org.orchidmount.upstream.CancelSignal;
 
 /** Relays requests to upstreams that register themselves. Thread-safe. */
@@ -57,6 +58,7 @@
                         new ConcurrentHashMap<>(),
                         () -> new WindowRetryBudget(retryLimit, instances, clock),
                         new ConcurrentHashMap<>(),
+                        new UrgentArrivals(clock, instances),
                         new OutputLengthEstimator(),
                         new ClientRetryDetector(clock),
                         loads,
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -33,6 +33,7 @@
 import org.orchidmount.routing.ClientRetryDetector;
 import org.orchidmount.routing.EngineSpeedEstimator;
 import org.orchidmount.routing.OutputLengthEstimator;
+import org.orchidmount.routing.UrgentArrivals;
 import org.orchidmount.upstream.CancelSignal;
 
 /**
@@ -42,6 +43,7 @@
  * @param retryBudgets the retry budgets by service
  * @param newRetryBudget creates the budget of a service that has none yet
  * @param speedEstimators the estimators of engine speed by service
+ * @param urgentArrivals the arrivals by rank of urgency
  * @param outputLengths the estimator of output lengths
  * @param clientRetries the detector that tells retries of callers from new requests
  * @param loads the sequences in flight at engines
@@ -57,6 +59,7 @@
         ConcurrentMap<String, RetryBudget> retryBudgets,
         Supplier<RetryBudget> newRetryBudget,
         ConcurrentMap<String, EngineSpeedEstimator> speedEstimators,
+        UrgentArrivals urgentArrivals,
         OutputLengthEstimator outputLengths,
         ClientRetryDetector clientRetries,
         EngineLoads loads,
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -184,11 +184,21 @@
     private Optional<Placement> place() throws InterruptedException {
         mProgress.startWaiting(Activity.PLACEMENT);
         if (mEngines.isPresent()) {
-            return mEngines.get().place(mTried);
+            return placeAtEngine(mEngines.get());
         }
         return placeAtPlainService();
     }
 
+    private Optional<Placement> placeAtEngine(EnginePlacer engines) throws InterruptedException {
+        Optional<Placement> placement = engines.place(mTried);
+        if (placement.isPresent()) {
+            engines.availableMemory().placed();
+        } else if (!mCancel.isCancelled()) {
+            engines.availableMemory().notPlaced();
+        }
+        return placement;
+    }
+
     /** Tries to acquire a permit for one upstream after another, each once. */
     private Optional<Placement> placeAtPlainService() throws InterruptedException {
         Set<String> throttled = new HashSet<>(mContext.throttle().throttledUpstreams());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
@@ -68,6 +68,8 @@
                                 mIsClientRetry,
                                 engines.map(EnginePlacer::isTooLarge).orElse(false),
                                 engines.map(EnginePlacer::lacksPrefill).orElse(false),
+                                engines.map(placer -> placer.availableMemory().isHeldBack())
+                                        .orElse(false),
                                 isThrottled,
                                 mRequest.route(),
                                 first,
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
@@ -24,6 +24,11 @@
     LATE_BY_PAUSE,
     /** Refused: no engine had enough memory within the time that the request may wait. */
     REFUSED_NO_ROOM,
+    /**
+     * Refused: engines had memory, but it is reserved for more urgent requests, which are expected
+     * before that of this request would be free again.
+     */
+    REFUSED_FOR_URGENT,
     /** Refused at once: the request is larger than the memory of an engine. */
     REFUSED_TOO_LARGE,
     /** Refused: engines had memory, but no prefill engine became free in time. */
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryRule.java
@@ -86,6 +86,17 @@
         return isClientRetry && canEverFit(request, retryTokens) ? retryTokens : memoryTokens;
     }
 
+    /**
+     * Returns the least memory that an engine must have for a request to fit into it while it is
+     * empty.
+     *
+     * @param request the request before its first output token
+     * @return tokens
+     */
+    static long emptyEngineTokens(MemoryForecast.Sequence request) {
+        return (long) (MemoryForecast.peakTokens(List.of(request)) / USABLE_SHARE) + 1;
+    }
+
     /**
      * Returns the memory usage up to which a placement needs no second check.
      *
