explain: outcomes, shares and waits by route, account and urgency

Cause: with ranks in force an on-call engineer must see who waits or is refused, for whose sake, and which share each account and class gets.

Change: --by takes ROUTE and URGENCY too, and several properties at once; below the outcomes a second table gives each group's share of the requests and of those served, and its wait for room (median, 90%, longest). Without --by, a table names for each REFUSED_FOR_URGENT group the more urgent requests of the same service that arrived in the 10 s before, by route, account and urgency.

Ruled out: further columns in the table of outcomes, which scripts may read.

--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/ExplainPgm.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/ExplainPgm.java
@@ -13,6 +13,7 @@
 import org.orchidmount.pgm.internal.ExitCode;
 import org.orchidmount.pgm.internal.Explanation;
 import org.orchidmount.pgm.internal.LogFiles;
+import org.orchidmount.pgm.internal.UrgentRefusals;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -25,7 +26,9 @@
         description = {
             "Tells from the JSON logs of instances what became of requests, and why. No instance is"
                     + " asked.",
-            "Without --id: requests and tokens by cause and by second."
+            "Without --id: requests and tokens by cause and by second, and for whose sake requests"
+                    + " were refused.",
+            "With --by: outcomes, the share that each group gets, and how long it waits."
         },
         mixinStandardHelpOptions = true)
 final class ExplainPgm implements Runnable {
@@ -38,8 +41,12 @@
     @Option(
             names = "--by",
             paramLabel = "WHAT",
-            description = "Requests by ${COMPLETION-CANDIDATES} in place of cause and second.")
-    private Explanation.Group mGroup;
+            split = ",",
+            description = {
+                "Requests by ${COMPLETION-CANDIDATES} in place of cause and second.",
+                "Several are separated by commas."
+            })
+    private List<Explanation.Group> mGroups;
 
     @Parameters(paramLabel = "FILE", arity = "1..*", description = "The logs, in any order.")
     private List<Path> mFiles;
@@ -63,13 +70,20 @@
     }
 
     private void sum(Explanation explanation, PrintWriter out) {
-        if (mGroup != null) {
-            out.print(explanation.by(mGroup));
+        if (mGroups != null) {
+            out.print(explanation.by(mGroups));
+            out.println();
+            out.print(explanation.waits(mGroups));
             return;
         }
         out.print(explanation.causes());
         out.println();
         out.print(explanation.seconds());
+        UrgentRefusals refusals = explanation.urgentRefusals();
+        if (!refusals.isEmpty()) {
+            out.println();
+            out.print(refusals.table());
+        }
     }
 
     private void tell(List<LogFiles.Line> lines, PrintWriter out) {
--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Explanation.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Explanation.java
@@ -19,16 +19,21 @@
 import org.orchidmount.report.RequestEnd;
 import org.orchidmount.report.RequestReport;
 
-/** Sums what the reports in logs say, by cause and by second. Not thread-safe. */
+/** Sums what the reports in logs say, by cause, second and other properties. Not thread-safe. */
 public final class Explanation {
     private final Map<RequestEnd, List<RequestReport>> mByEnd = new EnumMap<>(RequestEnd.class);
     private final Map<Instant, Ends> mBySecond = new TreeMap<>();
     private final List<RequestReport> mReports = new ArrayList<>();
+    private final UrgentRefusals mUrgentRefusals = new UrgentRefusals();
 
     /** What reports can be summed by, besides their cause and their second. */
     public enum Group {
         /** The client account. */
         ACCOUNT(RequestReport::account),
+        /** The route. */
+        ROUTE(RequestReport::route),
+        /** The rank of urgency within the service, 0 being the most urgent. */
+        URGENCY(RequestReport::urgencyText),
         /** The service. */
         SERVICE(RequestReport::service),
         /** The upstream of the last attempt. */
@@ -66,8 +71,10 @@
             mWastedTokens += report.wastedTokens();
         }
 
-        void addTo(Columns columns, Object name) {
-            columns.add(name, mInTime, mLate, mRefused, mFailed, mLeft, mWastedTokens);
+        void addTo(Columns columns, Object... names) {
+            List<Object> cells = new ArrayList<>(List.of(names));
+            cells.addAll(List.of(mInTime, mLate, mRefused, mFailed, mLeft, mWastedTokens));
+            columns.add(cells.toArray());
         }
     }
 
@@ -96,6 +103,7 @@
 
     private void add(Instant time, RequestReport report) {
         mReports.add(report);
+        mUrgentRefusals.add(time, report);
         mByEnd.computeIfAbsent(report.end(), end -> new ArrayList<>()).add(report);
         mBySecond
                 .computeIfAbsent(time.truncatedTo(ChronoUnit.SECONDS), second -> new Ends())
@@ -144,23 +152,90 @@
     }
 
     /**
-     * Returns what ended, by another property of the requests.
+     * Returns what ended, by other properties of the requests.
      *
-     * @param group the property
+     * @param groups the properties
      * @return a table, in the order of names
      */
-    public Columns by(Group group) {
-        Map<String, Ends> byName = new TreeMap<>();
+    public Columns by(List<Group> groups) {
+        Columns columns = ends(groups.stream().map(Group::name).toArray(String[]::new));
+        grouped(groups)
+                .forEach(
+                        (names, reports) -> {
+                            Ends ends = new Ends();
+                            reports.forEach(ends::add);
+                            ends.addTo(columns, names.toArray());
+                        });
+        return columns;
+    }
+
+    /**
+     * Returns which share of all requests each group sent and got served, and how long its requests
+     * waited for room, whether they were served or refused.
+     *
+     * @param groups the properties by which requests are grouped
+     * @return a table, in the order of names
+     */
+    public Columns waits(List<Group> groups) {
+        List<String> titles = new ArrayList<>(groups.stream().map(Group::name).toList());
+        titles.addAll(
+                List.of(
+                        "REQUESTS",
+                        "% OF ALL",
+                        "% OF SERVED",
+                        "% SERVED",
+                        "ROOM MS",
+                        "90%",
+                        "LONGEST"));
+        Columns columns = new Columns(titles.toArray(String[]::new));
+        long allServed = served(mReports);
+        grouped(groups)
+                .forEach(
+                        (names, reports) -> {
+                            List<Object> cells = new ArrayList<>(names);
+                            cells.add(reports.size());
+                            cells.add(percent(reports.size(), mReports.size()));
+                            cells.add(percent(served(reports), allServed));
+                            cells.add(percent(served(reports), reports.size()));
+                            cells.add(quantile(reports, RequestReport::roomMillis, 0.5));
+                            cells.add(quantile(reports, RequestReport::roomMillis, 0.9));
+                            cells.add(quantile(reports, RequestReport::roomMillis, 1));
+                            columns.add(cells.toArray());
+                        });
+        return columns;
+    }
+
+    private Map<List<String>, List<RequestReport>> grouped(List<Group> groups) {
+        Map<List<String>, List<RequestReport>> grouped =
+                new TreeMap<>(Comparator.comparing(names -> String.join("\0", names)));
         for (RequestReport report : mReports) {
-            byName.computeIfAbsent(group.mName.apply(report), name -> new Ends()).add(report);
+            List<String> names = groups.stream().map(group -> group.mName.apply(report)).toList();
+            grouped.computeIfAbsent(names, key -> new ArrayList<>()).add(report);
         }
-        Columns columns = ends(group.name());
-        byName.forEach((name, ends) -> ends.addTo(columns, name));
-        return columns;
+        return grouped;
+    }
+
+    private static long served(List<RequestReport> reports) {
+        return reports.stream().filter(report -> report.end().isServed()).count();
+    }
+
+    private static long percent(long part, long whole) {
+        return whole == 0 ? 0 : Math.round(100.0 * part / whole);
+    }
+
+    /**
+     * Returns the requests that were refused for the sake of more urgent ones.
+     *
+     * @return the refusals
+     */
+    public UrgentRefusals urgentRefusals() {
+        return mUrgentRefusals;
     }
 
-    private static Columns ends(String title) {
-        return new Columns(title, "IN TIME", "LATE", "REFUSED", "FAILED", "LEFT", "WASTED TOKENS");
+    private static Columns ends(String... names) {
+        List<String> titles = new ArrayList<>(List.of(names));
+        titles.addAll(List.of("IN TIME", "LATE", "REFUSED", "FAILED", "LEFT", "WASTED TOKENS"));
+        return new Columns(titles.toArray(String[]::new));
     }
 
     private static long sum(List<RequestReport> reports, ToLongFunction<RequestReport> figure) {
@@ -168,8 +243,14 @@
     }
 
     private static long median(List<RequestReport> reports, ToLongFunction<RequestReport> figure) {
+        return quantile(reports, figure, 0.5);
+    }
+
+    private static long quantile(
+            List<RequestReport> reports, ToLongFunction<RequestReport> figure, double share) {
         List<RequestReport> sorted =
                 reports.stream().sorted(Comparator.comparingLong(figure)).toList();
-        return figure.applyAsLong(sorted.get(sorted.size() / 2));
+        int index = Math.min(sorted.size() - 1, (int) (share * sorted.size()));
+        return figure.applyAsLong(sorted.get(index));
     }
 }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/pgm/ExplainTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/pgm/ExplainTest.java
@@ -127,6 +127,73 @@
         assertThat(run.out().lines().map(String::strip).toList()).contains(row);
     }
 
+    private Path ranked() throws IOException {
+        Path file = mFolder.resolve("ranked.log");
+        String chat = " account=mill route=chat urgency=0";
+        String bulk = " account=port route=bulk urgency=1";
+        Files.write(
+                file,
+                List.of(
+                        line("10:00:00.5", "request: a0 IN_TIME " + SERVED + chat),
+                        line("10:00:12.1", "request: a1 IN_TIME " + SERVED + chat),
+                        line("10:00:12.2", "request: a2 LATE_FOR_ROOM " + SERVED + chat),
+                        line("10:00:12.3", "request: b1 IN_TIME " + SERVED + bulk),
+                        line("10:00:12.4", "request: b2 REFUSED_FOR_URGENT " + REFUSED + bulk),
+                        line("10:00:12.5", "request: b3 REFUSED_FOR_URGENT " + REFUSED + bulk),
+                        line(
+                                "10:00:12.6",
+                                "request: c1 IN_TIME "
+                                        + SERVED.replace("service=s", "service=t")
+                                        + " account=mill route=other urgency=0")));
+        return file;
+    }
+
+    /** Guards against shares and waits that do not tell classes and accounts apart. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "route | bulk   1        0     2        0       0     0",
+                "route | bulk   3         43        20           33        540      540  540",
+                "urgency | 0        3        1     0        0       0     0",
+                "urgency | 1        3         43        20           33        540      540  540",
+                "account | mill     4         57        80           100       60       60   60",
+                "route,account,urgency | chat   mill     0        2        1     0        0       0"
+                        + "     0",
+                "route,account,urgency | bulk   port     1        3         43        20"
+                        + "           33        540      540  540"
+            })
+    void sharesAndWaitsAreSummedByClassAndAccount(String groups, String row) throws IOException {
+        Run run = explain("--by", groups, ranked());
+        assertThat(run.err()).isEmpty();
+        assertThat(run.out().lines().map(String::strip).toList()).contains(row);
+    }
+
+    /** Guards against a favoured class that is of another service, or that came long before. */
+    @Test
+    void aRefusalForUrgentNamesWhomItFavoured() throws IOException {
+        Run run = explain(ranked());
+        assertThat(run.out().lines().map(String::strip).toList())
+                .contains("bulk/port/1         2         chat/mill/0 (2)");
+    }
+
+    /** Guards against a table about urgency where it is not in force. */
+    @Test
+    void withoutRefusalsForUrgentNothingIsSaidOfThem() {
+        assertThat(explain(mFirst, mSecond).out()).doesNotContain("URGENT");
+    }
+
+    /** Guards against an empty cell where only the log of another entry names the favoured. */
+    @Test
+    void favouredRequestsMayBeMissing() throws IOException {
+        Path file = mFolder.resolve("one.log");
+        String bulk = " account=port route=bulk urgency=1";
+        Files.write(
+                file,
+                List.of(line("10:00:12.4", "request: b2 REFUSED_FOR_URGENT " + REFUSED + bulk)));
+        assertThat(explain(file).out()).contains("not in these logs");
+    }
+
     @Test
     void whatIsNoPropertyIsWrongUsage() {
         assertThat(explain("--by", "weather", mFirst).code()).isEqualTo(2);
