--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
@@ -68,6 +68,8 @@
                                 mIsClientRetry,
                                 engines.map(EnginePlacer::isTooLarge).orElse(false),
                                 engines.map(EnginePlacer::lacksPrefill).orElse(false),
+                                engines.map(placer -> placer.availableMemory().isHeldBack())
+                                        .orElse(false),
                                 isThrottled,
                                 mRequest.route(),
                                 first,
@@ -91,7 +93,9 @@
                         mLastUpstream,
                         mRequest.account()
                                 .map(ClientAccount::name)
-                                .orElse(RequestReport.NO_ACCOUNT));
+                                .orElse(RequestReport.NO_ACCOUNT),
+                        mRequest.route().name(),
+                        mRequest.urgency());
         LOG.info("%s", report.toLine());
     }
 }
