--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamEvidenceUseTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamEvidenceUseTest.java
@@ -229,6 +229,7 @@
                 new ConcurrentHashMap<>(),
                 null,
                 null,
+                null,
                 loads,
                 null,
                 null,
