Queue order: waiting requests are placed in order where it is in force

Cause: entries search for memory independently, so that the one that polls first takes it, and requests that cannot be in time wait to be refused.

RoomWait announces a request that finds no room, places it in its turn, and refuses it at once if even an early forecast is too late; the time to retry is that forecast.

A request ahead that has had room for 100 ms without taking it is passed: it may see other engines or may use less memory than assumed here. Ruled out: waiting until its announcements expire, which leaves the engine unused for 0.7 s.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/report/RequestReportTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/report/RequestReportTest.java
@@ -55,6 +55,6 @@
     private static RequestReport report(RequestEnd end, int prompt, int prefilled) {
         return new RequestReport(
                 "id-1", end, "s", true, 2, prompt, prefilled, 120, 340, 610, 55, 3_900, "i-1",
-                "acme");
+                "acme", 4, 2_100);
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -61,6 +61,9 @@
     private boolean mLacksPrefill;
     private boolean mIsTooLarge;
     private boolean mIsThrottled;
+    private final RoomWait mRoomWait;
+    private Set<Incarnation> mTried = Set.of();
+    private Set<String> mHeldEngines = Set.of();
 
     EnginePlacer(
             RelayContext context,
@@ -107,6 +110,8 @@
                         progress,
                         crashReporter);
         mReservations = new MemoryReservations(context, request.id(), cancel, progress);
+        mRoomWait =
+                new RoomWait(context, request, service, mOutput, cancel, progress, new InOrder());
     }
 
     Prefiller prefiller() {
@@ -135,6 +140,60 @@
         if (mIsTooLarge) {
             return Optional.empty();
         }
+        return mRoomWait.isInForce() ? placeInOrder(tried) : placeUnordered(tried);
+    }
+
+    /** Waits for its turn among the waiting requests of all entries. */
+    private Optional<Placement> placeInOrder(Set<Incarnation> tried) throws InterruptedException {
+        EngineSpeed speed = engineSpeed();
+        Duration untilLate =
+                mRoomWait.untilLate(speed.prefillEngineMillis(mPrompt.tokens()), speed);
+        boolean isRepeated = !tried.isEmpty() || mIsClientRetry;
+        mTried = tried;
+        Optional<Placement> placement =
+                mRoomWait.place(
+                        isRepeated && untilLate.compareTo(mMaxWait) < 0 ? mMaxWait : untilLate);
+        mMaxWait = mNewRequestWait;
+        mHeldEngines = Set.of();
+        mLacksPrefill =
+                placement.isEmpty()
+                        && mRoomWait.hadRoom()
+                        && mPrefiller.choice() == PrefillRule.Choice.UNSPLIT_IF_IDLE;
+        return placement;
+    }
+
+    /** Returns the wait for room in order. */
+    RoomWait roomWait() {
+        return mRoomWait;
+    }
+
+    /** The search for a placement as the wait in order uses it. */
+    private final class InOrder implements RoomWait.Search {
+        @Override
+        public Optional<Placement> search(Set<String> held) throws InterruptedException {
+            mHeldEngines = held;
+            return tryPlace(mTried);
+        }
+
+        @Override
+        public boolean isUseless(long waitNanos) {
+            mIsThrottled = areAllThrottled();
+            return isNoneAvailableWithin(waitNanos);
+        }
+
+        @Override
+        public long availableTokens(long memoryTokens) {
+            return EnginePlacer.this.availableTokens(memoryTokens);
+        }
+
+        @Override
+        public EngineSpeed engineSpeed(String upstreamId) {
+            return EnginePlacer.this.engineSpeed(upstreamId);
+        }
+    }
+
+    /** Searches at intervals, independent of the other requests. */
+    private Optional<Placement> placeUnordered(Set<Incarnation> tried) throws InterruptedException {
         long untilNanos = mContext.clock().nanoTime() + mMaxWait.toNanos();
         while (!mCancel.isCancelled()) {
             Optional<Placement> placement = tryPlace(tried);
@@ -297,6 +356,7 @@
         Set<String> excluded = new HashSet<>(saturatedEngines());
         excluded.addAll(mContext.upstreams().avoided(mService.name(), Stage.DECODE));
         excluded.addAll(mContext.throttle().throttledUpstreams());
+        excluded.addAll(mHeldEngines);
         if (choice == PrefillRule.Choice.UNSPLIT_IF_IDLE) {
             excluded.addAll(
                     mContext.upstreams()
@@ -391,6 +451,10 @@
         return mContext.speedEstimator(mService.name()).speed();
     }
 
+    private EngineSpeed engineSpeed(String upstreamId) {
+        return engineSpeed();
+    }
+
     private double memoryShare(String upstreamId) {
         double memoryTokens = mService.engine().map(Service.Engine::kvCacheTokens).orElse(0L);
         double usedTokens = mContext.loads().usedMemoryTokens(upstreamId, engineSpeed());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -21,6 +21,7 @@
 import org.orchidmount.routing.ClientRetryDetector;
 import org.orchidmount.routing.OutputLengthEstimator;
 import org.orchidmount.upstream.CancelSignal;
+import org.orchidmount.waiting.WaitingQueue;
 
 /** Relays requests to upstreams that register themselves. Thread-safe. */
 public final class Relay {
@@ -36,6 +37,7 @@
      * @param announcer announces sequences to the other instances
      * @param crashReports the reports of requests that crash upstreams
      * @param throttle the limits and pauses that upstreams state
+     * @param waiting the requests that wait for room at engines
      * @param connections connections to upstreams
      * @param protocol the protocol of the upstreams
      * @param clock the clock
@@ -48,6 +50,7 @@
             SequenceAnnouncer announcer,
             CrashReports crashReports,
             UpstreamThrottle throttle,
+            WaitingQueue waiting,
             HttpConnections connections,
             UpstreamProtocol protocol,
             MonotonicClock clock) {
@@ -63,9 +66,11 @@
                         announcer,
                         crashReports,
                         throttle,
+                        waiting,
                         connections,
                         protocol,
                         clock);
+        loads.setEndObserver(waiting.requests()::changed);
         upstreams.setObserver(
                 registration -> {
                     crashReports.registered(registration);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -34,6 +34,7 @@
 import org.orchidmount.routing.EngineSpeedEstimator;
 import org.orchidmount.routing.OutputLengthEstimator;
 import org.orchidmount.upstream.CancelSignal;
+import org.orchidmount.waiting.WaitingQueue;
 
 /**
  * State and services shared by all requests. Every component is thread-safe.
@@ -48,6 +49,7 @@
  * @param announcer announces sequences to the other instances
  * @param crashReports the reports of requests that crash upstreams
  * @param throttle the limits and pauses that upstreams state
+ * @param waiting the requests that wait for room at engines
  * @param connections connections to upstreams
  * @param protocol the protocol of the upstreams
  * @param clock the clock
@@ -63,6 +65,7 @@
         SequenceAnnouncer announcer,
         CrashReports crashReports,
         UpstreamThrottle throttle,
+        WaitingQueue waiting,
         HttpConnections connections,
         UpstreamProtocol protocol,
         MonotonicClock clock) {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -10,6 +10,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeoutException;
@@ -329,7 +330,9 @@
                 mIsThrottled
                         ? "every upstream is at its stated limit or has asked for a pause"
                         : mAttempts.lastFailure());
-        mCaller.refuse(outcome, retryAfter());
+        Duration retryAfter = retryAfter();
+        mReporter.refused(retryAfter);
+        mCaller.refuse(outcome, retryAfter);
     }
 
     /**
@@ -351,7 +354,11 @@
         if (mEngines.isEmpty()) {
             return RetryAfter.plainService();
         }
-        return RetryAfter.engines(engineSpeed(), ThreadLocalRandom.current());
+        OptionalDouble roomMillis = mEngines.get().roomWait().millisToRoom();
+        return roomMillis.isPresent()
+                ? RetryAfter.room(
+                        roomMillis.getAsDouble(), engineSpeed(), ThreadLocalRandom.current())
+                : RetryAfter.engines(engineSpeed(), ThreadLocalRandom.current());
     }
 
     private EngineSpeed engineSpeed() {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
@@ -31,6 +31,7 @@
     private final int mPromptTokens;
     private int mAttempts;
     private int mUnsplitTokens;
+    private long mBackInMillis = RequestReport.NO_RETRY_MILLIS;
     private String mLastUpstream = RequestReport.NO_UPSTREAM;
 
     RequestReporter(
@@ -52,6 +53,11 @@
         mUnsplitTokens += prefilledByUpstream ? mPromptTokens : 0;
     }
 
+    /** Records the time to retry that the caller is told. */
+    void refused(Duration retryAfter) {
+        mBackInMillis = retryAfter.toMillis();
+    }
+
     /** Writes the report line. */
     void ended(
             End end,
@@ -91,7 +97,9 @@
                         mLastUpstream,
                         mRequest.account()
                                 .map(ClientAccount::name)
-                                .orElse(RequestReport.NO_ACCOUNT));
+                                .orElse(RequestReport.NO_ACCOUNT),
+                        engines.map(placer -> placer.roomWait().aheadOnArrival()).orElse(0),
+                        mBackInMillis);
         LOG.info("%s", report.toLine());
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -250,6 +250,25 @@
         }
     }
 
+    /**
+     * Returns the number of requests that each available upstream of a service processes
+     * concurrently.
+     *
+     * @param service the service
+     * @param stage the stage of the upstreams
+     * @return the slots by the id of the upstream
+     */
+    Map<String, Integer> slotsByUpstream(String service, Stage stage) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            return mUpstreams.ofService(service).stream()
+                    .filter(upstream -> isAvailable(upstream, service, stage))
+                    .map(Upstream::registration)
+                    .collect(
+                            Collectors.toMap(
+                                    Registration::id, Registration::slots, (one, two) -> two));
+        }
+    }
+
     /**
      * Returns the upstreams of a service that do not match a predicate.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
@@ -29,6 +29,9 @@
  * @param totalMillis time to the end of the request
  * @param upstream upstream of the last attempt; "-" if there was none
  * @param account client account that the request counts for; "-" if there is none
+ * @param waitAhead number of waiting requests ahead of the request on its arrival; 0 where requests
+ *     are not placed in order
+ * @param backInMillis time to retry that the caller was told; -1 if none
  */
 public record RequestReport(
         String id,
@@ -44,13 +47,18 @@
         long pauseMillis,
         long totalMillis,
         String upstream,
-        String account) {
+        String account,
+        int waitAhead,
+        long backInMillis) {
     /** The log part of report lines, which prefixes each of them. */
     public static final String PART = "request";
 
     /** Value of {@code firstMillis} if there was no response. */
     public static final long NO_RESPONSE_MILLIS = -1;
 
+    /** Value of {@code backInMillis} if the caller was told no time to retry. */
+    public static final long NO_RETRY_MILLIS = -1;
+
     /** Value of {@code upstream} if there was no attempt. */
     public static final String NO_UPSTREAM = "-";
 
@@ -90,7 +98,9 @@
                 0,
                 0,
                 NO_UPSTREAM,
-                account);
+                account,
+                0,
+                NO_RETRY_MILLIS);
     }
 
     /**
@@ -124,7 +134,9 @@
                 "pauseMillis=" + pauseMillis,
                 "totalMillis=" + totalMillis,
                 "upstream=" + upstream,
-                "account=" + account);
+                "account=" + account,
+                "waitAhead=" + waitAhead,
+                "backInMillis=" + backInMillis);
     }
 
     /**
@@ -165,7 +177,9 @@
                 fields.number("pauseMillis"),
                 fields.number("totalMillis"),
                 fields.text("upstream"),
-                fields.textOrDefault("account", NO_ACCOUNT));
+                fields.textOrDefault("account", NO_ACCOUNT),
+                (int) fields.numberOrDefault("waitAhead", 0),
+                fields.numberOrDefault("backInMillis", NO_RETRY_MILLIS));
     }
 
     /** The key=value fields of a line. */
@@ -195,6 +209,11 @@
             return values.getOrDefault(name, defaultValue);
         }
 
+        /** Returns a field that instances of earlier versions do not write. */
+        long numberOrDefault(String name, long defaultValue) {
+            return values.containsKey(name) ? number(name) : defaultValue;
+        }
+
         long number(String name) {
             String value = text(name);
             try {
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryWaitRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/MemoryWaitRule.java
@@ -21,6 +21,12 @@
      */
     private static final int CLIENT_RETRY_PERCENT = 200;
 
+    /**
+     * Multiple of the expected time from the placement to the first token that a request leaves for
+     * it. With the expected time itself, half of the requests placed last would be late.
+     */
+    private static final double FIRST_TOKEN_MARGIN = 1.25;
+
     /** Fraction of the latency target that a request of mean size waits. */
     private static final double MEAN_SHARE = 0.17;
 
@@ -54,4 +60,19 @@
         double share = Math.clamp(MEAN_SHARE * relativeSize * relativeSize, MIN_SHARE, MAX_SHARE);
         return Duration.ofNanos((long) (share * target.toNanos()));
     }
+
+    /**
+     * Returns the time in which a request must find room to be in time, where requests are placed
+     * in order. A request that cannot be in time waits as long as a small new one.
+     *
+     * @param target latency target for the first token
+     * @param age time since the request arrived
+     * @param firstTokenMillis expected time from the placement to the first token
+     * @return the maximum wait
+     */
+    public static Duration untilLate(Duration target, Duration age, double firstTokenMillis) {
+        double leftMillis =
+                target.toMillis() - age.toMillis() - FIRST_TOKEN_MARGIN * firstTokenMillis;
+        return Duration.ofMillis((long) Math.max(leftMillis, MIN_SHARE * target.toMillis()));
+    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
@@ -47,6 +47,12 @@
      */
     private static final double LIMIT_SPREAD_SHARE = 0.25;
 
+    /**
+     * Lower bound of the time after which a caller retries a request that found no room: some 40
+     * sequences end in it on the sites, so that a forecast that was too early is corrected.
+     */
+    private static final double MIN_ROOM_MILLIS = 50;
+
     /**
      * For a request whose limit has no reachable owner: a new owner is elected after an election,
      * which begins 0.7 to 1.4 s after the last message of the previous owner or after a start of
@@ -88,6 +94,21 @@
         return Duration.ofNanos((long) (factor * NO_LIMIT_OWNER.toNanos()));
     }
 
+    /**
+     * Returns the retry time for a request for which the time to room is forecast.
+     *
+     * @param roomMillis forecast time to room; at most as long as without a forecast counts
+     * @param speed measured speed of the engines
+     * @param random random source for spreading retries
+     * @return time after which the caller should retry, up to a quarter more than the forecast
+     */
+    public static Duration room(double roomMillis, EngineSpeed speed, RandomGenerator random) {
+        double longestMillis =
+                Math.max(MIN_ROOM_MILLIS, OUTPUTS_ENDED_FACTOR * speed.outputMillis());
+        double millis = Math.clamp(roomMillis, MIN_ROOM_MILLIS, longestMillis);
+        return limit(Duration.ofNanos((long) Millis.toNanos(millis)), random);
+    }
+
     /**
      * Returns the retry time for a request that no engine had room for: by then, most of the
      * outputs in progress have ended.
--- a/org.orchidmount/src/main/java/org/orchidmount/waiting/RoomForecast.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/waiting/RoomForecast.java
@@ -70,6 +70,15 @@
             sequences = List.copyOf(sequences);
         }
 
+        /**
+         * Returns whether a slot is free.
+         *
+         * @return true if the engine runs fewer requests than it can
+         */
+        public boolean hasFreeSlot() {
+            return sequences.stream().filter(one -> !isPrefill(one)).count() < slots;
+        }
+
         /**
          * Returns a copy with one more sequence.
          *
