Queue order: leave no room to requests that may not use it

A request announces the memory that it must leave free as part of its prompt, and only the first that fits nowhere keeps an engine.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/RoomWaitTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/RoomWaitTest.java
@@ -62,6 +62,7 @@
     private boolean mIsComplete = true;
     private boolean mHasPlace;
     private long mPlaceAfterSearches;
+    private long mUnavailableTokens;
 
     @BeforeEach
     void setUp() {
@@ -221,6 +222,17 @@
         assertThat(mAnnounced).isEmpty();
     }
 
+    /** Guards against room that is left to a client retry which may not use it. */
+    @Test
+    void memoryThatARequestMustLeaveFreeIsAnnouncedAsPartOfItsPrompt() throws Exception {
+        mUnavailableTokens = 11_100;
+        mIsComplete = false;
+        occupy("e1", SLOTS, 10);
+        occupy("e2", SLOTS, 10);
+        assertThat(roomWait().place(Duration.ofMillis(100))).isEmpty();
+        assertThat(mAnnounced.getFirst().promptTokens()).isEqualTo(12_100);
+    }
+
     @Test
     void withoutEnginePropertiesOrOutOfForceThereIsNoOrder() {
         assertThat(roomWait().isInForce()).isTrue();
@@ -247,7 +259,7 @@
 
         @Override
         public long availableTokens(long memoryTokens) {
-            return memoryTokens;
+            return memoryTokens - mUnavailableTokens;
         }
 
         @Override
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RoomWait.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RoomWait.java
@@ -315,13 +315,22 @@
                 mService.name(),
                 mRequest.account().map(ClientAccount::name).orElse(""),
                 URGENCY,
-                mOutput.promptTokens(),
+                mOutput.promptTokens() + unavailableTokens(),
                 mOutput.expectedTokens(),
                 mProgress.age().toMillis(),
                 Duration.ofNanos(untilNanos - nowNanos).toMillis(),
                 ended);
     }
 
+    /**
+     * Returns the memory that the request must leave free, which others count as part of its
+     * prompt. Otherwise they would leave room to a client retry that it may not use.
+     */
+    private int unavailableTokens() {
+        long memoryTokens = mService.engine().orElseThrow().kvCacheTokens();
+        return (int) (memoryTokens - mSearch.availableTokens(memoryTokens));
+    }
+
     private void announce(long untilNanos) {
         long nowNanos = mContext.clock().nanoTime();
         if (mIsAnnounced && nowNanos - mAnnouncedNanos < ANNOUNCE_INTERVAL.toNanos()) {
--- a/org.orchidmount/src/main/java/org/orchidmount/waiting/RoomForecast.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/waiting/RoomForecast.java
@@ -164,7 +164,7 @@
      * @return milliseconds; {@link #NEVER} if it has nothing to wait for
      */
     public double millisToRoom(MemoryForecast.Sequence request, double availableTokens) {
-        if (mOutputs == 0 || !MemoryRule.canEverFit(request, availableTokens)) {
+        if (mOutputs == 0 || request.promptTokens() > availableTokens) {
             return NEVER;
         }
         double missingTokens = mPeakTokens + neededTokens(request) - availableTokens;
--- a/org.orchidmount/src/main/java/org/orchidmount/waiting/RoomRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/waiting/RoomRule.java
@@ -16,7 +16,7 @@
  * Decides whether a request may be placed, waits or is refused, given the requests ahead of it.
  * Pure.
  *
- * <p>Each request ahead is placed in order at an engine that has capacity now. One that fits
+ * <p>Each request ahead is placed in order at an engine that has capacity now. The first that fits
  * nowhere now keeps the engine that is expected to be first to have capacity for it, because
  * smaller requests would otherwise take that capacity for ever; later requests use the remaining
  * engines. One that cannot be placed in its own remaining time will be refused and keeps nothing.
@@ -33,6 +33,12 @@
      */
     private static final int MAX_PLANNED = 64;
 
+    /**
+     * Number of requests ahead that may keep an engine. If each of them kept one, all engines could
+     * be kept at once, so that none took a smaller request.
+     */
+    private static final int MAX_KEPT = 1;
+
     /** Quantile of 10% of the normal distribution, in standard deviations below the mean. */
     private static final double EARLY_DEVIATIONS = 1.28;
 
@@ -124,6 +130,7 @@
         private final List<Node> mNodes = new ArrayList<>();
         private final Set<String> mPlaceable = new HashSet<>();
         private double mTokensAhead;
+        private int mKept;
 
         Plan(List<RoomForecast.Engine> engines) {
             for (RoomForecast.Engine engine : engines) {
@@ -159,7 +166,7 @@
             }
             double rooms = roomsAhead(sequence) + 1;
             if (first != null && earlyRooms(rooms) / perMilli <= request.remainingMillis()) {
-                first.mIsKept = true;
+                first.mIsKept |= mKept++ < MAX_KEPT;
                 mTokensAhead += RoomForecast.neededTokens(sequence);
             }
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/waiting/WaitingRequest.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/waiting/WaitingRequest.java
@@ -12,7 +12,7 @@
  * @param service name of the service
  * @param account name of the client account; empty if none
  * @param urgency rank of urgency within the service, 0 being the most urgent
- * @param promptTokens length of the prompt
+ * @param promptTokens length of the prompt, plus the memory that the request must leave free
  * @param expectedTokens predicted number of output tokens
  * @param waitedMillis time since the request arrived
  * @param remainingMillis time until it must find room or is refused
