--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/AvailableMemoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/AvailableMemoryTest.java
@@ -67,6 +67,7 @@
                             mClock),
                     null,
                     null,
+                    null,
                     mClock);
 
     AvailableMemoryTest() {
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamEvidenceUseTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamEvidenceUseTest.java
@@ -236,6 +236,7 @@
                 null,
                 null,
                 null,
+                null,
                 mClock);
     }
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/report/RequestReportTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/report/RequestReportTest.java
@@ -88,6 +88,8 @@
                 "i-1",
                 "acme",
                 "r-1",
-                OptionalInt.of(2));
+                OptionalInt.of(2),
+                4,
+                2_100);
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AvailableMemory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AvailableMemory.java
@@ -62,6 +62,11 @@
         return mOutput.forecastInput(0);
     }
 
+    /** Returns whether the caller was refused before. */
+    boolean isClientRetry() {
+        return mIsClientRetry;
+    }
+
     /** Returns whether the request fits into an empty engine of its service. */
     boolean canEverFit() {
         return mService.engine()
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -17,6 +17,7 @@
 import org.orchidmount.pacing.SendPermit;
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.routes.Service;
+import org.orchidmount.routing.EngineSpeed;
 import org.orchidmount.routing.MemoryRule;
 import org.orchidmount.routing.MemoryWaitRule;
 import org.orchidmount.routing.OutputLengthEstimator;
@@ -60,6 +61,9 @@
     private boolean mLacksPrefill;
     private boolean mIsTooLarge;
     private boolean mIsThrottled;
+    private final RoomWait mRoomWait;
+    private Set<Incarnation> mTried = Set.of();
+    private Set<String> mHeldEngines = Set.of();
 
     EnginePlacer(
             RelayContext context,
@@ -107,6 +111,8 @@
                         crashReporter);
         mCosts = new EngineCosts(context, service, prompt.tokens(), request.route().maxEventGap());
         mReservations = new MemoryReservations(context, request.id(), cancel, progress);
+        mRoomWait =
+                new RoomWait(context, request, service, mOutput, cancel, progress, new InOrder());
     }
 
     Prefiller prefiller() {
@@ -139,6 +145,60 @@
         if (mIsTooLarge) {
             return Optional.empty();
         }
+        return mRoomWait.isInForce() ? placeInOrder(tried) : placeUnordered(tried);
+    }
+
+    /** Waits for its turn among the waiting requests of all entries. */
+    private Optional<Placement> placeInOrder(Set<Incarnation> tried) throws InterruptedException {
+        EngineSpeed speed = mContext.speedEstimator(mService.name()).speed();
+        Duration untilLate =
+                mRoomWait.untilLate(speed.prefillEngineMillis(mPrompt.tokens()), speed);
+        boolean isRepeated = !tried.isEmpty() || mAvailableMemory.isClientRetry();
+        mTried = tried;
+        Optional<Placement> placement =
+                mRoomWait.place(
+                        isRepeated && untilLate.compareTo(mMaxWait) < 0 ? mMaxWait : untilLate);
+        mMaxWait = mNewRequestWait;
+        mHeldEngines = Set.of();
+        mLacksPrefill =
+                placement.isEmpty()
+                        && mRoomWait.hadRoom()
+                        && mPrefiller.choice() == PrefillRule.Choice.UNSPLIT_IF_IDLE;
+        return placement;
+    }
+
+    /** Returns the wait for room in order. */
+    RoomWait roomWait() {
+        return mRoomWait;
+    }
+
+    /** The search for a placement as the wait in order uses it. */
+    private final class InOrder implements RoomWait.Search {
+        @Override
+        public Optional<Placement> search(Set<String> held) throws InterruptedException {
+            mHeldEngines = held;
+            return tryPlace(mTried);
+        }
+
+        @Override
+        public boolean isUseless(long waitNanos) {
+            mIsThrottled = areAllThrottled();
+            return isNoneAvailableWithin(waitNanos);
+        }
+
+        @Override
+        public long availableTokens(long memoryTokens) {
+            return EnginePlacer.this.availableTokens(memoryTokens);
+        }
+
+        @Override
+        public EngineSpeed engineSpeed(String upstreamId) {
+            return mCosts.engineSpeed(upstreamId);
+        }
+    }
+
+    /** Searches at intervals, independent of the other requests. */
+    private Optional<Placement> placeUnordered(Set<Incarnation> tried) throws InterruptedException {
         long untilNanos = mContext.clock().nanoTime() + mMaxWait.toNanos();
         while (!mCancel.isCancelled()) {
             Optional<Placement> placement = tryPlace(tried);
@@ -295,6 +355,7 @@
         Set<String> excluded = new HashSet<>(saturatedEngines());
         excluded.addAll(mContext.upstreams().avoided(mService.name(), Stage.DECODE));
         excluded.addAll(mContext.throttle().throttledUpstreams());
+        excluded.addAll(mHeldEngines);
         if (choice == PrefillRule.Choice.UNSPLIT_IF_IDLE) {
             excluded.addAll(
                     mContext.upstreams()
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -22,6 +22,7 @@
 import org.orchidmount.routing.OutputLengthEstimator;
 import org.orchidmount.routing.UrgentArrivals;
 import org.orchidmount.upstream.CancelSignal;
+import org.orchidmount.waiting.WaitingQueue;
 
 /** Relays requests to upstreams that register themselves. Thread-safe. */
 public final class Relay {
@@ -37,6 +38,7 @@
      * @param announcer announces sequences to the other instances
      * @param crashReports the reports of requests that crash upstreams
      * @param throttle the limits and pauses that upstreams state
+     * @param waiting the requests that wait for room at engines
      * @param connections connections to upstreams
      * @param protocol the protocol of the upstreams
      * @param clock the clock
@@ -49,6 +51,7 @@
             SequenceAnnouncer announcer,
             CrashReports crashReports,
             UpstreamThrottle throttle,
+            WaitingQueue waiting,
             HttpConnections connections,
             UpstreamProtocol protocol,
             MonotonicClock clock) {
@@ -65,9 +68,11 @@
                         announcer,
                         crashReports,
                         throttle,
+                        waiting,
                         connections,
                         protocol,
                         clock);
+        loads.setEndObserver(waiting.requests()::changed);
         upstreams.setObserver(
                 registration -> {
                     crashReports.registered(registration);
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
@@ -33,6 +33,9 @@
  * @param route route of the request; "-" if an instance of an earlier version wrote the report
  * @param urgency rank of urgency within the service, 0 being the most urgent; empty if urgency is
  *     not in force for the service
+ * @param waitAhead number of waiting requests ahead of the request on its arrival; 0 where requests
+ *     are not placed in order
+ * @param backInMillis time to retry that the caller was told; -1 if none
  */
 public record RequestReport(
         String id,
@@ -50,13 +53,18 @@
         String upstream,
         String account,
         String route,
-        OptionalInt urgency) {
+        OptionalInt urgency,
+        int waitAhead,
+        long backInMillis) {
     /** The log part of report lines, which prefixes each of them. */
     public static final String PART = "request";
 
     /** Value of {@code firstMillis} if there was no response. */
     public static final long NO_RESPONSE_MILLIS = -1;
 
+    /** Value of {@code backInMillis} if the caller was told no time to retry. */
+    public static final long NO_RETRY_MILLIS = -1;
+
     /** Value of {@code upstream} if there was no attempt. */
     public static final String NO_UPSTREAM = "-";
 
@@ -111,7 +119,9 @@
                 NO_UPSTREAM,
                 account,
                 route,
-                urgency);
+                urgency,
+                0,
+                NO_RETRY_MILLIS);
     }
 
     /**
@@ -147,7 +157,9 @@
                 "upstream=" + upstream,
                 "account=" + account,
                 "route=" + route,
-                "urgency=" + urgencyText());
+                "urgency=" + urgencyText(),
+                "waitAhead=" + waitAhead,
+                "backInMillis=" + backInMillis);
     }
 
     /**
@@ -199,7 +211,9 @@
                 fields.text("upstream"),
                 fields.textOrDefault("account", NO_ACCOUNT),
                 fields.textOrDefault("route", NO_ROUTE),
-                fields.optionalNumber("urgency", NO_URGENCY));
+                fields.optionalNumber("urgency", NO_URGENCY),
+                (int) fields.numberOrDefault("waitAhead", 0),
+                fields.numberOrDefault("backInMillis", NO_RETRY_MILLIS));
     }
 
     /** The key=value fields of a line. */
@@ -236,6 +250,11 @@
                     : OptionalInt.of((int) number(name));
         }
 
+        /** Returns a field that instances of earlier versions do not write. */
+        long numberOrDefault(String name, long defaultValue) {
+            return values.containsKey(name) ? number(name) : defaultValue;
+        }
+
         long number(String name) {
             String value = text(name);
             try {
