--- a/org.orchidmount.test/src/test/java/org/orchidmount/settings/SiteSettingsReaderTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/settings/SiteSettingsReaderTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.orchidmount.quota.QuotaTolerance;
+import org.orchidmount.relay.UnreadRule;
 
 /** Tests {@code SiteSettingsReader}. */
 final class SiteSettingsReaderTest {
@@ -39,6 +40,11 @@
                     + " \"toleratedUnits\": 120000 }, \"keyRevocationMillis\": 5000,"
                     + " \"stopSeconds\"";
 
+    /** What is added for callers that read slowly, in the line of "stopSeconds". */
+    private static final String UNREAD =
+            "\"unreadResponses\": { \"callerBytes\": 1048576, \"totalBytes\": 16777216 },"
+                    + " \"stopSeconds\"";
+
     @TempDir Path mFolder;
 
     @Test
@@ -99,6 +105,47 @@
         assertThat(invalid.problems().getFirst().line()).isEqualTo(9);
     }
 
+    /** A site that does not say waits for its callers as before. */
+    @Test
+    void withoutBoundsOnUnreadResponsesNoneAreHeld() throws IOException {
+        SiteSettings settings = ((SiteSettingsReader.Result.Valid) read(ENTRY)).settings();
+        assertThat(settings.unreadResponses()).isEmpty();
+    }
+
+    @Test
+    void readsBoundsOnUnreadResponses() throws IOException {
+        String text = ENTRY.replace("\"stopSeconds\"", UNREAD);
+        SiteSettings settings = ((SiteSettingsReader.Result.Valid) read(text)).settings();
+        assertThat(settings.unreadResponses()).hasValue(new UnreadRule(1_048_576, 16_777_216));
+    }
+
+    /** A bound that is missing, too small or contradictory is named, and what to give instead. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "1048576 | 1 | unreadResponses.callerBytes | from 65536",
+                "16777216 | 4194304 | unreadResponses.totalBytes | from 5242880",
+                "1048576 | 16777217 | unreadResponses.totalBytes | at least 16777217",
+                "1048576 | \"1MiB\" | unreadResponses.callerBytes | whole number of bytes",
+                "totalBytes | allBytes | unreadResponses.totalBytes | is missing; give",
+                "totalBytes | allBytes | unreadResponses.allBytes | is not known",
+            })
+    void badBoundsOnUnreadResponsesAreNamed(
+            String text, String replacement, String key, String remedy) throws IOException {
+        String unread = UNREAD.replace(text, replacement);
+        assertThat(unread).isNotEqualTo(UNREAD);
+        SiteSettingsReader.Result.Invalid invalid =
+                (SiteSettingsReader.Result.Invalid) read(ENTRY.replace("\"stopSeconds\"", unread));
+        SettingsProblem problem =
+                invalid.problems().stream()
+                        .filter(found -> found.path().equals(key))
+                        .findFirst()
+                        .orElseThrow();
+        assertThat(problem.line()).isEqualTo(9);
+        assertThat(problem.toString()).contains(remedy);
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/Section.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/Section.java
@@ -121,8 +121,10 @@
         return (int) number(key, (long) defaultCount, least, most, "a whole number");
     }
 
-    int bytes(String key, int defaultBytes, int least, int most) {
-        return (int) number(key, (long) defaultBytes, least, most, "a whole number of bytes");
+    /** Reads a number of bytes; a default of null means that it must be given. */
+    int bytes(String key, Integer defaultBytes, int least, int most) {
+        Long otherwise = defaultBytes == null ? null : Long.valueOf(defaultBytes);
+        return (int) number(key, otherwise, least, most, "a whole number of bytes");
     }
 
     Duration millis(String key, long defaultMillis, long least, long most) {
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.orchidmount.cluster.HostPort;
 import org.orchidmount.quota.QuotaTolerance;
+import org.orchidmount.relay.UnreadRule;
 
 /**
  * The checked settings of an instance of a site whose upstreams register themselves. Immutable.
@@ -28,6 +29,8 @@
  * @param stop how long a planned stop may take
  * @param suspensionsAfter how long after its start an instance begins to count the time that its
  *     machine is suspended
+ * @param unreadResponses what an instance that serves callers holds of responses that they do not
+ *     read; nothing if it waits for them to read
  * @param log the form of the logs
  */
 public record SiteSettings(
@@ -42,6 +45,7 @@
         Optional<Duration> keyRevocation,
         Duration stop,
         Duration suspensionsAfter,
+        Optional<UnreadRule> unreadResponses,
         Settings.Log log) {
     /** Copies the list of seeds. */
     public SiteSettings {
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.orchidmount.quota.QuotaTolerance;
+import org.orchidmount.relay.UnreadRule;
 
 /**
  * Reads and checks the settings file of an instance of a site whose upstreams register themselves.
@@ -31,6 +32,12 @@
     /** Upper bound of a setting; far more than any account has. */
     private static final double MOST_TOLERATED_UNITS = 1e12;
 
+    /** Lower bound of a setting: with less, callers that pause for a moment are disconnected. */
+    private static final int LEAST_CALLER_BYTES = 64 * 1024;
+
+    /** Lower bound of a setting: the largest response that is not streamed, 4 MiB, has to fit. */
+    private static final int LEAST_TOTAL_BYTES = 5 * 1024 * 1024;
+
     private SiteSettingsReader() {}
 
     /** The settings, or all that is wrong with the file. */
@@ -75,6 +82,9 @@
                         keyRevocation(root),
                         seconds(root.decimal("stopSeconds", 8, 0.1, LONGEST_STOP_SECONDS)),
                         millis(root, "suspensionsAfterMillis", SUSPENSIONS_AFTER_MILLIS),
+                        root.has("unreadResponses")
+                                ? unreadResponses(root.section("unreadResponses", true))
+                                : Optional.empty(),
                         SettingsReader.log(root.section("log", false)));
         if (settings.entry().isEmpty() == settings.voter().isEmpty()) {
             root.reject("entry", "give either the object \"entry\" or the object \"voter\"");
@@ -137,6 +147,18 @@
         return limits;
     }
 
+    private static Optional<UnreadRule> unreadResponses(Section section) {
+        int callerBytes = section.bytes("callerBytes", null, LEAST_CALLER_BYTES, Integer.MAX_VALUE);
+        int totalBytes = section.bytes("totalBytes", null, LEAST_TOTAL_BYTES, Integer.MAX_VALUE);
+        section.finish();
+        if (totalBytes < callerBytes) {
+            section.reject(
+                    "totalBytes", "is less than \"callerBytes\"; give at least " + callerBytes);
+            return Optional.empty();
+        }
+        return Optional.of(new UnreadRule(callerBytes, totalBytes));
+    }
+
     private static Optional<Duration> keyRevocation(Section root) {
         return root.has("keyRevocationMillis")
                 ? Optional.of(millis(root, "keyRevocationMillis", 0))
