Responses that callers do not read are held within bounds, not waited for

Cause: a write to a caller that does not read blocked for up to 15 s; the engine's stream was not read meanwhile, and the engine's slot of a response that was complete stayed taken until its caller had read it.

Change: with "unreadResponses" set, BufferingWriter writes directly while the socket takes bytes and holds the rest under an account of UnreadResponses. The sender never waits for a caller; the I/O thread delivers what is held and ends the response. A caller that exceeds a bound, or whose socket takes nothing for 15 to 20 s, is reset: without chunks an orderly end would look complete. A held response counts as active, so a planned stop waits for it as before. Without the setting ChannelWriter writes as it did.

Ruled out: a queue in front of every write. It costs a copy and an account for callers that read; a direct write now costs the same two changes of threads as before, and the end of a stream one less.

--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/RawCaller.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/RawCaller.java
@@ -8,6 +8,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
@@ -34,6 +36,33 @@
         mSocket.setTcpNoDelay(true);
     }
 
+    /**
+     * Connects with a receive buffer of a given size, so that little is on its way to a caller that
+     * does not read.
+     *
+     * @param port the port at the loopback address
+     * @param receiveBufferBytes the size asked for
+     * @throws IOException if that fails
+     */
+    public RawCaller(int port, int receiveBufferBytes) throws IOException {
+        mSocket = new Socket();
+        mSocket.setReceiveBufferSize(receiveBufferBytes);
+        mSocket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        mSocket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        mSocket.setTcpNoDelay(true);
+    }
+
+    /**
+     * Reads a number of bytes, or fewer at the end of the connection.
+     *
+     * @param count the number
+     * @return what was read
+     * @throws IOException if the connection breaks
+     */
+    public byte[] read(int count) throws IOException {
+        return mSocket.getInputStream().readNBytes(count);
+    }
+
     /**
      * Writes the head and the body of a POST with a JSON body.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelWriter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelWriter.java
@@ -22,7 +22,7 @@
  * <p>Invariant: the channel is touched on its I/O thread only, and at most one write is under way.
  * Used by one thread at a time.
  */
-final class ChannelWriter {
+final class ChannelWriter implements ResponseWriter {
     /** Bytes handed to the socket at a time: as many as a socket holds for its peer. */
     private static final int MAX_PART_BYTES = 64 * 1024;
 
@@ -36,7 +36,8 @@
     }
 
     /** Writes all bytes and waits for the socket to take them. */
-    void write(byte[] bytes, Duration timeout)
+    @Override
+    public void write(byte[] bytes, Duration timeout)
             throws IOException, TimeoutException, InterruptedException {
         ByteBuffer buffer = ByteBuffer.wrap(bytes);
         await(done -> step(buffer, done), timeout);
@@ -47,13 +48,17 @@
         await(this::shutDown, timeout);
     }
 
-    /**
-     * Writes all bytes and ends the stream. Must be called on the I/O thread, so that a whole
-     * answer costs one change of threads.
-     *
-     * @param done completed when the last byte has left
-     */
-    void writeAndEnd(byte[] bytes, CompletableFuture<Void> done) {
+    @Override
+    public void end(Duration timeout, Runnable onEnded)
+            throws IOException, TimeoutException, InterruptedException {
+        end(timeout);
+        mIoThread.execute(onEnded);
+    }
+
+    /** Completes the future when the last byte has left. */
+    @Override
+    public void writeAndEnd(byte[] bytes, CompletableFuture<Void> done, Runnable onEnded) {
+        done.thenRun(() -> mIoThread.execute(onEnded));
         mPending = done;
         CompletableFuture<Void> written = new CompletableFuture<>();
         written.whenComplete(
@@ -76,8 +81,19 @@
         }
     }
 
-    /** Fails a write that is under way, because the connection has closed. */
-    void fail(IOException error) {
+    @Override
+    public void abort(Runnable close) {
+        close.run();
+    }
+
+    /** Nothing is left to be written when a write has returned. */
+    @Override
+    public void whenDelivered(Runnable action) {
+        action.run();
+    }
+
+    @Override
+    public void fail(IOException error) {
         CompletableFuture<Void> pending = mPending;
         if (pending != null) {
             pending.completeExceptionally(error);
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -120,7 +120,7 @@
             }
             request.abort();
         } finally {
-            mActive.decrementAndGet();
+            request.whenDelivered(mActive::decrementAndGet);
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
@@ -20,8 +20,11 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.orchidmount.internal.log.PartLog;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -33,13 +36,17 @@
  * {@link #isGone}, which are thread-safe.
  */
 public final class ServerExchange {
+    private static final PartLog LOG = PartLog.of("http");
+
     private final HttpServerExchange mExchange;
     private final BooleanSupplier mClosing;
     private final XnioIoThread mIoThread;
     private final ByteQueue mBody = new ByteQueue(this::resumeReading);
     private final List<Runnable> mGoneActions = new ArrayList<>();
     private volatile ChannelPump mPump;
-    private volatile ChannelWriter mWriter;
+    private volatile ResponseWriter mWriter;
+    private volatile UnreadBytes.Opener mUnread;
+    private volatile Duration mStallTime;
     private boolean mGone;
     private volatile boolean mStarted;
 
@@ -206,7 +213,7 @@
             actions = List.copyOf(mGoneActions);
         }
         mBody.fail(new IOException("caller has gone"));
-        ChannelWriter writer = mWriter;
+        ResponseWriter writer = mWriter;
         if (writer != null) {
             writer.fail(new IOException("caller has gone"));
         }
@@ -287,8 +294,7 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public void end(Duration timeout) throws IOException, TimeoutException, InterruptedException {
-        writer().end(timeout);
-        mIoThread.execute(mExchange::endExchange);
+        writer().end(timeout, mExchange::endExchange);
     }
 
     /**
@@ -314,8 +320,7 @@
                         return;
                     }
                     begin(status, headers);
-                    done.thenRun(() -> mIoThread.execute(mExchange::endExchange));
-                    mWriter.writeAndEnd(body, done);
+                    mWriter.writeAndEnd(body, done, mExchange::endExchange);
                 });
         ChannelWriter.await(done, timeout);
     }
@@ -327,7 +332,11 @@
         }
         mExchange.setStatusCode(status);
         mExchange.getResponseHeaders().putAll(headers);
-        mWriter = new ChannelWriter(mIoThread, mExchange.getResponseChannel());
+        StreamSinkChannel channel = mExchange.getResponseChannel();
+        mWriter =
+                mUnread == null
+                        ? new ChannelWriter(mIoThread, channel)
+                        : new BufferingWriter(mIoThread, channel, mUnread, mStallTime, this::reset);
     }
 
     /**
@@ -350,13 +359,63 @@
                 });
     }
 
-    /** Closes the connection without ending the answer, so that the caller sees it is cut. */
+    /**
+     * Closes the connection without ending the answer, so that the caller sees it is cut. What is
+     * held of the answer is sent before that.
+     */
     public void abort() {
-        mIoThread.execute(() -> IoUtils.safeClose(mExchange.getConnection()));
+        Runnable close =
+                () -> mIoThread.execute(() -> IoUtils.safeClose(mExchange.getConnection()));
+        ResponseWriter writer = mWriter;
+        if (writer == null) {
+            close.run();
+        } else {
+            writer.abort(close);
+        }
+    }
+
+    /**
+     * Leaves the caller, which is from now on treated as one that has gone. The connection is
+     * reset, because an orderly end would make an answer without length look complete.
+     */
+    private void reset() {
+        markGone();
+        mIoThread.execute(
+                () -> {
+                    try {
+                        mExchange.getConnection().setOption(Options.CLOSE_ABORT, true);
+                    } catch (IOException | IllegalArgumentException e) {
+                        LOG.debug("a connection cannot be reset: %s", e);
+                    }
+                    IoUtils.safeClose(mExchange.getConnection());
+                });
+    }
+
+    /**
+     * Holds what the caller does not read, instead of waiting for it: {@link #write}, {@link #end}
+     * and {@link #answer} then return although the caller may still have to be sent some bytes.
+     * Must be called before the answer begins.
+     *
+     * @param opener opens the account of the bytes held
+     * @param stallTime after which time a caller that reads nothing is disconnected
+     */
+    public void holdUnread(UnreadBytes.Opener opener, Duration stallTime) {
+        mStallTime = stallTime;
+        mUnread = opener;
+    }
+
+    /** Runs an action as soon as nothing of the answer is held; it must not block. */
+    void whenDelivered(Runnable action) {
+        ResponseWriter writer = mWriter;
+        if (writer == null) {
+            action.run();
+        } else {
+            writer.whenDelivered(action);
+        }
     }
 
     /** Waits for the I/O thread to have made the writer. */
-    private ChannelWriter writer() throws IOException, TimeoutException, InterruptedException {
+    private ResponseWriter writer() throws IOException, TimeoutException, InterruptedException {
         if (mWriter == null) {
             CompletableFuture<Void> turn = new CompletableFuture<>();
             mIoThread.execute(() -> turn.complete(null));
