Evidence: an entry for which most requests fail is no witness

Two entries without links in different zones are two witnesses against every engine.

Change: the merger keeps the decayed outcomes of each reporter. While more of its requests fail than succeed, its failures do not count, and those already counted are withdrawn.

--- a/org.orchidmount/src/main/java/org/orchidmount/evidence/EvidenceMerger.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/evidence/EvidenceMerger.java
@@ -20,7 +20,8 @@
  * <p>Invariants: evidence is only about the newest incarnation that was registered or reported; an
  * upstream without a report for {@link #RETENTION} is forgotten; at most {@link #MAX_UPSTREAMS} are
  * held. A digest contains upstreams with new failures first, then those whose change has waited
- * longest. Confined to the voter's thread.
+ * longest. The failures that an entry reports do not count while most of its requests fail.
+ * Confined to the voter's thread.
  */
 public final class EvidenceMerger implements ReportMerger {
     /** Time without a report after which an upstream is forgotten. */
@@ -29,6 +30,9 @@
     /** Number of upstreams held; slightly above the 7,800 for which the system is designed. */
     static final int MAX_UPSTREAMS = 8_192;
 
+    /** Number of reporting entries held; above the 360 for which the system is designed. */
+    private static final int MAX_REPORTERS = 1_024;
+
     /** Interval between two removals of upstreams that are no longer reported. */
     private static final Duration REMOVAL_INTERVAL = Duration.ofSeconds(5);
 
@@ -40,6 +44,10 @@
     private final Map<String, MergedUpstream> mUpstreams = new LinkedHashMap<>();
 
     private final Map<String, Incarnation> mRegistered = new HashMap<>();
+
+    /** What each entry has reported of all upstreams; bounded by {@link #MAX_REPORTERS}. */
+    private final Map<String, ReporterRecord> mReporters = new HashMap<>();
+
     private long mRemovedNanos;
     private boolean mHasNewFailures;
     private long mReports;
@@ -65,6 +73,7 @@
     }
 
     private void merge(String instance, String zone, UpstreamObservations observed, long nowNanos) {
+        boolean isUnreliable = isUnreliable(instance, observed, nowNanos);
         Incarnation upstream = observed.upstream();
         Incarnation registered = mRegistered.getOrDefault(upstream.id(), upstream);
         MergedUpstream held = mUpstreams.get(upstream.id());
@@ -79,10 +88,34 @@
             held = new MergedUpstream(upstream, nowNanos);
             mUpstreams.put(upstream.id(), held);
         }
-        held.merge(instance, zone, observed, nowNanos);
+        held.merge(instance, zone, isUnreliable ? withoutFailures(observed) : observed, nowNanos);
         mHasNewFailures |= held.hasNewFailure();
     }
 
+    private boolean isUnreliable(String instance, UpstreamObservations observed, long nowNanos) {
+        if (mReporters.size() >= MAX_REPORTERS && !mReporters.containsKey(instance)) {
+            return false;
+        }
+        ReporterRecord reporter =
+                mReporters.computeIfAbsent(instance, name -> new ReporterRecord(nowNanos));
+        boolean wasUnreliable = reporter.isUnreliable();
+        reporter.add(observed, nowNanos);
+        if (reporter.isUnreliable() && !wasUnreliable) {
+            mUpstreams.values().forEach(held -> held.removeWitness(instance));
+        }
+        return reporter.isUnreliable();
+    }
+
+    private static UpstreamObservations withoutFailures(UpstreamObservations observed) {
+        return new UpstreamObservations(
+                observed.upstream(),
+                observed.successes(),
+                0,
+                0,
+                observed.logSlownessSum(),
+                observed.slownessCount());
+    }
+
     @Override
     public void onRegistration(Incarnation upstream) {
         if (mRegistered.size() > MAX_UPSTREAMS) {
--- a/org.orchidmount/src/main/java/org/orchidmount/evidence/MergedUpstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/evidence/MergedUpstream.java
@@ -118,6 +118,11 @@
         }
     }
 
+    /** Withdraws the failure of an entry that has turned out to be unreliable. */
+    void removeWitness(String instance) {
+        mIsChanged |= mFailures.remove(instance) != null;
+    }
+
     private void decay(long nowNanos) {
         double weight = SlownessRule.weight(nowNanos - mDecayedNanos);
         mSuccesses *= weight;
