Shared state: a test that a stalled voter is passed over

A voter that keeps its links but sends no notices would otherwise hold the reports of its whole zone. The behaviour was there; nothing tested it.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/SharedStateNodesTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/SharedStateNodesTest.java
@@ -23,7 +23,6 @@
 import java.util.OptionalInt;
 import java.util.Queue;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -48,7 +47,6 @@
 import org.orchidmount.evidence.EvidenceReceiver;
 import org.orchidmount.evidence.EvidenceReport;
 import org.orchidmount.evidence.EvidenceSource;
-import org.orchidmount.evidence.ReportMerger;
 import org.orchidmount.evidence.UpstreamEvidence;
 import org.orchidmount.evidence.UpstreamEvidence.Witness;
 import org.orchidmount.evidence.UpstreamObservations;
@@ -329,6 +327,33 @@
         }
     }
 
+    /** Guards against reports that all go to a voter that is linked but no longer works. */
+    @Test
+    void whileAVoterStallsReportsGoToAnotherOfItsZone() throws IOException {
+        try (StandInVoter stalled = new StandInVoter(SLOTS, 1, Capability.own());
+                StandInVoter other = new StandInVoter(SLOTS, 1, Capability.own());
+                Sharing one = new Sharing("one", stalled.mAddress, GATE)) {
+            Await.until("in force", LONGEST, one.mNode::isSharedStateInForce);
+            one.mSource.observeUrgently(failureAt(UPSTREAM));
+            Await.until("at the first", LONGEST, () -> stalled.newFrames() == 1);
+            one.mNode.addSeeds(List.of(other.mAddress));
+            // The first voter sends no further notice, and the other one on its greeting.
+            Await.until("at the other", LONGEST, () -> reported(one, other) > 1);
+            long sentToStalled = stalled.newFrames();
+            long sentToOther = other.newFrames();
+            Await.until("at the other", LONGEST, () -> reported(one, other) > sentToOther + 2);
+            assertThat(stalled.newFrames()).isEqualTo(sentToStalled);
+        }
+    }
+
+    /** Reports again if all is reported, and returns the number of frames that a voter received. */
+    private static long reported(Sharing entry, StandInVoter voter) {
+        if (entry.mSource.mObserved.isEmpty()) {
+            entry.mSource.observeUrgently(failureAt(UPSTREAM));
+        }
+        return voter.newFrames();
+    }
+
     private static Set<Capability> capabilities(boolean supportsSharedState) {
         return supportsSharedState
                 ? Capability.own()
@@ -402,8 +427,7 @@
             awaitNotices(received);
             assertThat(received.count(WaitingRequestsMessage.class)).isEqualTo(0);
             assertThat(received.count(EvidenceDigestMessage.class)).isEqualTo(0);
-            assertThat(mMergers.stream().mapToInt(merger -> merger.mReports.get()).sum())
-                    .isEqualTo(0);
+            assertThat(mMergers.stream().mapToInt(EchoMerger::reports).sum()).isEqualTo(0);
         }
     }
 
@@ -420,7 +444,7 @@
                 LONGEST,
                 () -> {
                     sharing.mSource.observeIfIdle(failureAt(Incarnation.startedAt("linked", 1)));
-                    return mMergers.stream().allMatch(merger -> merger.mReporters.contains(name));
+                    return mMergers.stream().allMatch(merger -> merger.hasReported(name));
                 });
         return sharing;
     }
@@ -581,57 +605,6 @@
         }
     }
 
-    /**
-     * Puts each report into the next digest, with the reporter as the only witness. Confined to the
-     * voter's thread, except for the counts.
-     */
-    private static final class EchoMerger implements ReportMerger {
-        private final AtomicInteger mReports = new AtomicInteger();
-        private final Set<String> mReporters = ConcurrentHashMap.newKeySet();
-        private final Queue<Incarnation> mRegistered = new ConcurrentLinkedQueue<>();
-        private final List<UpstreamEvidence> mChanged = new ArrayList<>();
-
-        @Override
-        public void merge(String instance, String zone, EvidenceReport report, long nowNanos) {
-            mReports.incrementAndGet();
-            mReporters.add(instance);
-            for (UpstreamObservations observed : report.observations()) {
-                mChanged.add(
-                        new UpstreamEvidence(
-                                observed.upstream(),
-                                List.of(new Witness(instance, zone, 0)),
-                                UpstreamEvidence.NEVER,
-                                1,
-                                0,
-                                0));
-            }
-        }
-
-        @Override
-        public void onRegistration(Incarnation upstream) {
-            mRegistered.add(upstream);
-        }
-
-        boolean knows(String id) {
-            return mRegistered.stream().anyMatch(upstream -> upstream.id().equals(id));
-        }
-
-        @Override
-        public boolean hasNewFailures() {
-            return !mChanged.isEmpty();
-        }
-
-        @Override
-        public Optional<EvidenceDigest> digest(long nowNanos) {
-            if (mChanged.isEmpty()) {
-                return Optional.empty();
-            }
-            EvidenceDigest digest = new EvidenceDigest(mChanged);
-            mChanged.clear();
-            return Optional.of(digest);
-        }
-    }
-
     /** A voter that sends what a test states, and counts the new frames. Thread-safe. */
     private static final class StandInVoter implements Link.Handler, AutoCloseable {
         private final HostPort mAddress;
