--- a/org.orchidmount.test/src/test/java/org/orchidmount/report/RequestReportTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/report/RequestReportTest.java
@@ -47,6 +47,16 @@
         assertThat(e).hasMessageThat().contains(reason);
     }
 
+    /** Guards against a reader that rejects the lines of instances of an earlier version. */
+    @Test
+    void aLineWithoutTheFieldsOfTheQueueIsRead() {
+        String line = report(RequestEnd.IN_TIME, 3_200, 0).toLine();
+        String earlier = line.substring(0, line.indexOf(" waitAhead="));
+        RequestReport report = RequestReport.parse("request: " + earlier);
+        assertThat(report.waitAhead()).isEqualTo(0);
+        assertThat(report.backInMillis()).isEqualTo(RequestReport.NO_RETRY_MILLIS);
+    }
+
     @Test
     void otherLinesAreNoReports() {
         assertThat(RequestReport.isReport("relay: id-1: attempt 1")).isFalse();
