--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntrySharedState.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntrySharedState.java
@@ -157,6 +157,9 @@
                             mReports++;
                             mSender.accept(new EvidenceReportMessage(report));
                         });
+        if (mConnections.source().isUrgent()) {
+            mTasks.post(this::reportIfUrgent);
+        }
     }
 
     /** Announces the state of a waiting request of this entry. */
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
@@ -58,8 +58,10 @@
      * When entries share what they know of upstreams and of waiting requests.
      *
      * @param entriesPerSlot number of entries for each slot of an engine from which on they do
+     * @param hasQueueOrder whether requests that wait for engines are placed in order over all
+     *     entries
      */
-    public record SharedState(int entriesPerSlot) {}
+    public record SharedState(int entriesPerSlot, boolean hasQueueOrder) {}
 
     /**
      * The settings of an instance that serves callers.
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -175,8 +175,9 @@
         }
         Section section = root.section("sharedState", true);
         int entriesPerSlot = section.requiredCount("entriesPerSlot", 1, MOST_ENTRIES_PER_SLOT);
+        boolean hasQueueOrder = section.flag("queueOrder", false);
         section.finish();
-        return Optional.of(new SiteSettings.SharedState(entriesPerSlot));
+        return Optional.of(new SiteSettings.SharedState(entriesPerSlot, hasQueueOrder));
     }
 
     private static Duration seconds(double seconds) {
