--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -6,7 +6,6 @@
 package org.orchidmount.relay;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -14,7 +13,6 @@
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration.Stage;
-import org.orchidmount.pacing.SendPermit;
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.EngineSpeed;
@@ -22,7 +20,6 @@
 import org.orchidmount.routing.MemoryWaitRule;
 import org.orchidmount.routing.OutputLengthEstimator;
 import org.orchidmount.routing.PrefillRule;
-import org.orchidmount.routing.UpstreamCost;
 import org.orchidmount.upstream.CancelSignal;
 
 /**
@@ -40,30 +37,24 @@
      */
     private static final Duration POLL_INTERVAL = Duration.ofMillis(45);
 
-    /** Time in which an announcement reaches all instances, with a small margin. */
-    private static final Duration ANNOUNCEMENT_DELAY = Duration.ofMillis(30);
-
     private final RelayContext mContext;
     private final RelayRequest mRequest;
     private final RelayRequest.Prompt mPrompt;
     private final Service mService;
     private final CancelSignal mCancel;
     private final RequestProgress mProgress;
-    private final OutputLengthEstimator.StatedLength mStatedLengths;
     private final InFlightSequence mOutput;
     private final Duration mNewRequestWait;
     private Duration mMaxWait;
     private final SequenceTracker mTracker;
     private final Prefiller mPrefiller;
-    private final MemoryReservations mReservations;
-    private final EngineCosts mCosts;
+    private final EngineSearch mSearch;
     private final AvailableMemory mAvailableMemory;
     private boolean mLacksPrefill;
     private boolean mIsTooLarge;
     private boolean mIsThrottled;
     private final RoomWait mRoomWait;
     private Set<Incarnation> mTried = Set.of();
-    private Set<String> mHeldEngines = Set.of();
 
     EnginePlacer(
             RelayContext context,
@@ -80,15 +71,15 @@
         mService = service;
         mCancel = cancel;
         mProgress = progress;
-        mStatedLengths =
+        OutputLengthEstimator.StatedLength stated =
                 new OutputLengthEstimator.StatedLength(
                         prompt.expectedOutputTokens(), prompt.maxOutputTokens());
-        context.outputLengths().observe(mStatedLengths);
+        context.outputLengths().observe(stated);
         mOutput =
                 InFlightSequence.ofOutput(
                         request.id(),
                         prompt.tokens(),
-                        context.outputLengths().expect(mStatedLengths),
+                        context.outputLengths().expect(stated),
                         prompt.maxOutputTokens() > 0
                                 ? prompt.maxOutputTokens()
                                 : Integer.MAX_VALUE);
@@ -109,8 +100,19 @@
                         cancel,
                         progress,
                         crashReporter);
-        mCosts = new EngineCosts(context, service, prompt.tokens(), request.route().maxEventGap());
-        mReservations = new MemoryReservations(context, request.id(), cancel, progress);
+        mSearch =
+                new EngineSearch(
+                        context,
+                        request,
+                        prompt,
+                        service,
+                        cancel,
+                        progress,
+                        stated,
+                        mOutput,
+                        mTracker,
+                        mPrefiller,
+                        mAvailableMemory);
         mRoomWait =
                 new RoomWait(context, request, service, mOutput, cancel, progress, new InOrder());
     }
@@ -159,7 +161,7 @@
                 mRoomWait.place(
                         isRepeated && untilLate.compareTo(mMaxWait) < 0 ? mMaxWait : untilLate);
         mMaxWait = mNewRequestWait;
-        mHeldEngines = Set.of();
+        mSearch.setHeldEngines(Set.of());
         mLacksPrefill =
                 placement.isEmpty()
                         && mRoomWait.hadRoom()
@@ -176,8 +178,8 @@
     private final class InOrder implements RoomWait.Search {
         @Override
         public Optional<Placement> search(Set<String> held) throws InterruptedException {
-            mHeldEngines = held;
-            return tryPlace(mTried);
+            mSearch.setHeldEngines(held);
+            return mSearch.search(mTried);
         }
 
         @Override
@@ -188,12 +190,12 @@
 
         @Override
         public long availableTokens(long memoryTokens) {
-            return EnginePlacer.this.availableTokens(memoryTokens);
+            return mAvailableMemory.tokens(memoryTokens);
         }
 
         @Override
         public EngineSpeed engineSpeed(String upstreamId) {
-            return mCosts.engineSpeed(upstreamId);
+            return mSearch.costs().engineSpeed(upstreamId);
         }
     }
 
@@ -201,7 +203,7 @@
     private Optional<Placement> placeUnordered(Set<Incarnation> tried) throws InterruptedException {
         long untilNanos = mContext.clock().nanoTime() + mMaxWait.toNanos();
         while (!mCancel.isCancelled()) {
-            Optional<Placement> placement = tryPlace(tried);
+            Optional<Placement> placement = mSearch.search(tried);
             mIsThrottled = placement.isEmpty() && areAllThrottled();
             long nowNanos = mContext.clock().nanoTime();
             if (placement.isPresent()) {
@@ -269,187 +271,14 @@
         LOG.debug(
                 "%s: no decode engine for %d tokens within %d ms; prefill %s, no capacity at %s",
                 mRequest.id(),
-                reservedTokens(),
+                mSearch.reservedTokens(),
                 mMaxWait.toMillis(),
                 mPrefiller.choice(),
-                saturatedEngines());
-    }
-
-    private Optional<Placement> tryPlace(Set<Incarnation> tried) throws InterruptedException {
-        PrefillRule.Choice choice = mPrefiller.choice();
-        if (choice != PrefillRule.Choice.UNSPLIT_IF_IDLE_ELSE_SPLIT) {
-            return tryEngines(tried, choice);
-        }
-        Optional<Placement> idle = tryEngines(tried, PrefillRule.Choice.UNSPLIT_IF_IDLE);
-        return idle.isPresent() ? idle : tryEngines(tried, PrefillRule.Choice.SPLIT);
-    }
-
-    /**
-     * Asks engines in turn, each once. An engine that was tried before is asked only if there is no
-     * other.
-     */
-    private Optional<Placement> tryEngines(Set<Incarnation> tried, PrefillRule.Choice choice)
-            throws InterruptedException {
-        Set<String> excluded = excluded(choice);
-        Set<Incarnation> refused = new HashSet<>(tried);
-        boolean mayTakeTried = true;
-        while (true) {
-            Optional<Assignment> assignment =
-                    mContext.upstreams().assign(need(mayTakeTried, excluded), refused);
-            if (assignment.isEmpty()) {
-                return Optional.empty();
-            }
-            Optional<Placement> placement = placeAt(assignment.get(), choice);
-            if (placement.isPresent()) {
-                return placement;
-            }
-            mContext.upstreams().release(assignment.get());
-            refused.add(assignment.get().incarnation());
-            mayTakeTried = false;
-        }
-    }
-
-    private Optional<Placement> placeAt(Assignment assignment, PrefillRule.Choice choice)
-            throws InterruptedException {
-        Optional<SendPermit> permit = mContext.acquirePermit(assignment, mRequest);
-        if (permit.isEmpty()) {
-            return Optional.empty();
-        }
-        Optional<String> reservation = mReservations.reserve(assignment, reservedTokens());
-        if (reservation.isEmpty()) {
-            return Optional.empty();
-        }
-        Placement placement = announce(assignment, reservation, permit.get(), choice);
-        if (confirmPlacement(placement)) {
-            return Optional.of(placement);
-        }
-        mTracker.end(placement);
-        release(placement);
-        return Optional.empty();
-    }
-
-    private Placement announce(
-            Assignment assignment,
-            Optional<String> reservation,
-            SendPermit permit,
-            PrefillRule.Choice choice) {
-        Optional<InFlightSequence> prefill = Optional.empty();
-        int queueTokens = 0;
-        if (choice != PrefillRule.Choice.SPLIT) {
-            InFlightSequence unplaced = InFlightSequence.ofPrefill(mRequest.id(), mPrompt.tokens());
-            queueTokens = mPrompt.tokens() + mContext.loads().prefillBacklogTokens(assignment.id());
-            prefill = Optional.of(mTracker.begin(unplaced, assignment));
-        }
-        InFlightSequence output = mTracker.begin(mOutput, assignment);
-        return new Placement(
-                assignment, reservation, Optional.of(output), prefill, permit, queueTokens);
-    }
-
-    /**
-     * Returns the ids of the engines that have no capacity, that are ejected, refuse work or are
-     * throttled, or that the prefill choice rules out. An engine that is gone or refuses work
-     * appears to have the lowest load of all, so a request waits for capacity at another engine
-     * rather than try it.
-     */
-    private Set<String> excluded(PrefillRule.Choice choice) {
-        Set<String> excluded = new HashSet<>(saturatedEngines());
-        excluded.addAll(mContext.upstreams().avoided(mService.name(), Stage.DECODE));
-        excluded.addAll(mContext.throttle().throttledUpstreams());
-        excluded.addAll(mHeldEngines);
-        if (choice == PrefillRule.Choice.UNSPLIT_IF_IDLE) {
-            excluded.addAll(
-                    mContext.upstreams()
-                            .idsNotMatching(mService.name(), Stage.DECODE, mCosts::isNearlyIdle));
-        }
-        if (choice == PrefillRule.Choice.UNSPLIT && mContext.evidence().isInForce()) {
-            excludePausing(excluded);
-        }
-        return excluded;
-    }
-
-    /**
-     * Excludes engines whose other streams the prefill would pause for too long, unless no engine
-     * would be left.
-     */
-    private void excludePausing(Set<String> excluded) {
-        Set<String> withPausing = new HashSet<>(excluded);
-        withPausing.addAll(
-                mContext.upstreams()
-                        .idsNotMatching(
-                                mService.name(),
-                                Stage.DECODE,
-                                upstreamId -> !mCosts.pausesTooLong(upstreamId)));
-        boolean isAnyLeft =
-                mContext.upstreams().available(mService.name(), Stage.DECODE).stream()
-                        .anyMatch(engine -> !withPausing.contains(engine.id()));
-        if (isAnyLeft) {
-            excluded.addAll(withPausing);
-        }
-    }
-
-    private Set<String> saturatedEngines() {
-        return mService.engine()
-                .map(
-                        engine ->
-                                mContext.loads()
-                                        .saturatedEngines(
-                                                mOutput,
-                                                availableTokens(engine.kvCacheTokens()),
-                                                mCosts::engineSpeed))
-                .orElseGet(Set::of);
-    }
-
-    private long availableTokens(long memoryTokens) {
-        return mAvailableMemory.tokens(memoryTokens);
-    }
-
-    /**
-     * Checks a placement again once all instances have received its announcement. The wait is
-     * skipped if the engine has ample free memory.
-     */
-    private boolean confirmPlacement(Placement placement) throws InterruptedException {
-        if (mService.engine().isEmpty()) {
-            return true;
-        }
-        long memoryTokens = availableTokens(mService.engine().get().kvCacheTokens());
-        long uncheckedTokens = MemoryRule.uncheckedTokens(memoryTokens);
-        String engine = placement.assignment().id();
-        if (!mContext.loads()
-                .saturatedEngines(mOutput, uncheckedTokens, mCosts::engineSpeed)
-                .contains(engine)) {
-            return true;
-        }
-        mProgress.startWaiting(Activity.PLACEMENT, engine);
-        return !mCancel.await(ANNOUNCEMENT_DELAY)
-                && mContext.loads()
-                        .keepsPlacement(
-                                placement.output().orElseThrow(),
-                                memoryTokens,
-                                mCosts.engineSpeed(engine));
-    }
-
-    private int reservedTokens() {
-        return MemoryRule.reservedTokens(
-                mPrompt.tokens(),
-                mOutput.maxOutputTokens(),
-                mContext.outputLengths().reserve(mStatedLengths),
-                mContext.announcer().isComplete());
-    }
-
-    private UpstreamDirectory.Need need(boolean mayTakeTried, Set<String> excluded) {
-        return new UpstreamDirectory.Need(
-                mService.name(),
-                Stage.DECODE,
-                mCosts.requestMillis(),
-                UpstreamCost.CROSS_ZONE_ENGINE_MILLIS,
-                mayTakeTried,
-                excluded,
-                mContext.maxAssignments(mService),
-                mCosts);
+                mSearch.saturatedEngines());
     }
 
     /** Releases the memory reserved for a placement that the request did not use. */
     void release(Placement placement) {
-        mReservations.release(placement);
+        mSearch.release(placement);
     }
 }
