--- a/org.orchidmount/src/main/java/org/orchidmount/evidence/EvidenceDigest.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/evidence/EvidenceDigest.java
@@ -14,8 +14,8 @@
  */
 public record EvidenceDigest(List<UpstreamEvidence> upstreams) {
     /**
-     * Maximum number of upstreams in a digest. One digest a second of this size is below 7 KB/s,
-     * the bound of control traffic for an instance.
+     * Maximum number of upstreams in a digest. With few witnesses, one digest a second is below 7
+     * KB/s, the bound of control traffic for an instance.
      */
     public static final int MAX_UPSTREAMS = 64;
 
