Sequences are never assumed to grow faster than at the mean speed

Suspected cause: engines measured as fast had their outputs taken for nearly complete, so that too many were placed there and some preempted; reporters divide by means of their own, which differ. Not shown by a trace. Change: the forecast of memory uses the speed of an engine only where it is slower than the mean.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamEvidenceUseTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamEvidenceUseTest.java
@@ -286,6 +286,23 @@
         }
     }
 
+    /**
+     * Guards against an engine whose outputs look nearly complete because its speed is
+     * overestimated: it is given more than its memory holds.
+     */
+    @ParameterizedTest
+    @CsvSource({"0.5, 1", "1, 1", "2, 2"})
+    void sequencesNeverGrowFasterThanAtTheMeanSpeed(double slowness, double expected) {
+        mDirectory.update(registration(0, Stage.DECODE));
+        mEvidence.receiver().onDigest("v", slow("i0", slowness));
+        RelayContext context = context(new EngineLoads(mClock));
+        EngineCosts costs = new EngineCosts(context, SERVICE, 5_000, Duration.ofMillis(300));
+        double mean = new EngineSpeedEstimator().speed().outputTokensPerMilli();
+        assertThat(mean / costs.growthSpeed("i0").outputTokensPerMilli())
+                .isWithin(0.2)
+                .of(expected);
+    }
+
     /** Guards against a forecast of memory at the mean speed for an engine that is slower. */
     @Test
     void memoryGrowsAtTheSpeedOfTheEngine() {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EngineCosts.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EngineCosts.java
@@ -6,6 +6,7 @@
 package org.orchidmount.relay;
 
 import java.time.Duration;
+import org.orchidmount.evidence.SlownessRule;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.EngineSpeed;
 import org.orchidmount.routing.PrefillRule;
@@ -57,6 +58,16 @@
         return mContext.engineSpeed(mService.name(), upstreamId);
     }
 
+    /**
+     * Returns the speed at which the sequences of an engine are assumed to grow, at most the mean
+     * of the service. An overestimated speed makes outputs look nearly complete, so that too many
+     * are placed at the engine and it has to preempt some.
+     */
+    EngineSpeed growthSpeed(String upstreamId) {
+        double slowness = mContext.evidence().slowness(upstreamId);
+        return meanSpeed().slowedBy(Math.max(SlownessRule.NOMINAL, slowness));
+    }
+
     private EngineSpeed meanSpeed() {
         return mContext.speedEstimator(mService.name()).speed();
     }
@@ -67,7 +78,7 @@
     }
 
     private double usedMemoryTokens(String upstreamId) {
-        return mContext.loads().usedMemoryTokens(upstreamId, engineSpeed(upstreamId));
+        return mContext.loads().usedMemoryTokens(upstreamId, growthSpeed(upstreamId));
     }
 
     /** Returns whether an engine may prefill although the prefill engines are busy. */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -195,7 +195,7 @@
 
         @Override
         public EngineSpeed engineSpeed(String upstreamId) {
-            return mSearch.costs().engineSpeed(upstreamId);
+            return mSearch.costs().growthSpeed(upstreamId);
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EngineSearch.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EngineSearch.java
@@ -213,7 +213,7 @@
                                         .saturatedEngines(
                                                 mOutput,
                                                 mAvailableMemory.tokens(engine.kvCacheTokens()),
-                                                mCosts::engineSpeed))
+                                                mCosts::growthSpeed))
                 .orElseGet(Set::of);
     }
 
@@ -229,7 +229,7 @@
         long uncheckedTokens = MemoryRule.uncheckedTokens(memoryTokens);
         String engine = placement.assignment().id();
         if (!mContext.loads()
-                .saturatedEngines(mOutput, uncheckedTokens, mCosts::engineSpeed)
+                .saturatedEngines(mOutput, uncheckedTokens, mCosts::growthSpeed)
                 .contains(engine)) {
             return true;
         }
@@ -239,7 +239,7 @@
                         .keepsPlacement(
                                 placement.output().orElseThrow(),
                                 memoryTokens,
-                                mCosts.engineSpeed(engine));
+                                mCosts.growthSpeed(engine));
     }
 
     /** Returns the memory that the request reserves at an engine. */
