--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -15,6 +15,8 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -68,6 +70,7 @@
     private final MonotonicClock mClock;
     private final Duration mConnectTimeout;
     private final HttpString mIdentityField;
+    private final AddressMap mAddresses;
     private final ConnectionCounters mCounters = new ConnectionCounters();
     private final AtomicLong mNumber = new AtomicLong();
     private final ByteBufferPool mBuffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
@@ -91,6 +94,25 @@
             MonotonicClock clock,
             Duration connectTimeout,
             HttpString identityField) {
+        this(worker, clock, connectTimeout, identityField, AddressMap.IDENTITY);
+    }
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param worker runs the I/O threads
+     * @param clock tells how long a connection has been idle
+     * @param connectTimeout the longest wait for a new connection
+     * @param identityField the field by which a response carries the identity of its call back
+     * @param addresses where peers are dialled
+     */
+    public HttpConnections(
+            XnioWorker worker,
+            MonotonicClock clock,
+            Duration connectTimeout,
+            HttpString identityField,
+            AddressMap addresses) {
+        mAddresses = addresses;
         mWorker = worker;
         mClock = clock;
         mConnectTimeout = connectTimeout;
@@ -264,7 +286,7 @@
             throws CallFailedException {
         CompletableFuture<ClientConnection> opened = new CompletableFuture<>();
         UndertowClient.getInstance()
-                .connect(new Connected(opened), peer.uri(), mWorker, mBuffers, mOptions);
+                .connect(new Connected(opened), uriOf(peer), mWorker, mBuffers, mOptions);
         try (CancelSignal.Registration _ =
                 cancel.onCancel(() -> opened.completeExceptionally(new IOException(CANCELLED)))) {
             return opened.get(mConnectTimeout.toNanos(), TimeUnit.NANOSECONDS);
@@ -282,6 +304,11 @@
         }
     }
 
+    private URI uriOf(Peer peer) {
+        InetSocketAddress address = mAddresses.toDialled(peer.address());
+        return URI.create("http://" + address.getHostString() + ":" + address.getPort());
+    }
+
     private static CallFailedException unreachable(Peer peer, Step step, String detail) {
         return new CallFailedException(new Failure.Unreachable(step, peer.name(), detail));
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/Peer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/Peer.java
@@ -5,6 +5,7 @@
  */
 package org.orchidmount.internal.http;
 
+import java.net.InetSocketAddress;
 import java.net.URI;
 
 /**
@@ -24,6 +25,15 @@
         return URI.create("http://" + host + ":" + port);
     }
 
+    /**
+     * Returns the address as a socket address.
+     *
+     * @return the address, not resolved by name
+     */
+    public InetSocketAddress address() {
+        return new InetSocketAddress(host, port);
+    }
+
     // Written out, because the compiler's versions are linked at run time, at the first call.
     @Override
     public boolean equals(Object other) {
