Entries that are cut off reach upstreams through other entries

Cause: the failure of the observer was read as failures of all that it observes. Each upstream was ejected by itself; nothing knew that all failed at once, and from here only. And an instance had no other way: no connection passes another instance.

PathMonitor verifies the direct path once connections to several upstreams fail, or all upstreams are silent: attempts to a sample, directly and through other entries. Where only the latter succeed, new connections are opened through tunnels of other entries; where none does, requests are refused at once as not run. One attempt each 300 ms finds the direct path again. A tunnel is a connection to the upstream that another entry copies bytes for: placement, attempts, retry budget, limits and cancellation stay with the entry that has the caller, so a request runs at most as often as before. A direct attempt that takes over 50 ms or fails is backed up by a tunnel before the path is in doubt. Voters announce to each entry up to 8 others that open tunnels, of its own and of other availability zones, with the token that their servers ask for.

Ruled out: not calling itself ready (the platform uses all of a zone again below half, and empties the site where all are cut), and passing requests on instead of connections (two instances would count attempts, limits and budget).

IsolatedEntryTest, which failed in 7 of 11 cases, passes in all: resets, silence and connections that live on; 2 to 5 of 6 entries, and all; plain requests and streams.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/EndClassifierTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/EndClassifierTest.java
@@ -112,6 +112,7 @@
                         lacksPrefill,
                         isHeldBack,
                         false,
+                        false,
                         route,
                         first,
                         pause,
--- a/org.orchidmount.test/src/test/java/org/orchidmount/report/RequestReportTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/report/RequestReportTest.java
@@ -100,6 +100,7 @@
                 "r-1",
                 OptionalInt.of(2),
                 4,
-                2_100);
+                2_100,
+                "front-2");
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/Capability.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/Capability.java
@@ -32,7 +32,13 @@
      * Accepts evidence about upstreams and waiting requests. An entry without it, or with voters
      * that do not support it, decides from its own observations.
      */
-    SHARED_STATE(4);
+    SHARED_STATE(4),
+
+    /**
+     * As an entry, uses tunnels of other entries where it cannot reach upstreams; as a voter,
+     * announces which entries open tunnels.
+     */
+    TUNNELS(8);
 
     private final int mBit;
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -35,6 +35,7 @@
 import org.orchidmount.cluster.ClusterMessage.TableDocument;
 import org.orchidmount.cluster.ClusterMessage.TableNotice;
 import org.orchidmount.cluster.ClusterMessage.TableRequest;
+import org.orchidmount.cluster.ClusterMessage.TunnelPeers;
 import org.orchidmount.cluster.ClusterMessage.UpstreamLimitRecords;
 import org.orchidmount.cluster.ClusterMessage.Voters;
 import org.orchidmount.cluster.ClusterMessage.WaitingRequestsMessage;
@@ -91,6 +92,7 @@
     private static final int EVIDENCE_REPORT = 15;
     private static final int EVIDENCE_DIGEST = 16;
     private static final int WAITING_REQUESTS = 17;
+    private static final int TUNNEL_PEERS = 18;
 
     /** Type numbers of consensus frames, part of the protocol. */
     private static final int VOTE_REQUEST = 20;
@@ -162,6 +164,9 @@
         } else if (message instanceof UpstreamLimitRecords records) {
             out.packInt(UPSTREAM_LIMITS);
             UpstreamLimitCodec.write(out, records.limits());
+        } else if (message instanceof TunnelPeers tunnels) {
+            out.packInt(TUNNEL_PEERS);
+            TunnelPeerCodec.writeList(out, tunnels.peers());
         } else if (message instanceof KeepAlive) {
             out.packInt(KEEP_ALIVE);
         } else if (message instanceof TableNotice notice) {
@@ -192,6 +197,7 @@
         out.packString(greeting.zone());
         if (!greeting.capabilities().isEmpty()) {
             out.packInt(Capability.toBits(greeting.capabilities()));
+            TunnelPeerCodec.writeOptional(out, greeting.tunnels());
         }
     }
 
@@ -316,6 +322,7 @@
                     new EvidenceDigestMessage(SharedStateCodec.readDigest(in, rejections));
             case WAITING_REQUESTS ->
                     new WaitingRequestsMessage(SharedStateCodec.readWaiting(in, rejections));
+            case TUNNEL_PEERS -> new TunnelPeers(TunnelPeerCodec.readList(in, rejections));
             case QUOTA_REQUEST -> readQuotaRequest(in);
             case QUOTA_REPLY -> readQuotaReply(in);
             case QUOTA_RETURN -> new QuotaReturn(in.unpackString(), readCount(in));
@@ -361,7 +368,13 @@
                 in.unpackBoolean() ? PeerRecordValidator.requireUsable(readMember(in)) : null;
         String zone = in.hasNext() ? in.unpackString() : "";
         int capabilities = in.hasNext() ? in.unpackInt() : 0;
-        return new Greeting(protocol, node, zone, voter, Capability.fromBits(capabilities));
+        return new Greeting(
+                protocol,
+                node,
+                zone,
+                voter,
+                Capability.fromBits(capabilities),
+                TunnelPeerCodec.readOptional(in));
     }
 
     private static Replication readReplication(MessageUnpacker in, int type) throws IOException {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
@@ -6,11 +6,13 @@
 package org.orchidmount.cluster;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.orchidmount.consensus.Member;
 import org.orchidmount.consensus.ReplicaMessage;
 import org.orchidmount.evidence.EvidenceDigest;
 import org.orchidmount.evidence.EvidenceReport;
+import org.orchidmount.internal.http.TunnelPeer;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.pacing.UpstreamLimit;
@@ -35,14 +37,30 @@
      * @param zone the sender's availability zone; empty if not stated
      * @param voter the sender as a replica; null if it is an entry
      * @param capabilities the capabilities that the sender supports
+     * @param tunnels how the sender opens tunnels for other entries; empty if it does not
      */
     record Greeting(
-            int protocol, String node, String zone, Member voter, Set<Capability> capabilities)
+            int protocol,
+            String node,
+            String zone,
+            Member voter,
+            Set<Capability> capabilities,
+            Optional<TunnelPeer> tunnels)
             implements ClusterMessage {
         public Greeting {
             capabilities = Set.copyOf(capabilities);
         }
 
+        /** Creates a greeting of an instance that opens no tunnels. */
+        Greeting(
+                int protocol,
+                String node,
+                String zone,
+                Member voter,
+                Set<Capability> capabilities) {
+            this(protocol, node, zone, voter, capabilities, Optional.empty());
+        }
+
         /** Creates a greeting without capabilities. */
         Greeting(int protocol, String node, String zone, Member voter) {
             this(protocol, node, zone, voter, Set.of());
@@ -101,6 +119,17 @@
         }
     }
 
+    /**
+     * Entries that open tunnels for the receiver.
+     *
+     * @param peers the entries
+     */
+    record TunnelPeers(List<TunnelPeer> peers) implements ClusterMessage {
+        public TunnelPeers {
+            peers = List.copyOf(peers);
+        }
+    }
+
     /** Keep-alive, sent on an otherwise idle link. */
     record KeepAlive() implements ClusterMessage {}
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -28,10 +28,12 @@
 import org.orchidmount.cluster.ClusterMessage.TableDocument;
 import org.orchidmount.cluster.ClusterMessage.TableNotice;
 import org.orchidmount.cluster.ClusterMessage.TableRequest;
+import org.orchidmount.cluster.ClusterMessage.TunnelPeers;
 import org.orchidmount.cluster.ClusterMessage.Voters;
 import org.orchidmount.consensus.Member;
 import org.orchidmount.evidence.EvidenceReceiver;
 import org.orchidmount.evidence.EvidenceSource;
+import org.orchidmount.internal.http.TunnelPeer;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.load.SequenceAnnouncer;
@@ -124,6 +126,7 @@
     private final QuotaRequests mQuotaRequests;
     private final EntryRecords mRecords;
     private final EntrySharedState mSharedState;
+    private final TunnelReceiver mTunnels;
     private final CountDownLatch mFirstTable = new CountDownLatch(1);
     private final long mStartNanos;
     private long mTableRequestedNanos;
@@ -147,6 +150,18 @@
         }
     }
 
+    /** Receives the instances that open tunnels for this one; called on the node's thread. */
+    @FunctionalInterface
+    public interface TunnelReceiver {
+        /**
+         * Handles an announcement, which replaces the previous one of the same voter.
+         *
+         * @param voter the cluster address of the voter
+         * @param peers the instances
+         */
+        void announced(String voter, List<TunnelPeer> peers);
+    }
+
     /** Receives updates from the voters; called on the node's thread. */
     public interface Listener {
         /**
@@ -181,10 +196,35 @@
             RouteTableParser parser,
             Listener listener,
             MonotonicClock clock) {
+        this(node, zone, seeds, parser, listener, Optional.empty(), (_, _) -> {}, clock);
+    }
+
+    /**
+     * Creates a node and connects it to the voters.
+     *
+     * @param node the instance name
+     * @param zone the instance's availability zone
+     * @param seeds cluster addresses of some voters
+     * @param parser the parser of table documents
+     * @param listener the receiver of registrations and announcements
+     * @param tunnels how this instance opens tunnels for others; empty if it does not
+     * @param tunnelReceiver the receiver of the instances that open tunnels for this one
+     * @param clock the monotonic clock
+     */
+    public EntryNode(
+            String node,
+            String zone,
+            List<HostPort> seeds,
+            RouteTableParser parser,
+            Listener listener,
+            Optional<TunnelPeer> tunnels,
+            TunnelReceiver tunnelReceiver,
+            MonotonicClock clock) {
         mClock = clock;
         mParser = parser;
         mListener = listener;
-        mGreeting = new Greeting(VoterNode.PROTOCOL, node, zone, null, Capability.own());
+        mTunnels = tunnelReceiver;
+        mGreeting = new Greeting(VoterNode.PROTOCOL, node, zone, null, Capability.own(), tunnels);
         mSeeds = Set.copyOf(seeds);
         mQuotaRequests = new QuotaRequests(node.hashCode());
         mRecords = new EntryRecords(node, clock);
@@ -504,6 +544,8 @@
             voters.members().forEach(this::addVoter);
         } else if (message instanceof Greeting greeting) {
             onGreeting(link, greeting);
+        } else if (message instanceof TunnelPeers tunnels) {
+            mTunnels.announced(String.valueOf(mLinks.get(link)), tunnels.peers());
         } else if (!mSharedState.received(mLinks.get(link), message)) {
             mRecords.received(message);
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -83,6 +83,7 @@
     private final VoterQuota mQuota;
     private final VoterRecords mRecords;
     private final VoterSharedState mSharedState;
+    private final VoterTunnels mTunnels = new VoterTunnels(mTasks);
 
     /** Registrations received from upstreams since the last batch to the other voters. */
     private final Map<String, Registration> mUnsent = new HashMap<>();
@@ -495,6 +496,7 @@
 
     private void onClosed(Link link) {
         mLinks.closed(link);
+        mTunnels.closed(link);
     }
 
     /** Ticks the replica first: if this process was suspended, another voter may lead by now. */
@@ -529,6 +531,7 @@
         mRecords.sendAllTo(link, greeting);
         if (greeting.voter() == null) {
             mLinks.entryGreeted(link, greeting);
+            mTunnels.entryGreeted(link, greeting);
             link.send(new Voters(knownVoters()));
             link.send(notice());
         } else {
--- a/org.orchidmount/src/main/java/org/orchidmount/errors/Failure.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/errors/Failure.java
@@ -65,6 +65,9 @@
     /** The peer did not answer within the time allowed. */
     record TimedOut(Step step, String peer, String detail) implements Failure {}
 
+    /** This instance lost its path to the peer, which may well go on with the request. */
+    record PathLost(Step step, String peer, String detail) implements Failure {}
+
     /** The peer answered with an error status. */
     record Rejected(Step step, String peer, int status, String detail) implements Failure {}
 
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -36,6 +36,9 @@
 public final class HttpCall implements AutoCloseable {
     private static final PartLog LOG = PartLog.of("connections");
 
+    /** Silence of an upstream that is reported; longer than most calls take. */
+    private static final Duration SILENCE = Duration.ofMillis(150);
+
     /** Stands in a log line where a call or a response has no identity. */
     private static final String NO_IDENTITY = "none";
 
@@ -55,6 +58,7 @@
     private volatile Optional<String> mIdentity = Optional.empty();
     private volatile boolean mIsIdentified;
     private CancelSignal.Registration mCancelRegistration = () -> {};
+    private volatile long mHeardNanos;
     private boolean mRequestEnded;
     private boolean mClosed;
 
@@ -79,6 +83,7 @@
         mPooled = connection;
         mIsShared = isShared;
         mConnection = connection.connection();
+        mHeardNanos = pool.nanoTime();
         connection.begin(this);
     }
 
@@ -238,9 +243,80 @@
      * @throws CallFailedException if the connection breaks or the wait is too long
      */
     public ClientResponse awaitResponse(Duration timeout) throws CallFailedException {
+        ClientResponse response =
+                guarded(() -> reportingSilence(timeout, part -> await(mResponse, part)));
+        heard();
+        return response;
+    }
+
+    /** Waits for the head of the answer to the handshake of a tunnel. */
+    ClientResponse awaitHandshake(Duration timeout) throws CallFailedException {
         return guarded(() -> await(mResponse, timeout));
     }
 
+    /**
+     * Takes the connection out of a call whose answer was read whole, so that it serves other calls
+     * as if it were new.
+     */
+    PooledConnection takeConnection() throws CallFailedException {
+        mClosed = true;
+        mCancelRegistration.close();
+        if (!mBody.isDrained() || !mPooled.end(this)) {
+            throw ConnectionOpener.unreachable(mPeer, mStep, "the tunnel has closed");
+        }
+        mPooled.handshakeEnded();
+        return mPooled;
+    }
+
+    /** Waits in parts, and reports the silence of an upstream on a direct connection after each. */
+    private <T> T reportingSilence(Duration timeout, Wait<T> wait)
+            throws IOException, TimeoutException, InterruptedException {
+        Duration left = timeout;
+        while (left.compareTo(SILENCE) > 0 && mPooled.through().isEmpty()) {
+            try {
+                return wait.await(SILENCE);
+            } catch (TimeoutException e) {
+                mPool.silent();
+                left = left.minus(SILENCE);
+            }
+        }
+        return wait.await(left);
+    }
+
+    private void heard() {
+        mHeardNanos = mPool.nanoTime();
+        if (mPooled.through().isEmpty()) {
+            mPool.heard();
+        }
+    }
+
+    /**
+     * Returns the instance through which the call was made.
+     *
+     * @return its name; empty if the connection is direct
+     */
+    public Optional<String> through() {
+        return mPooled.through();
+    }
+
+    /**
+     * Makes the call fail with {@link Failure.PathLost} if the direct path to all upstreams is lost
+     * and another path is found, so that it can be repeated there.
+     */
+    public void abortIfPathIsLost() {
+        if (mPooled.through().isEmpty()) {
+            mPool.abortIfPathIsLost(this);
+        }
+    }
+
+    /** Breaks the call off if nothing was received since a time. */
+    void pathLost(long sinceNanos) {
+        if (mHeardNanos - sinceNanos < 0) {
+            failAll(new PathLostException());
+            mPooled.giveUp(this);
+        }
+    }
+
     /**
      * Reads the next part of the answer's body.
      *
@@ -249,7 +325,11 @@
      * @throws CallFailedException if the connection breaks or the wait is too long
      */
     public byte[] read(Duration timeout) throws CallFailedException {
-        return guarded(() -> mBody.take(timeout));
+        byte[] part = guarded(() -> reportingSilence(timeout, mBody::take));
+        if (part != null) {
+            heard();
+        }
+        return part;
     }
 
     /**
@@ -297,6 +377,7 @@
         }
         mClosed = true;
         mCancelRegistration.close();
+        mPool.ended(this);
         boolean isWhole = mRequestEnded && mBody.isDrained();
         boolean isKept = isWhole && mIsShared && mIsIdentified && mPooled.isReusable();
         if (isKept && mPooled.end(this)) {
@@ -323,6 +404,10 @@
                 throw new CallFailedException(
                         new Failure.Unreachable(mStep, mPeer.name(), e.getMessage()));
             }
+            if (isPathLost(e)) {
+                throw new CallFailedException(
+                        new Failure.PathLost(mStep, mPeer.name(), PathLostException.MESSAGE));
+            }
             if (e.getCause() instanceof ForeignResponseException) {
                 throw new CallFailedException(
                         new Failure.Garbled(mStep, mPeer.name(), e.getMessage()));
@@ -331,6 +416,10 @@
         }
     }
 
+    private static boolean isPathLost(IOException e) {
+        return e instanceof PathLostException || e.getCause() instanceof PathLostException;
+    }
+
     /** Some errors of channels have no message; then their type says what happened. */
     private static String reason(IOException error) {
         Throwable cause = error.getCause() == null ? error : error.getCause();
@@ -353,6 +442,15 @@
         }
     }
 
+    /** The call was broken off because another path to the upstreams was found. */
+    private static final class PathLostException extends IOException {
+        static final String MESSAGE = "the direct path to the upstreams is lost";
+
+        PathLostException() {
+            super(MESSAGE);
+        }
+    }
+
     /** The response is not that of the call. */
     private static final class ForeignResponseException extends IOException {
         ForeignResponseException() {
@@ -360,6 +458,11 @@
         }
     }
 
+    @FunctionalInterface
+    private interface Wait<T> {
+        T await(Duration timeout) throws IOException, TimeoutException, InterruptedException;
+    }
+
     @FunctionalInterface
     private interface Blocking<T> {
         T run() throws IOException, TimeoutException, InterruptedException;
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -5,18 +5,9 @@
  */
 package org.orchidmount.internal.http;
 
-import io.undertow.UndertowOptions;
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -24,11 +15,9 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicLong;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
@@ -36,8 +25,6 @@
 import org.orchidmount.internal.lock.LockRank;
 import org.orchidmount.internal.lock.OrderedLock;
 import org.orchidmount.upstream.CancelSignal;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.XnioWorker;
 
 /**
@@ -48,38 +35,28 @@
  * So a surplus response of an upstream is never taken for that of a later call. Thread-safe.
  */
 public final class HttpConnections implements AutoCloseable {
-    private static final String CANCELLED = "cancelled before anything was sent";
-
-    /** Bytes read at a time. */
-    private static final int BUFFER_BYTES = 16 * 1024;
-
-    /** Bytes that the system holds for each socket. */
-    private static final int SOCKET_BUFFER_BYTES = 64 * 1024;
-
     /** Idle connections kept for each peer. */
     private static final int MAX_IDLE_PER_PEER = 64;
 
     /** Nanoseconds that an idle connection is kept at most. */
     private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    /** Nanoseconds that a connection is kept on which no call has been made yet. */
+    private static final long UNUSED_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final OrderedLock mLock = new OrderedLock(LockRank.CONNECTIONS);
     private final Map<Peer, Deque<Idle>> mIdle = new HashMap<>();
     private long mLastSweepNanos;
     private final ReuseSuspensions mSuspensions = new ReuseSuspensions();
-    private final XnioWorker mWorker;
     private final MonotonicClock mClock;
-    private final Duration mConnectTimeout;
     private final HttpString mIdentityField;
-    private final AddressMap mAddresses;
+    private final ConnectionPaths mPaths;
+    private final ConnectionOpener mOpener;
+
+    /** Calls that are broken off once their path is known to be lost. */
+    private final Set<HttpCall> mRepeatable = ConcurrentHashMap.newKeySet();
+
     private final ConnectionCounters mCounters = new ConnectionCounters();
-    private final AtomicLong mNumber = new AtomicLong();
-    private final ByteBufferPool mBuffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
-    private final OptionMap mOptions =
-            OptionMap.builder()
-                    .set(Options.TCP_NODELAY, true)
-                    .set(Options.RECEIVE_BUFFER, SOCKET_BUFFER_BYTES)
-                    .set(UndertowOptions.ENABLE_STATISTICS, true)
-                    .getMap();
 
     /**
      * Creates an empty pool.
@@ -94,7 +71,13 @@
             MonotonicClock clock,
             Duration connectTimeout,
             HttpString identityField) {
-        this(worker, clock, connectTimeout, identityField, AddressMap.IDENTITY);
+        this(
+                worker,
+                clock,
+                connectTimeout,
+                identityField,
+                AddressMap.IDENTITY,
+                ConnectionPaths.DIRECT_ONLY);
     }
 
     /**
@@ -105,18 +88,20 @@
      * @param connectTimeout the longest wait for a new connection
      * @param identityField the field by which a response carries the identity of its call back
      * @param addresses where peers are dialled
+     * @param paths decides how connections are opened
      */
     public HttpConnections(
             XnioWorker worker,
             MonotonicClock clock,
             Duration connectTimeout,
             HttpString identityField,
-            AddressMap addresses) {
-        mAddresses = addresses;
-        mWorker = worker;
+            AddressMap addresses,
+            ConnectionPaths paths) {
         mClock = clock;
-        mConnectTimeout = connectTimeout;
         mIdentityField = identityField;
+        mPaths = paths;
+        mOpener =
+                new ConnectionOpener(this, worker, connectTimeout, identityField, addresses, paths);
         mLastSweepNanos = clock.nanoTime();
     }
 
@@ -263,8 +248,9 @@
     private HttpCall connect(Peer peer, Step step, Optional<String> identity, CancelSignal cancel)
             throws CallFailedException {
         if (cancel.isCancelled()) {
-            throw unreachable(peer, step, CANCELLED);
+            throw ConnectionOpener.unreachable(peer, step, ConnectionOpener.CANCELLED);
         }
+        mPaths.awaitVerified();
         PooledConnection idle = identity.isEmpty() ? null : takeIdle(peer, identity.get());
         PooledConnection connection = idle != null ? idle : openPooled(peer, step, cancel);
         if (idle != null) {
@@ -277,40 +263,9 @@
 
     private PooledConnection openPooled(Peer peer, Step step, CancelSignal cancel)
             throws CallFailedException {
-        ClientConnection connection = open(peer, step, cancel);
+        PooledConnection connection = mOpener.open(peer, step, cancel);
         mCounters.opened();
-        return new PooledConnection(connection, mNumber.incrementAndGet(), () -> surplusFrom(peer));
-    }
-
-    private ClientConnection open(Peer peer, Step step, CancelSignal cancel)
-            throws CallFailedException {
-        CompletableFuture<ClientConnection> opened = new CompletableFuture<>();
-        UndertowClient.getInstance()
-                .connect(new Connected(opened), uriOf(peer), mWorker, mBuffers, mOptions);
-        try (CancelSignal.Registration _ =
-                cancel.onCancel(() -> opened.completeExceptionally(new IOException(CANCELLED)))) {
-            return opened.get(mConnectTimeout.toNanos(), TimeUnit.NANOSECONDS);
-        } catch (ExecutionException e) {
-            throw unreachable(peer, step, String.valueOf(e.getCause().getMessage()));
-        } catch (TimeoutException e) {
-            opened.completeExceptionally(e);
-            opened.thenAccept(PooledConnection::closeLater);
-            throw unreachable(peer, step, "no connection in " + mConnectTimeout.toMillis() + " ms");
-        } catch (InterruptedException e) {
-            opened.completeExceptionally(e);
-            opened.thenAccept(PooledConnection::closeLater);
-            Thread.currentThread().interrupt();
-            throw unreachable(peer, step, "interrupted");
-        }
-    }
-
-    private URI uriOf(Peer peer) {
-        InetSocketAddress address = mAddresses.toDialled(peer.address());
-        return URI.create("http://" + address.getHostString() + ":" + address.getPort());
-    }
-
-    private static CallFailedException unreachable(Peer peer, Step step, String detail) {
-        return new CallFailedException(new Failure.Unreachable(step, peer.name(), detail));
+        return connection;
     }
 
     private PooledConnection takeIdle(Peer peer, String identity) {
@@ -357,6 +312,108 @@
         }
     }
 
+    /**
+     * Tells whether no upstream can be reached, so that every new connection fails at once.
+     *
+     * @return true while there is no path to any upstream
+     */
+    public boolean isCutOff() {
+        return mPaths.current() == ConnectionPath.NONE;
+    }
+
+    /**
+     * Returns how long connections have been opened as they are now.
+     *
+     * @return the time since the last change of path
+     */
+    public Duration sincePathChange() {
+        return mPaths.sinceChange();
+    }
+
+    long nanoTime() {
+        return mClock.nanoTime();
+    }
+
+    void heard() {
+        mPaths.heard();
+    }
+
+    void silent() {
+        mPaths.silent();
+    }
+
+    void abortIfPathIsLost(HttpCall call) {
+        mRepeatable.add(call);
+    }
+
+    void ended(HttpCall call) {
+        mRepeatable.remove(call);
+    }
+
+    /**
+     * Attempts a direct connection, and keeps it for the next call.
+     *
+     * @param peer the upstream
+     * @param timeout the longest wait
+     * @return whether it was established
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public boolean probe(Peer peer, Duration timeout) throws InterruptedException {
+        Optional<PooledConnection> connection = mOpener.probe(peer, timeout);
+        connection.ifPresent(opened -> keepUnused(peer, opened));
+        return connection.isPresent();
+    }
+
+    /**
+     * Attempts a connection through another instance, and keeps it for the next call.
+     *
+     * @param peer the upstream
+     * @return whether it was established
+     */
+    public boolean probeTunnel(Peer peer) {
+        Optional<PooledConnection> connection =
+                mOpener.openTunnel(peer, Step.FORWARD, new CancelSignal());
+        connection.ifPresent(opened -> keepUnused(peer, opened));
+        return connection.isPresent();
+    }
+
+    private void keepUnused(Peer peer, PooledConnection connection) {
+        mCounters.opened();
+        connection.setIdleLimitNanos(UNUSED_NANOS);
+        release(peer, connection);
+    }
+
+    /**
+     * Closes the idle connections of a path that is no longer used, since a request that is sent on
+     * one may be lost.
+     *
+     * @param isTunnel true to close tunnels, false to close direct connections
+     */
+    public void closeIdle(boolean isTunnel) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            for (Deque<Idle> idle : mIdle.values()) {
+                idle.removeIf(each -> closeIfTunnel(each.connection(), isTunnel));
+            }
+        }
+    }
+
+    private static boolean closeIfTunnel(PooledConnection connection, boolean isTunnel) {
+        boolean isAffected = connection.through().isPresent() == isTunnel;
+        if (isAffected) {
+            connection.closeLater();
+        }
+        return isAffected;
+    }
+
+    /**
+     * Breaks off the direct calls that can be repeated and have received nothing since a time.
+     *
+     * @param sinceNanos the time, of the monotonic clock
+     */
+    public void abortDirectCalls(long sinceNanos) {
+        mRepeatable.forEach(call -> call.pathLost(sinceNanos));
+    }
+
     /** Now and then closes what is kept for peers to which no more calls are made. */
     private void closeUnusable(long nowNanos) {
         if (nowNanos - mLastSweepNanos < MAX_IDLE_NANOS) {
@@ -403,19 +460,4 @@
     }
 
     private record Idle(PooledConnection connection, long sinceNanos) {}
-
-    private record Connected(CompletableFuture<ClientConnection> opened)
-            implements ClientCallback<ClientConnection> {
-        @Override
-        public void completed(ClientConnection connection) {
-            if (!opened.complete(connection)) {
-                PooledConnection.closeLater(connection);
-            }
-        }
-
-        @Override
-        public void failed(IOException e) {
-            opened.completeExceptionally(e);
-        }
-    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
@@ -8,6 +8,7 @@
 import io.undertow.client.ClientConnection;
 import java.io.IOException;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import org.orchidmount.internal.log.PartLog;
@@ -29,6 +30,7 @@
 
     private final ClientConnection mConnection;
     private final long mNumber;
+    private final Optional<String> mThrough;
     private final Runnable mOnSurplus;
 
     /**
@@ -48,15 +50,31 @@
      *
      * @param connection the connection
      * @param number tells it apart from the others of its pool, for log lines
+     * @param through the instance whose tunnel it is; empty if it is direct
      * @param onSurplus runs if bytes arrive that no call has asked for
      */
-    PooledConnection(ClientConnection connection, long number, Runnable onSurplus) {
+    PooledConnection(
+            ClientConnection connection,
+            long number,
+            Optional<String> through,
+            Runnable onSurplus) {
         mConnection = connection;
         mNumber = number;
+        mThrough = through;
         mOnSurplus = onSurplus;
         connection.getIoThread().execute(() -> connection.addCloseListener(c -> onClosed()));
     }
 
+    /** Returns the instance whose tunnel this is; empty if the connection is direct. */
+    Optional<String> through() {
+        return mThrough;
+    }
+
+    /** Makes the next call the first one, after the handshake of a tunnel. */
+    void handshakeEnded() {
+        mUses = 0;
+    }
+
     ClientConnection connection() {
         return mConnection;
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/lock/LockRank.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/lock/LockRank.java
@@ -24,6 +24,8 @@
     CLAIMS,
     /** Idle connections to upstreams. */
     CONNECTIONS,
+    /** The instances that open tunnels. */
+    PATHS,
     /** Evidence about upstreams. */
     EVIDENCE,
     /** Crashes of upstreams that are not proved yet. */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Assignment.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Assignment.java
@@ -5,7 +5,6 @@
  */
 package org.orchidmount.relay;
 
-import org.orchidmount.cluster.HostPort;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.upstream.CancelSignal;
@@ -29,10 +28,7 @@
         mNominalMillis = nominalMillis;
         mAssignedNanos = assignedNanos;
         mIncarnation = upstream.incarnation();
-        HostPort address = HostPort.parse(upstream.registration().address());
-        // The name of the peer includes the incarnation, so that connections to another incarnation
-        // are never used.
-        mPeer = new Peer(mIncarnation.toString(), address.host(), address.port());
+        mPeer = upstream.peer();
     }
 
     Upstream upstream() {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -60,6 +60,7 @@
     private Optional<StreamTiming> mTiming = Optional.empty();
     private long mFirstResponseNanos;
     private boolean mHasResponse;
+    private Optional<String> mThrough = Optional.empty();
 
     /**
      * Id of the last event that the caller had received when the latest attempt began; 0 for none.
@@ -101,6 +102,11 @@
         return mLastFailure;
     }
 
+    /** Returns the instance through which the latest attempt was made; empty if it was direct. */
+    Optional<String> through() {
+        return mThrough;
+    }
+
     /** Returns whether the upstream of the latest attempt has sent a response head. */
     boolean hasResponse() {
         return mHasResponse;
@@ -154,6 +160,7 @@
     AttemptOutcome run(Placement placement, Optional<KvCacheRef> cache, AttemptRule.History history)
             throws IOException, TimeoutException, InterruptedException {
         mHasResponse = false;
+        mThrough = Optional.empty();
         mStartEventId = lastEventId();
         Assignment assignment = placement.assignment();
         if (assignment.hasRestarted()) {
@@ -178,6 +185,10 @@
         try (CallCancel cancel = new CallCancel(mCancel, assignment);
                 HttpCall call = open(assignment, head, cancel.signal())) {
             mProgress.startWaiting(Activity.RESPONSE, assignment.id());
+            mThrough = call.through();
+            if (AttemptRule.mayRepeat(history, mRoute.attemptLimits())) {
+                call.abortIfPathIsLost();
+            }
             Duration responseTimeout =
                     AttemptRule.responseTimeout(
                             history, mRoute.attemptLimits(), mRoute.targetLatency(), timeLeft());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
@@ -42,6 +42,7 @@
      * @param isTooLarge whether the request exceeds the memory of an engine
      * @param lacksPrefill whether memory was available, but no engine that could prefill in time
      * @param isHeldBack whether memory was available, but reserved for more urgent requests
+     * @param isCutOff whether no upstream could be reached
      * @param isThrottled whether every upstream was at its stated limit or had asked for a pause
      * @param route the route of the request
      * @param first the time to the first part of a response, if any came
@@ -55,6 +56,7 @@
             boolean isTooLarge,
             boolean lacksPrefill,
             boolean isHeldBack,
+            boolean isCutOff,
             boolean isThrottled,
             Route route,
             Optional<Duration> first,
@@ -122,6 +124,9 @@
                     ? RequestEnd.TIMED_OUT
                     : RequestEnd.FAILED;
         }
+        if (facts.isCutOff()) {
+            return RequestEnd.REFUSED_CUT_OFF;
+        }
         if (facts.isThrottled()) {
             return RequestEnd.REFUSED_UPSTREAM_LIMIT;
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -240,12 +240,13 @@
     }
 
     /**
-     * Returns whether waiting is useless: there is no engine, or none accepts work before the wait
-     * ends.
+     * Returns whether waiting is useless: there is no engine, none can be reached, or none accepts
+     * work before the wait ends.
      */
     private boolean isNoneAvailableWithin(long waitNanos) {
         List<Incarnation> engines = mContext.upstreams().available(mService.name(), Stage.DECODE);
         return engines.isEmpty()
+                || mContext.connections().isCutOff()
                 || mIsThrottled
                         && mContext.throttle().untilAnyAvailable(engines).toNanos() > waitNanos;
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -341,7 +341,7 @@
                         ? "every upstream is at its stated limit or has asked for a pause"
                         : mAttempts.lastFailure());
         Duration retryAfter = retryAfter();
-        mReporter.refused(retryAfter);
+        mReporter.refused(retryAfter, mContext.connections().isCutOff());
         mCaller.refuse(outcome, retryAfter);
     }
 
@@ -361,6 +361,10 @@
                                     mRequest.timeLeft(mContext.clock().nanoTime()));
             return RetryAfter.limit(delay, ThreadLocalRandom.current());
         }
+        if (mContext.connections().isCutOff()) {
+            return RetryAfter.cutOff(
+                    mContext.connections().sincePathChange(), ThreadLocalRandom.current());
+        }
         if (mEngines.isEmpty()) {
             return RetryAfter.plainService();
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
@@ -31,6 +31,7 @@
     private final int mPromptTokens;
     private int mAttempts;
     private int mUnsplitTokens;
+    private boolean mIsCutOff;
     private long mBackInMillis = RequestReport.NO_RETRY_MILLIS;
     private String mLastUpstream = RequestReport.NO_UPSTREAM;
 
@@ -53,8 +54,9 @@
         mUnsplitTokens += prefilledByUpstream ? mPromptTokens : 0;
     }
 
-    /** Records the time to retry that the caller is told. */
-    void refused(Duration retryAfter) {
+    /** Records the time to retry that the caller is told, and whether no upstream was reached. */
+    void refused(Duration retryAfter, boolean isCutOff) {
+        mIsCutOff = isCutOff;
         mBackInMillis = retryAfter.toMillis();
     }
 
@@ -76,6 +78,7 @@
                                 engines.map(EnginePlacer::lacksPrefill).orElse(false),
                                 engines.map(placer -> placer.availableMemory().isHeldBack())
                                         .orElse(false),
+                                mIsCutOff,
                                 isThrottled,
                                 mRequest.route(),
                                 first,
@@ -103,7 +106,8 @@
                         mRequest.route().name(),
                         mRequest.urgency(),
                         engines.map(placer -> placer.roomWait().aheadOnArrival()).orElse(0),
-                        mBackInMillis);
+                        mBackInMillis,
+                        attempts.through().orElse(RequestReport.DIRECT));
         LOG.info("%s", report.toLine());
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Upstream.java
@@ -6,6 +6,8 @@
 package org.orchidmount.relay;
 
 import java.util.function.UnaryOperator;
+import org.orchidmount.cluster.HostPort;
+import org.orchidmount.internal.http.Peer;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.State;
@@ -39,6 +41,15 @@
         return mRegistration.incarnation();
     }
 
+    /**
+     * Returns where it is called. The name includes the incarnation, so that connections to another
+     * incarnation are never used.
+     */
+    Peer peer() {
+        HostPort address = HostPort.parse(mRegistration.address());
+        return new Peer(incarnation().toString(), address.host(), address.port());
+    }
+
     /**
      * Returns the signal that is cancelled when a newer incarnation takes its place; needs no lock.
      */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -16,7 +16,9 @@
 import java.util.stream.Collectors;
 import org.orchidmount.clock.Millis;
 import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.cluster.HostPort;
 import org.orchidmount.evidence.UpstreamEvidenceView;
+import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.lock.LockRank;
 import org.orchidmount.internal.lock.OrderedLock;
 import org.orchidmount.internal.log.PartLog;
@@ -51,6 +53,7 @@
     private final UpstreamSelection mSelection;
     private final UpstreamEvidenceView mEvidence;
     private final MonotonicClock mClock;
+    private final RandomGenerator mRandom;
     private volatile Consumer<Registration> mObserver = registration -> {};
     private volatile Consumer<Registration> mDepartureAnnouncer = leaving -> {};
 
@@ -79,6 +82,7 @@
             RandomGenerator random,
             UpstreamEvidenceView evidence) {
         mClock = clock;
+        mRandom = random;
         mEvidence = evidence;
         mSelection = new UpstreamSelection(mUpstreams, zone, random, evidence);
     }
@@ -194,6 +198,32 @@
         }
     }
 
+    /** Returns a random sample of the available upstreams of all services. */
+    List<Peer> sample(int most) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            return mUpstreams.sample(most, mRandom).stream().map(Upstream::peer).toList();
+        }
+    }
+
+    /**
+     * Returns whether an upstream is registered at an address.
+     *
+     * @param address the IP address and TCP port
+     * @return true if one is
+     */
+    public boolean hasAddress(HostPort address) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            return mUpstreams.hasAddress(address.toString());
+        }
+    }
+
+    /** Forgets failed calls, because they were failures of the path from here. */
+    void forgetFailures() {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            mUpstreams.all().forEach(each -> each.updateHealth(UpstreamHealth::withoutFailures));
+        }
+    }
+
     /**
      * Returns the upstreams that are available according to their registrations.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamIndex.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamIndex.java
@@ -5,11 +5,17 @@
  */
 package org.orchidmount.relay;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
@@ -85,6 +91,54 @@
         return registration.id().equals(mIdByAddress.get(registration.address()));
     }
 
+    /** Returns whether an upstream is registered at an address. */
+    boolean hasAddress(String address) {
+        return mIdByAddress.containsKey(address);
+    }
+
+    /**
+     * Returns a random sample of the available upstreams, of each service in turn and of different
+     * availability zones where possible.
+     */
+    List<Upstream> sample(int most, RandomGenerator random) {
+        List<List<Upstream>> services = new ArrayList<>();
+        for (Map<String, Upstream> upstreams : mByService.values()) {
+            List<Upstream> available = new ArrayList<>();
+            for (Upstream upstream : upstreams.values()) {
+                if (upstream.isReady() && ownsAddress(upstream)) {
+                    available.add(upstream);
+                }
+            }
+            Collections.shuffle(available, random);
+            services.add(available);
+        }
+        Collections.shuffle(services, random);
+        List<Upstream> sample = new ArrayList<>();
+        Set<String> zones = new HashSet<>();
+        while (sample.size() < most && services.stream().anyMatch(each -> !each.isEmpty())) {
+            for (List<Upstream> service : services) {
+                if (!service.isEmpty() && sample.size() < most) {
+                    sample.add(removeInNewZone(service, zones));
+                }
+            }
+        }
+        return sample;
+    }
+
+    private static Upstream removeInNewZone(List<Upstream> upstreams, Set<String> zones) {
+        for (int i = 0; i < upstreams.size(); i++) {
+            if (zones.add(upstreams.get(i).registration().zone())) {
+                return upstreams.remove(i);
+            }
+        }
+        return upstreams.removeLast();
+    }
+
+    /** Returns all upstreams. */
+    Collection<Upstream> all() {
+        return mById.values();
+    }
+
     /** Returns all upstreams of a service, including those that are not available. */
     Collection<Upstream> ofService(String service) {
         return mByService.getOrDefault(service, Map.of()).values();
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
@@ -0,0 +1,75 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.relay;
+
+import java.time.Duration;
+import java.util.List;
+import org.orchidmount.internal.http.ConnectionPath;
+import org.orchidmount.internal.http.HttpConnections;
+import org.orchidmount.internal.http.Peer;
+import org.orchidmount.path.PathListener;
+import org.orchidmount.path.PathNetwork;
+
+/**
+ * Verifies paths with the connections and the directory of upstreams of this instance, and applies
+ * changes of path to them. Thread-safe after {@link #setConnections}.
+ */
+public final class UpstreamReachability implements PathNetwork, PathListener {
+    private final UpstreamDirectory mUpstreams;
+    private volatile HttpConnections mConnections;
+
+    /**
+     * Creates an instance.
+     *
+     * @param upstreams the upstreams known to this instance
+     */
+    public UpstreamReachability(UpstreamDirectory upstreams) {
+        mUpstreams = upstreams;
+    }
+
+    /**
+     * Sets the connections, which are created with the monitor that uses this.
+     *
+     * @param connections connections to upstreams
+     */
+    public void setConnections(HttpConnections connections) {
+        mConnections = connections;
+    }
+
+    @Override
+    public List<Peer> sample(int most) {
+        return mUpstreams.sample(most);
+    }
+
+    @Override
+    public boolean connects(Peer upstream, Duration timeout) throws InterruptedException {
+        return mConnections.probe(upstream, timeout);
+    }
+
+    @Override
+    public boolean tunnels(Peer upstream) {
+        return mConnections.probeTunnel(upstream);
+    }
+
+    /**
+     * Also when there is no path at all, silent connections are closed: a request that is sent on
+     * one would be lost. Those on which something was received lately still serve.
+     */
+    @Override
+    public void pathChanged(ConnectionPath path, boolean isSilent) {
+        if (path == ConnectionPath.DIRECT) {
+            mConnections.closeIdle(true);
+        } else if (path == ConnectionPath.TUNNEL || isSilent) {
+            mConnections.closeIdle(false);
+        }
+        mUpstreams.forgetFailures();
+    }
+
+    @Override
+    public void directlySilent(long sinceNanos) {
+        mConnections.abortDirectCalls(sinceNanos);
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
@@ -35,6 +35,8 @@
     REFUSED_NO_PREFILL,
     /** Refused: no upstream of the service was accepting requests. */
     REFUSED_NO_UPSTREAM,
+    /** Refused: this instance reached no upstream, directly or through another instance. */
+    REFUSED_CUT_OFF,
     /** Refused: every upstream that was tried refused the request. */
     REFUSED_BY_UPSTREAMS,
     /** Refused: every eligible upstream has reached the request rate that it announced. */
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
@@ -36,6 +36,7 @@
  * @param waitAhead number of waiting requests ahead of the request on its arrival; 0 where requests
  *     are not placed in order
  * @param backInMillis time to retry that the caller was told; -1 if none
+ * @param through instance through which the last attempt reached its upstream; "-" if it was direct
  */
 public record RequestReport(
         String id,
@@ -55,7 +56,8 @@
         String route,
         OptionalInt urgency,
         int waitAhead,
-        long backInMillis) {
+        long backInMillis,
+        String through) {
     /** The log part of report lines, which prefixes each of them. */
     public static final String PART = "request";
 
@@ -68,6 +70,9 @@
     /** Value of {@code upstream} if there was no attempt. */
     public static final String NO_UPSTREAM = "-";
 
+    /** Value of {@code through} if the last attempt was direct, or if there was none. */
+    public static final String DIRECT = "-";
+
     /** Value of {@code account} if the request counts for no client account. */
     public static final String NO_ACCOUNT = "-";
 
@@ -121,7 +126,8 @@
                 route,
                 urgency,
                 0,
-                NO_RETRY_MILLIS);
+                NO_RETRY_MILLIS,
+                DIRECT);
     }
 
     /**
@@ -159,7 +165,8 @@
                 "route=" + route,
                 "urgency=" + urgencyText(),
                 "waitAhead=" + waitAhead,
-                "backInMillis=" + backInMillis);
+                "backInMillis=" + backInMillis,
+                "through=" + through);
     }
 
     /**
@@ -213,7 +220,8 @@
                 fields.textOrDefault("route", NO_ROUTE),
                 fields.optionalNumber("urgency", NO_URGENCY),
                 (int) fields.numberOrDefault("waitAhead", 0),
-                fields.numberOrDefault("backInMillis", NO_RETRY_MILLIS));
+                fields.numberOrDefault("backInMillis", NO_RETRY_MILLIS),
+                fields.textOrDefault("through", DIRECT));
     }
 
     /** The key=value fields of a line. */
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/AttemptRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/AttemptRule.java
@@ -86,6 +86,18 @@
         return history.reached() > 0;
     }
 
+    /**
+     * Returns whether the next attempt may be followed by another one if it may have run the
+     * request.
+     *
+     * @param history the attempts so far
+     * @param limits retry settings of the route
+     * @return false if it must be waited for
+     */
+    public static boolean mayRepeat(History history, Limits limits) {
+        return limits.isIdempotent() && history.executions() + 1 < limits.maxExecutions();
+    }
+
     /**
      * Returns how long the next attempt may remain unanswered before it counts as failed.
      *
@@ -97,9 +109,7 @@
      */
     public static Duration responseTimeout(
             History history, Limits limits, Duration target, Duration remaining) {
-        boolean mayRetry =
-                limits.isIdempotent() && history.executions() + 1 < limits.maxExecutions();
-        if (!mayRetry) {
+        if (!mayRepeat(history, limits)) {
             return remaining;
         }
         Duration timeout = Duration.ofNanos((long) (TIMEOUT_FACTOR * target.toNanos()));
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamHealth.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/UpstreamHealth.java
@@ -62,6 +62,15 @@
                 slowness, failures.afterSuccess(), backoff.afterSuccess(), RefusalBackoff.NONE);
     }
 
+    /**
+     * Withdraws all failures, because they were not the upstream's.
+     *
+     * @return the updated state
+     */
+    public UpstreamHealth withoutFailures() {
+        return new UpstreamHealth(slowness, FailurePenalty.NONE, FailureBackoff.NONE, refusals);
+    }
+
     /**
      * Records a failed call that the upstream may have run.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
@@ -68,8 +68,9 @@
      *
      * @param callers where it listens to callers
      * @param ready where it tells whether it takes work
+     * @param tunnels where it opens tunnels for other instances; empty if it opens none
      */
-    public record Entry(HostPort callers, HostPort ready) {}
+    public record Entry(HostPort callers, HostPort ready, Optional<HostPort> tunnels) {}
 
     /**
      * The settings of an instance that votes.
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -99,7 +99,12 @@
 
     private static SiteSettings.Entry entry(Section section) {
         SiteSettings.Entry entry =
-                new SiteSettings.Entry(section.hostPort("callers"), section.hostPort("ready"));
+                new SiteSettings.Entry(
+                        section.hostPort("callers"),
+                        section.hostPort("ready"),
+                        section.has("tunnels")
+                                ? Optional.of(section.hostPort("tunnels"))
+                                : Optional.empty());
         section.finish();
         return entry;
     }
