--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/ConnectProbe.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/ConnectProbe.java
@@ -7,10 +7,10 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.concurrent.locks.LockSupport;
+import org.orchidmount.internal.http.AddressMap;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.log.PartLog;
 
@@ -35,6 +35,7 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(100);
 
     private final Sleeper mSleeper;
+    private final AddressMap mAddresses;
 
     /** Sleeps between two attempts; replaced in tests. */
     @FunctionalInterface
@@ -42,13 +43,27 @@
         void sleep(Duration time);
     }
 
-    /** Creates a probe that sleeps in real time. */
+    /** Creates a probe that sleeps in real time, and dials upstreams where they are registered. */
     public ConnectProbe() {
-        this(time -> LockSupport.parkNanos(time.toNanos()));
+        this(AddressMap.IDENTITY);
+    }
+
+    /**
+     * Creates a probe that sleeps in real time.
+     *
+     * @param addresses where upstreams are dialled
+     */
+    public ConnectProbe(AddressMap addresses) {
+        this(time -> LockSupport.parkNanos(time.toNanos()), addresses);
     }
 
     ConnectProbe(Sleeper sleeper) {
+        this(sleeper, AddressMap.IDENTITY);
+    }
+
+    private ConnectProbe(Sleeper sleeper, AddressMap addresses) {
         mSleeper = sleeper;
+        mAddresses = addresses;
     }
 
     @Override
@@ -61,11 +76,9 @@
         return finding;
     }
 
-    private static Finding connect(Peer peer) {
+    private Finding connect(Peer peer) {
         try (Socket socket = new Socket()) {
-            socket.connect(
-                    new InetSocketAddress(peer.host(), peer.port()),
-                    (int) CONNECT_TIMEOUT.toMillis());
+            socket.connect(mAddresses.toDialled(peer.address()), (int) CONNECT_TIMEOUT.toMillis());
             return Finding.LISTENS;
         } catch (ConnectException e) {
             LOG.debug(
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/ConnectionWatch.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/ConnectionWatch.java
@@ -7,10 +7,10 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.time.Duration;
+import org.orchidmount.internal.http.AddressMap;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.log.PartLog;
 
@@ -26,23 +26,34 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(100);
 
     private final TerminationProbe mProbe;
+    private final AddressMap mAddresses;
 
     /**
      * Creates a watch.
      *
      * @param probe determines whether the port still accepts connections after the connection was
      *     closed
+     * @param addresses where upstreams are dialled
      */
-    public ConnectionWatch(TerminationProbe probe) {
+    public ConnectionWatch(TerminationProbe probe, AddressMap addresses) {
         mProbe = probe;
+        mAddresses = addresses;
+    }
+
+    /**
+     * Creates a watch that dials upstreams where they are registered.
+     *
+     * @param probe determines whether the port still accepts connections after the connection was
+     *     closed
+     */
+    public ConnectionWatch(TerminationProbe probe) {
+        this(probe, AddressMap.IDENTITY);
     }
 
     @Override
     public boolean awaitTermination(Peer peer, Duration timeout) {
         try (Socket socket = new Socket()) {
-            socket.connect(
-                    new InetSocketAddress(peer.host(), peer.port()),
-                    (int) CONNECT_TIMEOUT.toMillis());
+            socket.connect(mAddresses.toDialled(peer.address()), (int) CONNECT_TIMEOUT.toMillis());
             socket.setSoTimeout((int) timeout.toMillis());
             return awaitClose(socket) && mProbe.probe(peer) == TerminationProbe.Finding.ENDED;
         } catch (ConnectException e) {
