A lost path is not counted as a crash of an upstream

An entry that was cut off by resets counted crashes of upstreams that were well, and quarantined a request for them: refused with 400 at all instances.

Cause, the same as of the refusals: a connection that is refused here was taken for the end of the process there. An upstream that seems to have ended is now tried through another entry, and other upstreams are tried directly. Only if nobody reaches it and the path is intact is the crash counted at once; otherwise it waits until another upstream has taken its place, as before.

--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
@@ -103,9 +103,11 @@
         mEntryLinks.remove(link);
     }
 
-    /** Returns the other replicas known to this voter. */
-    List<Member> members() {
-        return new ArrayList<>(mMembers.values());
+    /** Returns the replicas known to this voter, and itself. */
+    List<Member> membersWith(Member self) {
+        List<Member> known = new ArrayList<>(mMembers.values());
+        known.add(self);
+        return known;
     }
 
     int entries() {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -532,12 +532,12 @@
         if (greeting.voter() == null) {
             mLinks.entryGreeted(link, greeting);
             mTunnels.entryGreeted(link, greeting);
-            link.send(new Voters(knownVoters()));
+            link.send(new Voters(mLinks.membersWith(mSelf)));
             link.send(notice());
         } else {
             mLinks.voterGreeted(link, greeting);
             learn(greeting.voter());
-            link.send(new Voters(knownVoters()));
+            link.send(new Voters(mLinks.membersWith(mSelf)));
         }
         link.send(new Registrations(0, mRegistry.all()));
         if (greeting.voter() == null) {
@@ -565,18 +565,12 @@
 
     private void learn(Member member) {
         if (mLinks.learn(member, mClock.nanoTime())) {
-            Voters voters = new Voters(knownVoters());
+            Voters voters = new Voters(mLinks.membersWith(mSelf));
             mLinks.sendToVoters(voters);
             mLinks.sendToEntries(voters);
         }
     }
 
-    private List<Member> knownVoters() {
-        List<Member> known = mLinks.members();
-        known.add(mSelf);
-        return known;
-    }
-
     private void onRegistrations(Link link, Registrations registrations) {
         long nowNanos = mClock.nanoTime();
         for (Registration registration : registrations.registrations()) {
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/ConnectProbe.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/ConnectProbe.java
@@ -45,16 +45,17 @@
 
     /** Creates a probe that sleeps in real time, and dials upstreams where they are registered. */
     public ConnectProbe() {
-        this(AddressMap.IDENTITY);
+        this(time -> LockSupport.parkNanos(time.toNanos()));
     }
 
     /**
      * Creates a probe that sleeps in real time.
      *
      * @param addresses where upstreams are dialled
+     * @return the probe
      */
-    public ConnectProbe(AddressMap addresses) {
-        this(time -> LockSupport.parkNanos(time.toNanos()), addresses);
+    public static ConnectProbe dialling(AddressMap addresses) {
+        return new ConnectProbe(time -> LockSupport.parkNanos(time.toNanos()), addresses);
     }
 
     ConnectProbe(Sleeper sleeper) {
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashReports.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashReports.java
@@ -41,6 +41,7 @@
     private final CrashAnnouncer mAnnouncer;
     private final TerminationProbe mProbe;
     private final TerminationWatch mWatch;
+    private final PathCheck mPathCheck;
     private final RunLock mRunLock;
     private final UnconfirmedCrashes mUnconfirmed;
     private final RunningSuspects mRunning = new RunningSuspects();
@@ -65,6 +66,29 @@
             TerminationWatch watch,
             RunLock runLock,
             MonotonicClock clock) {
+        this(registry, announcer, probe, watch, PathCheck.NONE, runLock, clock);
+    }
+
+    /**
+     * Creates an instance without any reports.
+     *
+     * @param registry holds the records
+     * @param announcer distributes the records
+     * @param probe determines whether an upstream has terminated
+     * @param watch waits for the termination of an upstream
+     * @param pathCheck determines whether the path to an upstream is lost instead
+     * @param runLock serializes suspected requests over all instances
+     * @param clock clock for the age of unconfirmed crashes
+     */
+    public CrashReports(
+            CrashRegistry registry,
+            CrashAnnouncer announcer,
+            TerminationProbe probe,
+            TerminationWatch watch,
+            PathCheck pathCheck,
+            RunLock runLock,
+            MonotonicClock clock) {
+        mPathCheck = pathCheck;
         mRegistry = registry;
         mAnnouncer = announcer;
         mProbe = probe;
@@ -146,7 +170,8 @@
             Failure failure, CrashRecord after, Incarnation upstream, Peer peer) {
         boolean hasEnded =
                 failure instanceof Failure.Broken
-                        && mProbe.probe(peer) == TerminationProbe.Finding.ENDED;
+                        && mProbe.probe(peer) == TerminationProbe.Finding.ENDED
+                        && !mPathCheck.isLostFromHere(peer);
         if (hasEnded) {
             crashed(after);
         } else {
@@ -177,7 +202,9 @@
     private void watch(
             CrashRecord after, Peer peer, BooleanSupplier isPlanned, Runnable onWatchEnd) {
         try {
-            if (mWatch.awaitTermination(peer, WATCH_DURATION) && !isPlanned.getAsBoolean()) {
+            if (mWatch.awaitTermination(peer, WATCH_DURATION)
+                    && !isPlanned.getAsBoolean()
+                    && !mPathCheck.isLostFromHere(peer)) {
                 crashed(after);
             }
         } finally {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
@@ -6,18 +6,26 @@
 package org.orchidmount.relay;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.orchidmount.internal.http.ConnectionPath;
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.path.PathListener;
 import org.orchidmount.path.PathNetwork;
+import org.orchidmount.quarantine.PathCheck;
 
 /**
  * Verifies paths with the connections and the directory of upstreams of this instance, and applies
  * changes of path to them. Thread-safe after {@link #setConnections}.
  */
-public final class UpstreamReachability implements PathNetwork, PathListener {
+public final class UpstreamReachability implements PathNetwork, PathListener, PathCheck {
+    /** Other upstreams that are tried to tell a lost path from an upstream that has ended. */
+    private static final int OTHERS_TRIED = 2;
+
+    /** Far longer than a round trip within a site. */
+    private static final Duration CHECK_TIMEOUT = Duration.ofMillis(100);
+
     private final UpstreamDirectory mUpstreams;
     private volatile HttpConnections mConnections;
 
@@ -54,6 +62,34 @@
         return mConnections.probeTunnel(upstream);
     }
 
+    /**
+     * Another instance that connects to the upstream proves that it has not ended; without one, a
+     * path by which other upstreams are reached is taken for intact.
+     */
+    @Override
+    public boolean isLostFromHere(Peer peer) {
+        if (mConnections.probeTunnel(peer)) {
+            return true;
+        }
+        List<Peer> others = new ArrayList<>(mUpstreams.sample(OTHERS_TRIED + 1));
+        others.removeIf(other -> other.host().equals(peer.host()) && other.port() == peer.port());
+        for (Peer other : others) {
+            if (connectsInTime(other)) {
+                return false;
+            }
+        }
+        return !others.isEmpty();
+    }
+
+    private boolean connectsInTime(Peer upstream) {
+        try {
+            return mConnections.probe(upstream, CHECK_TIMEOUT);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     /**
      * Also when there is no path at all, silent connections are closed: a request that is sent on
      * one would be lost. Those on which something was received lately still serve.
