--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -36,9 +36,6 @@
 public final class HttpCall implements AutoCloseable {
     private static final PartLog LOG = PartLog.of("connections");
 
-    /** Silence of an upstream that is reported; longer than most calls take. */
-    private static final Duration SILENCE = Duration.ofMillis(150);
-
     /** Stands in a log line where a call or a response has no identity. */
     private static final String NO_IDENTITY = "none";
 
@@ -48,6 +45,7 @@
     private final Peer mPeer;
     private final Step mStep;
     private final PooledConnection mPooled;
+    private final CallErrors mErrors;
     private final boolean mIsShared;
     private final ClientConnection mConnection;
     private final CompletableFuture<ClientExchange> mReady = new CompletableFuture<>();
@@ -81,6 +79,7 @@
         mPeer = peer;
         mStep = step;
         mPooled = connection;
+        mErrors = new CallErrors(step, peer.name());
         mIsShared = isShared;
         mConnection = connection.connection();
         mHeardNanos = pool.nanoTime();
@@ -107,7 +106,7 @@
 
     private void sendOnIoThread(ClientRequest request) {
         if (!mConnection.isOpen()) {
-            failAll(new NotSentException());
+            failAll(new CallErrors.NotSentException());
             return;
         }
         mConnection.sendRequest(
@@ -160,7 +159,7 @@
     private void refuseForeign(ClientResponse response, Optional<String> received) {
         LOG.info(IDENTITIES, describeIdentities(response, received));
         mPool.surplusFrom(mPeer);
-        failAll(new ForeignResponseException());
+        failAll(new CallErrors.ForeignResponseException());
         mPooled.giveUp(this);
     }
 
@@ -268,19 +267,12 @@
         return mPooled;
     }
 
-    /** Waits in parts, and reports the silence of an upstream on a direct connection after each. */
-    private <T> T reportingSilence(Duration timeout, Wait<T> wait)
+    /** Reports the silence of an upstream on a direct connection while it waits. */
+    private <T> T reportingSilence(Duration timeout, SilentWait.Wait<T> wait)
             throws IOException, TimeoutException, InterruptedException {
-        Duration left = timeout;
-        while (left.compareTo(SILENCE) > 0 && mPooled.through().isEmpty()) {
-            try {
-                return wait.await(SILENCE);
-            } catch (TimeoutException e) {
-                mPool.silent();
-                left = left.minus(SILENCE);
-            }
-        }
-        return wait.await(left);
+        return mPooled.through().isEmpty()
+                ? SilentWait.await(timeout, wait, mPool::silent)
+                : wait.await(timeout);
     }
 
     private void heard() {
@@ -312,7 +304,7 @@
     /** Breaks the call off if nothing was received since a time. */
     void pathLost(long sinceNanos) {
         if (mHeardNanos - sinceNanos < 0) {
-            failAll(new PathLostException());
+            failAll(new CallErrors.PathLostException());
             mPooled.giveUp(this);
         }
     }
@@ -387,43 +379,8 @@
         }
     }
 
-    private <T> T guarded(Blocking<T> blocking) throws CallFailedException {
-        try {
-            return blocking.run();
-        } catch (TimeoutException e) {
-            abort();
-            throw new CallFailedException(
-                    new Failure.TimedOut(mStep, mPeer.name(), "no answer in time"));
-        } catch (InterruptedException e) {
-            abort();
-            Thread.currentThread().interrupt();
-            throw new CallFailedException(
-                    new Failure.CallerGone(mStep, mPeer.name(), "interrupted"));
-        } catch (IOException e) {
-            if (e.getCause() instanceof NotSentException) {
-                throw new CallFailedException(
-                        new Failure.Unreachable(mStep, mPeer.name(), e.getMessage()));
-            }
-            if (isPathLost(e)) {
-                throw new CallFailedException(
-                        new Failure.PathLost(mStep, mPeer.name(), PathLostException.MESSAGE));
-            }
-            if (e.getCause() instanceof ForeignResponseException) {
-                throw new CallFailedException(
-                        new Failure.Garbled(mStep, mPeer.name(), e.getMessage()));
-            }
-            throw new CallFailedException(new Failure.Broken(mStep, mPeer.name(), reason(e)));
-        }
-    }
-
-    private static boolean isPathLost(IOException e) {
-        return e instanceof PathLostException || e.getCause() instanceof PathLostException;
-    }
-
-    /** Some errors of channels have no message; then their type says what happened. */
-    private static String reason(IOException error) {
-        Throwable cause = error.getCause() == null ? error : error.getCause();
-        return cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
+    private <T> T guarded(CallErrors.Blocking<T> blocking) throws CallFailedException {
+        return mErrors.guard(blocking, this::abort);
     }
 
     private static <T> T await(CompletableFuture<T> future, Duration timeout)
@@ -435,39 +392,6 @@
         }
     }
 
-    /** The connection closed before a byte of the request was handed to it. */
-    private static final class NotSentException extends IOException {
-        NotSentException() {
-            super("the kept connection had closed");
-        }
-    }
-
-    /** The call was broken off because another path to the upstreams was found. */
-    private static final class PathLostException extends IOException {
-        static final String MESSAGE = "the direct path to the upstreams is lost";
-
-        PathLostException() {
-            super(MESSAGE);
-        }
-    }
-
-    /** The response is not that of the call. */
-    private static final class ForeignResponseException extends IOException {
-        ForeignResponseException() {
-            super("the answer is that of another request");
-        }
-    }
-
-    @FunctionalInterface
-    private interface Wait<T> {
-        T await(Duration timeout) throws IOException, TimeoutException, InterruptedException;
-    }
-
-    @FunctionalInterface
-    private interface Blocking<T> {
-        T run() throws IOException, TimeoutException, InterruptedException;
-    }
-
     private abstract class Callback implements ClientCallback<ClientExchange> {
         @Override
         public void failed(IOException e) {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -9,11 +9,6 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Iterator;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -22,8 +17,6 @@
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
-import org.orchidmount.internal.lock.LockRank;
-import org.orchidmount.internal.lock.OrderedLock;
 import org.orchidmount.upstream.CancelSignal;
 import org.xnio.XnioWorker;
 
@@ -35,19 +28,10 @@
  * So a surplus response of an upstream is never taken for that of a later call. Thread-safe.
  */
 public final class HttpConnections implements AutoCloseable {
-    /** Idle connections kept for each peer. */
-    private static final int MAX_IDLE_PER_PEER = 64;
-
-    /** Nanoseconds that an idle connection is kept at most. */
-    private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(5);
-
     /** Nanoseconds that a connection is kept on which no call has been made yet. */
     private static final long UNUSED_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    private final OrderedLock mLock = new OrderedLock(LockRank.CONNECTIONS);
-    private final Map<Peer, Deque<Idle>> mIdle = new HashMap<>();
-    private long mLastSweepNanos;
-    private final ReuseSuspensions mSuspensions = new ReuseSuspensions();
+    private final IdleConnections mIdle;
     private final MonotonicClock mClock;
     private final HttpString mIdentityField;
     private final ConnectionPaths mPaths;
@@ -102,7 +86,7 @@
         mPaths = paths;
         mOpener =
                 new ConnectionOpener(this, worker, connectTimeout, identityField, addresses, paths);
-        mLastSweepNanos = clock.nanoTime();
+        mIdle = new IdleConnections(clock);
     }
 
     /**
@@ -251,7 +235,7 @@
             throw ConnectionOpener.unreachable(peer, step, ConnectionOpener.CANCELLED);
         }
         mPaths.awaitVerified();
-        PooledConnection idle = identity.isEmpty() ? null : takeIdle(peer, identity.get());
+        PooledConnection idle = identity.isEmpty() ? null : mIdle.take(peer, identity.get());
         PooledConnection connection = idle != null ? idle : openPooled(peer, step, cancel);
         if (idle != null) {
             mCounters.reused();
@@ -268,48 +252,8 @@
         return connection;
     }
 
-    private PooledConnection takeIdle(Peer peer, String identity) {
-        try (OrderedLock.Held _ = mLock.hold()) {
-            Deque<Idle> idle = mIdle.get(peer);
-            if (idle == null) {
-                return null;
-            }
-            Iterator<Idle> newestFirst = idle.descendingIterator();
-            while (newestFirst.hasNext()) {
-                Idle next = newestFirst.next();
-                PooledConnection connection = next.connection();
-                if (!isUsable(next)) {
-                    newestFirst.remove();
-                    connection.closeLater();
-                } else if (!connection.hasCarried(identity)) {
-                    newestFirst.remove();
-                    return connection;
-                }
-            }
-            return null;
-        }
-    }
-
-    private boolean isUsable(Idle idle) {
-        PooledConnection connection = idle.connection();
-        long mostNanos = Math.min(MAX_IDLE_NANOS, connection.idleLimitNanos());
-        return connection.isOpen() && mClock.nanoTime() - idle.sinceNanos() < mostNanos;
-    }
-
     void release(Peer peer, PooledConnection connection) {
-        try (OrderedLock.Held _ = mLock.hold()) {
-            long nowNanos = mClock.nanoTime();
-            if (mSuspensions.isSuspended(peer, nowNanos)) {
-                connection.closeLater();
-                return;
-            }
-            closeUnusable(nowNanos);
-            Deque<Idle> idle = mIdle.computeIfAbsent(peer, p -> new ArrayDeque<>());
-            if (idle.size() >= MAX_IDLE_PER_PEER) {
-                idle.pollFirst().connection().closeLater();
-            }
-            idle.addLast(new Idle(connection, nowNanos));
-        }
+        mIdle.add(peer, connection);
     }
 
     /**
@@ -390,19 +334,7 @@
      * @param isTunnel true to close tunnels, false to close direct connections
      */
     public void closeIdle(boolean isTunnel) {
-        try (OrderedLock.Held _ = mLock.hold()) {
-            for (Deque<Idle> idle : mIdle.values()) {
-                idle.removeIf(each -> closeIfTunnel(each.connection(), isTunnel));
-            }
-        }
-    }
-
-    private static boolean closeIfTunnel(PooledConnection connection, boolean isTunnel) {
-        boolean isAffected = connection.through().isPresent() == isTunnel;
-        if (isAffected) {
-            connection.closeLater();
-        }
-        return isAffected;
+        mIdle.closeIf(connection -> connection.through().isPresent() == isTunnel);
     }
 
     /**
@@ -414,50 +346,14 @@
         mRepeatable.forEach(call -> call.pathLost(sinceNanos));
     }
 
-    /** Now and then closes what is kept for peers to which no more calls are made. */
-    private void closeUnusable(long nowNanos) {
-        if (nowNanos - mLastSweepNanos < MAX_IDLE_NANOS) {
-            return;
-        }
-        mLastSweepNanos = nowNanos;
-        mIdle.values().forEach(this::closeUnusable);
-        mIdle.values().removeIf(Deque::isEmpty);
-    }
-
-    private void closeUnusable(Deque<Idle> idle) {
-        Iterator<Idle> each = idle.iterator();
-        while (each.hasNext()) {
-            Idle next = each.next();
-            if (!isUsable(next)) {
-                each.remove();
-                next.connection().closeLater();
-            }
-        }
-    }
-
     /** Notes that a peer has sent more responses than it was asked for. */
     void surplusFrom(Peer peer) {
         mCounters.surplus();
-        try (OrderedLock.Held _ = mLock.hold()) {
-            mSuspensions.suspend(peer, mClock.nanoTime());
-            closeIdle(peer);
-        }
-    }
-
-    private void closeIdle(Peer peer) {
-        Deque<Idle> idle = mIdle.remove(peer);
-        if (idle != null) {
-            idle.forEach(each -> each.connection().closeLater());
-        }
+        mIdle.suspend(peer);
     }
 
     @Override
     public void close() {
-        try (OrderedLock.Held _ = mLock.hold()) {
-            mIdle.values().forEach(idle -> idle.forEach(i -> i.connection().closeLater()));
-            mIdle.clear();
-        }
+        mIdle.closeIf(connection -> true);
     }
-
-    private record Idle(PooledConnection connection, long sinceNanos) {}
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/path/TunnelServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/TunnelServer.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
-import java.util.function.Predicate;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.http.AddressMap;
 import org.orchidmount.internal.http.TunnelHandshake;
@@ -53,7 +52,7 @@
 
     private final ServerSocket mSocket = new ServerSocket();
     private final String mIdentityField;
-    private final Predicate<InetSocketAddress> mIsUpstream;
+    private final UpstreamAddresses mUpstreams;
     private final BooleanSupplier mIsDirect;
     private final AddressMap mAddresses;
     private final MonotonicClock mClock;
@@ -65,13 +64,26 @@
     private final Thread mAcceptThread;
     private volatile boolean mIsDraining;
 
+    /** The addresses of registered upstreams. Thread-safe. */
+    @FunctionalInterface
+    public interface UpstreamAddresses {
+        /**
+         * Returns whether an upstream is registered at an address.
+         *
+         * @param host the IP address
+         * @param port the TCP port
+         * @return true if one is
+         */
+        boolean contains(String host, int port);
+    }
+
     /**
      * Begins to accept tunnels.
      *
      * @param host the IP address to listen at
      * @param port the TCP port; 0 for a free one
      * @param identityField the name of the field that carries the identity of a call
-     * @param isUpstream whether an upstream is registered at an address
+     * @param upstreams the addresses to which tunnels may lead
      * @param isDirect whether this instance reaches upstreams directly
      * @param addresses where upstreams are dialled
      * @param clock the clock
@@ -81,13 +93,13 @@
             String host,
             int port,
             String identityField,
-            Predicate<InetSocketAddress> isUpstream,
+            UpstreamAddresses upstreams,
             BooleanSupplier isDirect,
             AddressMap addresses,
             MonotonicClock clock)
             throws IOException {
         mIdentityField = identityField;
-        mIsUpstream = isUpstream;
+        mUpstreams = upstreams;
         mIsDirect = isDirect;
         mAddresses = addresses;
         mClock = clock;
@@ -207,9 +219,7 @@
         if (!isUsable || mTunnels.size() >= MAX_TUNNELS) {
             return TunnelHandshake.REFUSED;
         }
-        boolean isUpstream =
-                mIsUpstream.test(
-                        InetSocketAddress.createUnresolved(request.host(), request.port()));
+        boolean isUpstream = mUpstreams.contains(request.host(), request.port());
         return isUpstream ? TunnelHandshake.OPENED : TunnelHandshake.UPSTREAM_UNREACHABLE;
     }
 
