--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterSite.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterSite.java
@@ -161,7 +161,7 @@
         }
     }
 
-    private static final class Nothing implements EntryNode.Listener {
+    static final class Nothing implements EntryNode.Listener {
         @Override
         public void onRegistration(Registration registration) {}
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -26,6 +26,7 @@
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.InFlightSequences;
 import org.orchidmount.cluster.ClusterMessage.KeepAlive;
+import org.orchidmount.cluster.ClusterMessage.PathReport;
 import org.orchidmount.cluster.ClusterMessage.QuotaReply;
 import org.orchidmount.cluster.ClusterMessage.QuotaRequestMessage;
 import org.orchidmount.cluster.ClusterMessage.QuotaReturn;
@@ -49,6 +50,7 @@
 import org.orchidmount.consensus.ReplicaMessage.AppendReply;
 import org.orchidmount.consensus.ReplicaMessage.VoteReply;
 import org.orchidmount.consensus.ReplicaMessage.VoteRequest;
+import org.orchidmount.internal.http.ConnectionPath;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
@@ -93,6 +95,7 @@
     private static final int EVIDENCE_DIGEST = 16;
     private static final int WAITING_REQUESTS = 17;
     private static final int TUNNEL_PEERS = 18;
+    private static final int PATH_REPORT = 19;
 
     /** Type numbers of consensus frames, part of the protocol. */
     private static final int VOTE_REQUEST = 20;
@@ -167,6 +170,8 @@
         } else if (message instanceof TunnelPeers tunnels) {
             out.packInt(TUNNEL_PEERS);
             TunnelPeerCodec.writeList(out, tunnels.peers());
+        } else if (message instanceof PathReport report) {
+            out.packInt(PATH_REPORT).packInt(report.path().ordinal());
         } else if (message instanceof KeepAlive) {
             out.packInt(KEEP_ALIVE);
         } else if (message instanceof TableNotice notice) {
@@ -323,6 +328,7 @@
             case WAITING_REQUESTS ->
                     new WaitingRequestsMessage(SharedStateCodec.readWaiting(in, rejections));
             case TUNNEL_PEERS -> new TunnelPeers(TunnelPeerCodec.readList(in, rejections));
+            case PATH_REPORT -> new PathReport(constant(ConnectionPath.values(), in.unpackInt()));
             case QUOTA_REQUEST -> readQuotaRequest(in);
             case QUOTA_REPLY -> readQuotaReply(in);
             case QUOTA_RETURN -> new QuotaReturn(in.unpackString(), readCount(in));
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
@@ -12,6 +12,7 @@
 import org.orchidmount.consensus.ReplicaMessage;
 import org.orchidmount.evidence.EvidenceDigest;
 import org.orchidmount.evidence.EvidenceReport;
+import org.orchidmount.internal.http.ConnectionPath;
 import org.orchidmount.internal.http.TunnelPeer;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Registration;
@@ -130,6 +131,13 @@
         }
     }
 
+    /**
+     * Tells a voter how the sending entry reaches upstreams.
+     *
+     * @param path the path of its new connections
+     */
+    record PathReport(ConnectionPath path) implements ClusterMessage {}
+
     /** Keep-alive, sent on an otherwise idle link. */
     record KeepAlive() implements ClusterMessage {}
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -28,11 +28,11 @@
 import org.orchidmount.cluster.ClusterMessage.TableDocument;
 import org.orchidmount.cluster.ClusterMessage.TableNotice;
 import org.orchidmount.cluster.ClusterMessage.TableRequest;
-import org.orchidmount.cluster.ClusterMessage.TunnelPeers;
 import org.orchidmount.cluster.ClusterMessage.Voters;
 import org.orchidmount.consensus.Member;
 import org.orchidmount.evidence.EvidenceReceiver;
 import org.orchidmount.evidence.EvidenceSource;
+import org.orchidmount.internal.http.ConnectionPath;
 import org.orchidmount.internal.http.TunnelPeer;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.load.InFlightSequence;
@@ -126,7 +126,7 @@
     private final QuotaRequests mQuotaRequests;
     private final EntryRecords mRecords;
     private final EntrySharedState mSharedState;
-    private final TunnelReceiver mTunnels;
+    private final EntryTunnels mTunnels;
     private final CountDownLatch mFirstTable = new CountDownLatch(1);
     private final long mStartNanos;
     private long mTableRequestedNanos;
@@ -150,18 +150,6 @@
         }
     }
 
-    /** Receives the instances that open tunnels for this one; called on the node's thread. */
-    @FunctionalInterface
-    public interface TunnelReceiver {
-        /**
-         * Handles an announcement, which replaces the previous one of the same voter.
-         *
-         * @param voter the cluster address of the voter
-         * @param peers the instances
-         */
-        void announced(String voter, List<TunnelPeer> peers);
-    }
-
     /** Receives updates from the voters; called on the node's thread. */
     public interface Listener {
         /**
@@ -223,7 +211,7 @@
         mClock = clock;
         mParser = parser;
         mListener = listener;
-        mTunnels = tunnelReceiver;
+        mTunnels = new EntryTunnels(tunnelReceiver);
         mGreeting = new Greeting(VoterNode.PROTOCOL, node, zone, null, Capability.own(), tunnels);
         mSeeds = Set.copyOf(seeds);
         mQuotaRequests = new QuotaRequests(node.hashCode());
@@ -471,6 +459,15 @@
                 });
     }
 
+    /**
+     * Reports to all voters how this instance reaches upstreams. Returns without waiting.
+     *
+     * @param path the path of new connections
+     */
+    public void reportPath(ConnectionPath path) {
+        mTasks.post(() -> mTunnels.report(path, mGreetings));
+    }
+
     /**
      * Returns a message that is merged but not acknowledged, since each registration carries its
      * incarnation where that is known.
@@ -544,9 +541,8 @@
             voters.members().forEach(this::addVoter);
         } else if (message instanceof Greeting greeting) {
             onGreeting(link, greeting);
-        } else if (message instanceof TunnelPeers tunnels) {
-            mTunnels.announced(String.valueOf(mLinks.get(link)), tunnels.peers());
-        } else if (!mSharedState.received(mLinks.get(link), message)) {
+        } else if (!mTunnels.received(mLinks.get(link), message)
+                && !mSharedState.received(mLinks.get(link), message)) {
             mRecords.received(message);
         }
     }
@@ -595,6 +591,7 @@
         mSharedState.onZone(greeting.zone());
         mRecords.linked(link, greeting);
         resendDepartures(link);
+        mTunnels.linked(link, greeting);
         addVoter(greeting.voter());
         LOG.info("connected to voter %s", greeting.node());
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ServiceGate.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ServiceGate.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.orchidmount.consensus.GroupState;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.membership.Registration;
@@ -84,6 +85,17 @@
         mHeldBack.keySet().removeIf(key -> key.id().equals(id));
     }
 
+    /**
+     * Parses a committed table on another thread: the first takes some 0.3 s, longer than a
+     * leader's pause.
+     *
+     * @param state the committed state
+     * @param receiver receives the table on that thread, unless there is none
+     */
+    void parseLater(GroupState state, Consumer<RouteTable> receiver) {
+        Thread.ofVirtual().name("services").start(() -> parse(state).ifPresent(receiver));
+    }
+
     /**
      * Parses a committed table. This may take long, so it is not called on the voter's thread.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -37,6 +38,7 @@
 import org.orchidmount.consensus.ReplicaEffects;
 import org.orchidmount.consensus.ReplicaMessage;
 import org.orchidmount.evidence.ReportMerger;
+import org.orchidmount.internal.http.ConnectionPath;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registry;
@@ -271,6 +273,15 @@
         return query(() -> mRecords.limits().limitsWithUse(mQuota));
     }
 
+    /**
+     * Returns how each linked entry reaches upstreams.
+     *
+     * @return the path by the name of the entry; may never complete
+     */
+    public CompletableFuture<SortedMap<String, ConnectionPath>> entryPaths() {
+        return query(mTunnels::paths);
+    }
+
     // ---- Shared state
 
     /**
@@ -304,17 +315,8 @@
                 });
     }
 
-    /** Parses on another thread: the first takes some 0.3 s, longer than a leader's pause. */
     private void parseTable(ServiceGate gate, GroupState state) {
-        Thread.ofVirtual()
-                .name("services")
-                .start(
-                        () ->
-                                gate.parse(state)
-                                        .ifPresent(
-                                                table ->
-                                                        mTasks.post(
-                                                                () -> applyTable(gate, table))));
+        gate.parseLater(state, table -> mTasks.post(() -> applyTable(gate, table)));
     }
 
     private void applyTable(ServiceGate gate, RouteTable table) {
@@ -489,7 +491,7 @@
             link.send(new TableDocument(mCommitted.tableVersion(), mCommitted.tableDocument()));
         } else if (message instanceof Voters voters) {
             voters.members().forEach(this::learn);
-        } else if (!mSharedState.received(link, message)) {
+        } else if (!mTunnels.received(link, message) && !mSharedState.received(link, message)) {
             mRecords.received(message);
         }
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterTunnels.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterTunnels.java
@@ -10,23 +10,32 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
+import org.orchidmount.cluster.ClusterMessage.PathReport;
 import org.orchidmount.cluster.ClusterMessage.TunnelPeers;
+import org.orchidmount.internal.http.ConnectionPath;
 import org.orchidmount.internal.http.TunnelPeer;
+import org.orchidmount.internal.log.PartLog;
 
 /**
- * The part of a voter that tells entries which others open tunnels for them.
+ * The part of a voter that tells entries which others open tunnels for them, and knows how each
+ * entry reaches upstreams.
  *
  * <p>An entry is sent its sample when it connects and whenever the sample changes, in batches, so
  * that a restart of many entries costs each one few messages. Confined to the voter's thread.
  */
 final class VoterTunnels {
+    private static final PartLog LOG = PartLog.of("voter");
+
     /** Batches the entries that connect or leave together. */
     private static final long BATCH_MILLIS = 200;
 
     private final TaskThread mTasks;
     private final Map<Link, Greeting> mEntries = new LinkedHashMap<>();
     private final Map<Link, List<TunnelPeer>> mSent = new HashMap<>();
+    private final Map<Link, ConnectionPath> mPaths = new HashMap<>();
     private boolean mIsScheduled;
 
     VoterTunnels(TaskThread tasks) {
@@ -41,11 +50,34 @@
 
     void closed(Link link) {
         mSent.remove(link);
+        mPaths.remove(link);
         if (mEntries.remove(link) != null) {
             schedule();
         }
     }
 
+    /** Handles a message about paths; returns false for other messages. */
+    boolean received(Link link, ClusterMessage message) {
+        if (!(message instanceof PathReport report)) {
+            return false;
+        }
+        Greeting entry = mEntries.get(link);
+        if (entry != null) {
+            mPaths.put(link, report.path());
+            LOG.info("entry %s reaches upstreams by %s", entry.node(), report.path());
+        }
+        return true;
+    }
+
+    /** Returns how each linked entry reaches upstreams, by the name of the entry. */
+    SortedMap<String, ConnectionPath> paths() {
+        SortedMap<String, ConnectionPath> paths = new TreeMap<>();
+        mEntries.forEach(
+                (link, entry) ->
+                        paths.put(entry.node(), mPaths.getOrDefault(link, ConnectionPath.DIRECT)));
+        return paths;
+    }
+
     private void schedule() {
         if (!mIsScheduled) {
             mIsScheduled = true;
