Lost paths to some of the upstreams are found by silence and breaks

Where an entry lost the paths to one service only, requests went on to be sent on its kept connections: one after the other broke, or waited to its deadline, and may have run.

A connection that breaks under a call closes the idle ones to that upstream and counts as a failure of it. An upstream that is silent while others respond is looked at by one direct connection, which serves later calls; if only other entries reach it, its direct connections are given up. A tunnel is not used again a second after it was opened, unless all paths are tunnels.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterSite.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/VoterSite.java
@@ -161,6 +161,7 @@
         }
     }
 
+    /** Receives updates and does nothing. */
     static final class Nothing implements EntryNode.Listener {
         @Override
         public void onRegistration(Registration registration) {}
--- a/org.orchidmount.test/src/test/java/org/orchidmount/path/PathMonitorTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/path/PathMonitorTest.java
@@ -64,6 +64,7 @@
     private static final class Network implements PathNetwork {
         private final Set<Peer> mConnected = ConcurrentHashMap.newKeySet();
         private final AtomicInteger mAttempts = new AtomicInteger();
+        private final Queue<Peer> mGivenUp = new ConcurrentLinkedQueue<>();
         private volatile boolean mTunnels = true;
 
         private Network() {
@@ -85,6 +86,11 @@
         public boolean tunnels(Peer upstream) {
             return mTunnels;
         }
+
+        @Override
+        public void giveUpDirect(Peer upstream, long sinceNanos) {
+            mGivenUp.add(upstream);
+        }
     }
 
     private void failAll() {
@@ -147,7 +153,7 @@
                 "silent",
                 LONGEST,
                 () -> {
-                    mMonitor.silent();
+                    mMonitor.silent(UPSTREAMS.getFirst());
                     return mMonitor.current() == ConnectionPath.TUNNEL;
                 });
     }
@@ -155,12 +161,43 @@
     /** Guards against calm traffic that costs connection attempts. */
     @Test
     void silenceOfOneCallIsNotVerifiedWhileOthersAreAnswered() {
-        mMonitor.heard();
-        mMonitor.silent();
+        mMonitor.heard(UPSTREAMS.getFirst());
+        mMonitor.silent(UPSTREAMS.getFirst());
         mMonitor.awaitVerified();
         assertThat(mNetwork.mAttempts.get()).isEqualTo(0);
     }
 
+    /** Guards against requests that are sent on silent connections to some of the upstreams. */
+    @Test
+    void aSilentUpstreamThatOnlyOthersReachIsGivenUp() {
+        Peer silent = UPSTREAMS.getFirst();
+        mNetwork.mConnected.remove(silent);
+        mMonitor.heard(UPSTREAMS.getLast());
+        mMonitor.silent(silent);
+        Await.until("given up", LONGEST, () -> mNetwork.mGivenUp.contains(silent));
+        assertThat(mMonitor.current()).isEqualTo(ConnectionPath.DIRECT);
+    }
+
+    /** Guards against an upstream that nobody reaches being taken for a lost path. */
+    @Test
+    void aSilentUpstreamThatNobodyReachesIsNotGivenUp() {
+        Peer silent = UPSTREAMS.getFirst();
+        mNetwork.mConnected.remove(silent);
+        mNetwork.mTunnels = false;
+        mMonitor.heard(UPSTREAMS.getLast());
+        mMonitor.silent(silent);
+        Await.until("looked", LONGEST, () -> mNetwork.mAttempts.get() > 0);
+        assertThat(mNetwork.mGivenUp).isEmpty();
+    }
+
+    /** Guards against kept connections that break one after the other under requests. */
+    @Test
+    void connectionsToSeveralUpstreamsThatBreakPutThePathInDoubt() {
+        mNetwork.mConnected.clear();
+        UPSTREAMS.forEach(mMonitor::broken);
+        awaitPath(ConnectionPath.TUNNEL);
+    }
+
     /** Guards against a cut of a part of the upstreams being found by direct failures alone. */
     @Test
     void anUpstreamReachedThroughAnotherInstanceOnlyPutsThePathInDoubt() {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionOpener.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionOpener.java
@@ -208,7 +208,11 @@
     private PooledConnection pooled(
             Peer upstream, ClientConnection connection, Optional<String> through) {
         return new PooledConnection(
-                connection, mNumber.incrementAndGet(), through, () -> mPool.surplusFrom(upstream));
+                connection,
+                mPool.nanoTime(),
+                mNumber.incrementAndGet(),
+                through,
+                () -> mPool.surplusFrom(upstream));
     }
 
     private CompletableFuture<ClientConnection> dial(Peer peer) {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionPaths.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionPaths.java
@@ -61,11 +61,26 @@
      */
     void tunnelled(Peer upstream, TunnelPeer through, TunnelResult result);
 
-    /** Records that bytes of an upstream were received on a direct connection. */
-    void heard();
+    /**
+     * Records that a direct connection broke while a call used it.
+     *
+     * @param upstream the upstream
+     */
+    void broken(Peer upstream);
 
-    /** Records that a call on a direct connection waits for an upstream that sends nothing. */
-    void silent();
+    /**
+     * Records that bytes of an upstream were received on a direct connection.
+     *
+     * @param upstream the upstream
+     */
+    void heard(Peer upstream);
+
+    /**
+     * Records that a call on a direct connection waits for an upstream that sends nothing.
+     *
+     * @param upstream the upstream
+     */
+    void silent(Peer upstream);
 
     /** The result of an attempt to open a tunnel. */
     enum TunnelResult {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/DirectOnlyPaths.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/DirectOnlyPaths.java
@@ -35,8 +35,11 @@
     public void tunnelled(Peer upstream, TunnelPeer through, TunnelResult result) {}
 
     @Override
-    public void heard() {}
+    public void broken(Peer upstream) {}
 
     @Override
-    public void silent() {}
+    public void heard(Peer upstream) {}
+
+    @Override
+    public void silent(Peer upstream) {}
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -271,14 +271,14 @@
     private <T> T reportingSilence(Duration timeout, SilentWait.Wait<T> wait)
             throws IOException, TimeoutException, InterruptedException {
         return mPooled.through().isEmpty()
-                ? SilentWait.await(timeout, wait, mPool::silent)
+                ? SilentWait.await(timeout, wait, () -> mPool.silent(mPeer))
                 : wait.await(timeout);
     }
 
     private void heard() {
         mHeardNanos = mPool.nanoTime();
         if (mPooled.through().isEmpty()) {
-            mPool.heard();
+            mPool.heard(mPeer);
         }
     }
 
@@ -301,6 +301,10 @@
         }
     }
 
+    Peer peer() {
+        return mPeer;
+    }
+
     /** Breaks the call off if nothing was received since a time. */
     void pathLost(long sinceNanos) {
         if (mHeardNanos - sinceNanos < 0) {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -31,6 +31,9 @@
     /** Nanoseconds that a connection is kept on which no call has been made yet. */
     private static final long UNUSED_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** Nanoseconds after which a tunnel is not used again while other paths are direct. */
+    private static final long MAX_TUNNEL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final IdleConnections mIdle;
     private final MonotonicClock mClock;
     private final HttpString mIdentityField;
@@ -235,7 +238,7 @@
             throw ConnectionOpener.unreachable(peer, step, ConnectionOpener.CANCELLED);
         }
         mPaths.awaitVerified();
-        PooledConnection idle = identity.isEmpty() ? null : mIdle.take(peer, identity.get());
+        PooledConnection idle = identity.isEmpty() ? null : takeIdle(peer, identity.get());
         PooledConnection connection = idle != null ? idle : openPooled(peer, step, cancel);
         if (idle != null) {
             mCounters.reused();
@@ -253,7 +256,27 @@
     }
 
     void release(Peer peer, PooledConnection connection) {
-        mIdle.add(peer, connection);
+        if (isOutdated(connection)) {
+            connection.closeLater();
+        } else {
+            mIdle.add(peer, connection);
+        }
+    }
+
+    /** Returns whether a tunnel is to be replaced by a direct connection, if that is possible. */
+    private boolean isOutdated(PooledConnection connection) {
+        return connection.through().isPresent()
+                && mPaths.current() == ConnectionPath.DIRECT
+                && mClock.nanoTime() - connection.openedNanos() > MAX_TUNNEL_NANOS;
+    }
+
+    private PooledConnection takeIdle(Peer peer, String identity) {
+        PooledConnection idle = mIdle.take(peer, identity);
+        while (idle != null && isOutdated(idle)) {
+            idle.closeLater();
+            idle = mIdle.take(peer, identity);
+        }
+        return idle;
     }
 
     /**
@@ -278,12 +301,38 @@
         return mClock.nanoTime();
     }
 
-    void heard() {
-        mPaths.heard();
+    void heard(Peer peer) {
+        mPaths.heard(peer);
+    }
+
+    void silent(Peer peer) {
+        mPaths.silent(peer);
     }
 
-    void silent() {
-        mPaths.silent();
+    /**
+     * Records that a connection to a peer broke under a call. Its idle connections are closed: they
+     * may be as broken, which is found out only by a request that may then have run.
+     *
+     * @param peer the peer
+     */
+    public void broken(Peer peer) {
+        mIdle.closeIf(peer, connection -> connection.through().isEmpty());
+        mPaths.broken(peer);
+    }
+
+    /**
+     * Gives up the direct connections to a peer that only other instances reach: closes those that
+     * are idle, and breaks off the calls that can be repeated and have received nothing since a
+     * time.
+     *
+     * @param peer the peer
+     * @param sinceNanos the time, of the monotonic clock
+     */
+    public void giveUpDirect(Peer peer, long sinceNanos) {
+        mIdle.closeIf(peer, connection -> connection.through().isEmpty());
+        mRepeatable.stream()
+                .filter(call -> call.peer().equals(peer))
+                .forEach(call -> call.pathLost(sinceNanos));
     }
 
     void abortIfPathIsLost(HttpCall call) {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/IdleConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/IdleConnections.java
@@ -119,6 +119,16 @@
         }
     }
 
+    /** Closes the connections to a peer that match a predicate. */
+    void closeIf(Peer peer, Predicate<PooledConnection> filter) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            Deque<Idle> idle = mIdle.get(peer);
+            if (idle != null) {
+                closeIf(idle, each -> filter.test(each.connection()));
+            }
+        }
+    }
+
     /** Closes the connections that match a predicate. */
     void closeIf(Predicate<PooledConnection> filter) {
         try (OrderedLock.Held _ = mLock.hold()) {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
@@ -29,6 +29,7 @@
     private static final int MAX_USES = 256;
 
     private final ClientConnection mConnection;
+    private final long mOpenedNanos;
     private final long mNumber;
     private final Optional<String> mThrough;
     private final Runnable mOnSurplus;
@@ -49,16 +50,19 @@
      * Takes a connection that has just been opened.
      *
      * @param connection the connection
+     * @param openedNanos when it was opened, of the monotonic clock
      * @param number tells it apart from the others of its pool, for log lines
      * @param through the instance whose tunnel it is; empty if it is direct
      * @param onSurplus runs if bytes arrive that no call has asked for
      */
     PooledConnection(
             ClientConnection connection,
+            long openedNanos,
             long number,
             Optional<String> through,
             Runnable onSurplus) {
         mConnection = connection;
+        mOpenedNanos = openedNanos;
         mNumber = number;
         mThrough = through;
         mOnSurplus = onSurplus;
@@ -70,6 +74,10 @@
         return mThrough;
     }
 
+    long openedNanos() {
+        return mOpenedNanos;
+    }
+
     /** Makes the next call the first one, after the handshake of a tunnel. */
     void handshakeEnded() {
         mUses = 0;
--- a/org.orchidmount/src/main/java/org/orchidmount/path/PathMonitor.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/PathMonitor.java
@@ -42,9 +42,6 @@
     /** Far longer than a round trip within a site. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(150);
 
-    /** Silence of all upstreams that puts the path in doubt. */
-    private static final Duration SILENCE = Duration.ofMillis(150);
-
     /** Interval between two verifications if the first found the path to be well. */
     private static final Duration VERIFY_INTERVAL = Duration.ofMillis(500);
 
@@ -57,6 +54,7 @@
     private final PathNetwork mNetwork;
     private final TunnelPeers mPeers;
     private final MonotonicClock mClock;
+    private final SilentUpstreams mSilent;
     private final Map<Peer, Boolean> mFailing = new ConcurrentHashMap<>();
     private final AtomicBoolean mIsBusy = new AtomicBoolean();
     private final AtomicInteger mChanges = new AtomicInteger();
@@ -65,7 +63,6 @@
     private volatile CompletableFuture<Void> mVerified = CompletableFuture.completedFuture(null);
     private volatile boolean mHasTunnelFailed;
     private volatile boolean mIsClosed;
-    private volatile long mHeardNanos;
     private volatile long mVerifiedNanos;
     private volatile long mChangedNanos;
 
@@ -80,9 +77,9 @@
         mNetwork = network;
         mPeers = peers;
         mClock = clock;
-        mHeardNanos = clock.nanoTime();
-        mVerifiedNanos = mHeardNanos - VERIFY_INTERVAL.toNanos();
-        mChangedNanos = mHeardNanos;
+        mSilent = new SilentUpstreams(clock);
+        mChangedNanos = clock.nanoTime();
+        mVerifiedNanos = mChangedNanos - VERIFY_INTERVAL.toNanos();
     }
 
     /**
@@ -112,10 +109,19 @@
     @Override
     public void dialled(Peer upstream, boolean isConnected) {
         if (isConnected) {
-            heard();
+            mSilent.heardAny();
             mFailing.clear();
-            return;
+        } else {
+            failing(upstream);
         }
+    }
+
+    @Override
+    public void broken(Peer upstream) {
+        failing(upstream);
+    }
+
+    private void failing(Peer upstream) {
         mFailing.put(upstream, true);
         if (mPath == ConnectionPath.DIRECT && isVerificationDue()) {
             int known = mNetwork.sample(SAMPLE).size();
@@ -140,19 +146,35 @@
     }
 
     @Override
-    public void heard() {
-        mHeardNanos = mClock.nanoTime();
+    public void heard(Peer upstream) {
+        mSilent.heard(upstream);
     }
 
     @Override
-    public void silent() {
-        if (mPath == ConnectionPath.DIRECT && isSilent()) {
+    public void silent(Peer upstream) {
+        if (mPath != ConnectionPath.DIRECT) {
+            return;
+        }
+        if (mSilent.areAllSilent()) {
             verify("no upstream responds");
+        } else if (mSilent.tryLook(upstream)) {
+            Thread.ofVirtual().name("path-look").start(() -> look(upstream));
         }
     }
 
-    private boolean isSilent() {
-        return mClock.nanoTime() - mHeardNanos >= SILENCE.toNanos();
+    /** Gives up the direct connections to a silent upstream that only other instances reach. */
+    private void look(Peer upstream) {
+        long sinceNanos = mSilent.silentSinceNanos();
+        try {
+            boolean isLost =
+                    !mNetwork.connects(upstream, CONNECT_TIMEOUT) && mNetwork.tunnels(upstream);
+            if (isLost) {
+                LOG.info("silent upstream %s is reached through others only", upstream.name());
+                mNetwork.giveUpDirect(upstream, sinceNanos);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     @Override
@@ -208,7 +230,7 @@
         int tunnelled = connected > 0 ? 0 : count(sample, mNetwork::tunnels);
         ConnectionPath verdict = PathRule.verdict(connected, tunnelled);
         if (verdict == ConnectionPath.DIRECT) {
-            heard();
+            mSilent.heardAny();
             mFailing.clear();
             return;
         }
@@ -226,14 +248,14 @@
         mHasTunnelFailed = false;
         mFailing.clear();
         LOG.info("upstreams are reached by %s after %d ms: %s", path, before.toMillis(), reason);
-        mListener.pathChanged(path, isSilent());
+        mListener.pathChanged(path, mSilent.areAllSilent());
     }
 
     /** Probes the direct path until it is back. */
     private void probeUntilRecovered() throws InterruptedException {
         while (mPath != ConnectionPath.DIRECT && !mIsClosed) {
-            if (mPath == ConnectionPath.TUNNEL && isSilent()) {
-                mListener.directlySilent(mClock.nanoTime() - SILENCE.toNanos());
+            if (mPath == ConnectionPath.TUNNEL && mSilent.areAllSilent()) {
+                mListener.directlySilent(mSilent.silentSinceNanos());
             }
             Thread.sleep(PROBE_INTERVAL);
             probe(mNetwork.sample(SAMPLE));
--- a/org.orchidmount/src/main/java/org/orchidmount/path/PathNetwork.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/PathNetwork.java
@@ -37,4 +37,12 @@
      * @return whether it was established
      */
     boolean tunnels(Peer upstream);
+
+    /**
+     * Gives up the direct connections to an upstream that only other instances reach.
+     *
+     * @param upstream the upstream
+     * @param sinceNanos since when it has been silent, of the monotonic clock
+     */
+    void giveUpDirect(Peer upstream, long sinceNanos);
 }
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/SilentUpstreams.java
@@ -0,0 +1,75 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.path;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.orchidmount.clock.MonotonicClock;
+import org.orchidmount.internal.http.Peer;
+
+/**
+ * When each upstream was heard on a direct connection, and when it was last looked whether a silent
+ * one can still be reached. Thread-safe.
+ */
+final class SilentUpstreams {
+    /** Silence after which it is looked. */
+    private static final Duration SILENCE = Duration.ofMillis(150);
+
+    /** Interval between two looks at one upstream. */
+    private static final Duration INTERVAL = Duration.ofMillis(500);
+
+    /** Upstreams beyond which those not heard for long are forgotten. */
+    private static final int MAX_UPSTREAMS = 1_024;
+
+    private static final Duration RETENTION = Duration.ofSeconds(10);
+
+    private final Map<Peer, Long> mHeardNanos = new ConcurrentHashMap<>();
+    private final Map<Peer, Long> mLookedNanos = new ConcurrentHashMap<>();
+    private final MonotonicClock mClock;
+    private volatile long mHeardAnyNanos;
+
+    SilentUpstreams(MonotonicClock clock) {
+        mClock = clock;
+        mHeardAnyNanos = clock.nanoTime();
+    }
+
+    /** Records that an upstream was heard. */
+    void heard(Peer upstream) {
+        long nowNanos = mClock.nanoTime();
+        mHeardAnyNanos = nowNanos;
+        mHeardNanos.put(upstream, nowNanos);
+        if (mHeardNanos.size() > MAX_UPSTREAMS) {
+            mHeardNanos.values().removeIf(at -> nowNanos - at > RETENTION.toNanos());
+        }
+    }
+
+    /** Records that some upstream was reached. */
+    void heardAny() {
+        mHeardAnyNanos = mClock.nanoTime();
+    }
+
+    /** Returns whether no upstream has been heard lately. */
+    boolean areAllSilent() {
+        return mClock.nanoTime() - mHeardAnyNanos >= SILENCE.toNanos();
+    }
+
+    /** Returns the time since which an upstream counts as silent. */
+    long silentSinceNanos() {
+        return mClock.nanoTime() - SILENCE.toNanos();
+    }
+
+    /** Returns whether it should be looked now whether an upstream can be reached. */
+    boolean tryLook(Peer upstream) {
+        long nowNanos = mClock.nanoTime();
+        Long heardNanos = mHeardNanos.get(upstream);
+        if (heardNanos != null && nowNanos - heardNanos < SILENCE.toNanos()) {
+            return false;
+        }
+        mLookedNanos.values().removeIf(at -> nowNanos - at >= INTERVAL.toNanos());
+        return mLookedNanos.putIfAbsent(upstream, nowNanos) == null;
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -108,6 +108,9 @@
         if (cancel.isCancelled()) {
             return;
         }
+        if (failure instanceof Failure.Broken) {
+            connections.broken(assignment.peer());
+        }
         if (failure.mayHaveRun()) {
             upstreams.failed(assignment);
         } else {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
@@ -62,6 +62,11 @@
         return mConnections.probeTunnel(upstream);
     }
 
+    @Override
+    public void giveUpDirect(Peer upstream, long sinceNanos) {
+        mConnections.giveUpDirect(upstream, sinceNanos);
+    }
+
     /**
      * Another instance that connects to the upstream proves that it has not ended; without one, a
      * path by which other upstreams are reached is taken for intact.
