Paths are verified within the connections that upstreams accept

Calls that took 500 ms counted as silence after 150 ms, so the path was verified twice a second, and the connections of the attempts were kept.

An attempt is counted like the connection of a request and is not made where the instance's share of a runner's connections is used up, save after a second of silence of all, when the connections that use it up say nothing. Its connection is closed at once. Silence is three times the mean response time, 150 to 450 ms.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/path/PathMonitorTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/path/PathMonitorTest.java
@@ -66,6 +66,7 @@
         private final AtomicInteger mAttempts = new AtomicInteger();
         private final Queue<Peer> mGivenUp = new ConcurrentLinkedQueue<>();
         private volatile boolean mTunnels = true;
+        private volatile boolean mIsFull;
 
         private Network() {
             mConnected.addAll(UPSTREAMS);
@@ -77,9 +78,12 @@
         }
 
         @Override
-        public boolean connects(Peer upstream, Duration timeout) {
+        public Attempt connect(Peer upstream, Duration timeout, boolean isForced) {
+            if (mIsFull && !isForced) {
+                return Attempt.NOT_MADE;
+            }
             mAttempts.incrementAndGet();
-            return mConnected.contains(upstream);
+            return mConnected.contains(upstream) ? Attempt.CONNECTED : Attempt.FAILED;
         }
 
         @Override
@@ -158,6 +162,25 @@
                 });
     }
 
+    /** Guards against more connections than upstreams accept, and against a cut unseen for that. */
+    @Test
+    void upstreamsWithoutRoomAreTriedOnlyAfterLongSilence() {
+        mNetwork.mConnected.clear();
+        mNetwork.mIsFull = true;
+        mMonitor.heard(UPSTREAMS.getFirst());
+        failAll();
+        mMonitor.awaitVerified();
+        assertThat(mNetwork.mAttempts.get()).isEqualTo(0);
+        assertThat(mMonitor.current()).isEqualTo(ConnectionPath.DIRECT);
+        Await.until(
+                "tried",
+                LONGEST,
+                () -> {
+                    mMonitor.silent(UPSTREAMS.getFirst());
+                    return mMonitor.current() == ConnectionPath.TUNNEL;
+                });
+    }
+
     /** Guards against calm traffic that costs connection attempts. */
     @Test
     void silenceOfOneCallIsNotVerifiedWhileOthersAreAnswered() {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionPaths.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionPaths.java
@@ -68,6 +68,14 @@
      */
     void broken(Peer upstream);
 
+    /**
+     * Records that an upstream began to respond to a call on a direct connection.
+     *
+     * @param upstream the upstream
+     * @param took the time since the request was sent
+     */
+    void responded(Peer upstream, Duration took);
+
     /**
      * Records that bytes of an upstream were received on a direct connection.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/DirectOnlyPaths.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/DirectOnlyPaths.java
@@ -37,6 +37,9 @@
     @Override
     public void broken(Peer upstream) {}
 
+    @Override
+    public void responded(Peer upstream, Duration took) {}
+
     @Override
     public void heard(Peer upstream) {}
 
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -244,7 +244,11 @@
     public ClientResponse awaitResponse(Duration timeout) throws CallFailedException {
         ClientResponse response =
                 guarded(() -> reportingSilence(timeout, part -> await(mResponse, part)));
-        heard();
+        long beforeNanos = mHeardNanos;
+        mHeardNanos = mPool.nanoTime();
+        if (mPooled.through().isEmpty()) {
+            mPool.responded(mPeer, Duration.ofNanos(mHeardNanos - beforeNanos));
+        }
         return response;
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -28,9 +28,6 @@
  * So a surplus response of an upstream is never taken for that of a later call. Thread-safe.
  */
 public final class HttpConnections implements AutoCloseable {
-    /** Nanoseconds that a connection is kept on which no call has been made yet. */
-    private static final long UNUSED_NANOS = TimeUnit.SECONDS.toNanos(1);
-
     /** Nanoseconds after which a tunnel is not used again while other paths are direct. */
     private static final long MAX_TUNNEL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -301,6 +298,10 @@
         return mClock.nanoTime();
     }
 
+    void responded(Peer peer, Duration took) {
+        mPaths.responded(peer, took);
+    }
+
     void heard(Peer peer) {
         mPaths.heard(peer);
     }
@@ -344,7 +345,7 @@
     }
 
     /**
-     * Attempts a direct connection, and keeps it for the next call.
+     * Attempts a direct connection, and closes it.
      *
      * @param peer the upstream
      * @param timeout the longest wait
@@ -353,12 +354,12 @@
      */
     public boolean probe(Peer peer, Duration timeout) throws InterruptedException {
         Optional<PooledConnection> connection = mOpener.probe(peer, timeout);
-        connection.ifPresent(opened -> keepUnused(peer, opened));
+        connection.ifPresent(PooledConnection::closeLater);
         return connection.isPresent();
     }
 
     /**
-     * Attempts a connection through another instance, and keeps it for the next call.
+     * Attempts a connection through another instance, and closes it.
      *
      * @param peer the upstream
      * @return whether it was established
@@ -366,16 +367,10 @@
     public boolean probeTunnel(Peer peer) {
         Optional<PooledConnection> connection =
                 mOpener.openTunnel(peer, Step.FORWARD, new CancelSignal());
-        connection.ifPresent(opened -> keepUnused(peer, opened));
+        connection.ifPresent(PooledConnection::closeLater);
         return connection.isPresent();
     }
 
-    private void keepUnused(Peer peer, PooledConnection connection) {
-        mCounters.opened();
-        connection.setIdleLimitNanos(UNUSED_NANOS);
-        release(peer, connection);
-    }
-
     /**
      * Closes the idle connections of a path that is no longer used, since a request that is sent on
      * one may be lost.
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/SilentWait.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/SilentWait.java
@@ -11,8 +11,7 @@
 
 /** Waits for an upstream, and reports its silence at intervals meanwhile. Stateless. */
 final class SilentWait {
-    /** Silence that is reported; longer than most calls take. */
-    private static final Duration INTERVAL = Duration.ofMillis(150);
+    private static final Duration INTERVAL = Duration.ofMillis(100);
 
     private SilentWait() {}
 
--- a/org.orchidmount/src/main/java/org/orchidmount/path/PathMonitor.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/PathMonitor.java
@@ -21,6 +21,7 @@
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.http.TunnelPeer;
 import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.path.PathNetwork.Attempt;
 
 /**
  * Determines whether this instance reaches the upstreams directly, through other instances, or not
@@ -145,6 +146,12 @@
         }
     }
 
+    @Override
+    public void responded(Peer upstream, Duration took) {
+        mSilent.responded(took);
+        mSilent.heard(upstream);
+    }
+
     @Override
     public void heard(Peer upstream) {
         mSilent.heard(upstream);
@@ -166,9 +173,8 @@
     private void look(Peer upstream) {
         long sinceNanos = mSilent.silentSinceNanos();
         try {
-            boolean isLost =
-                    !mNetwork.connects(upstream, CONNECT_TIMEOUT) && mNetwork.tunnels(upstream);
-            if (isLost) {
+            Attempt attempt = mNetwork.connect(upstream, CONNECT_TIMEOUT, false);
+            if (attempt == Attempt.FAILED && mNetwork.tunnels(upstream)) {
                 LOG.info("silent upstream %s is reached through others only", upstream.name());
                 mNetwork.giveUpDirect(upstream, sinceNanos);
             }
@@ -226,18 +232,33 @@
     }
 
     private void decide(String reason, List<Peer> sample) throws InterruptedException {
-        int connected = count(sample, upstream -> mNetwork.connects(upstream, CONNECT_TIMEOUT));
-        int tunnelled = connected > 0 ? 0 : count(sample, mNetwork::tunnels);
-        ConnectionPath verdict = PathRule.verdict(connected, tunnelled);
-        if (verdict == ConnectionPath.DIRECT) {
-            mSilent.heardAny();
-            mFailing.clear();
+        boolean isForced = mSilent.areAllSilentForLong();
+        Results direct = attempt(sample, upstream -> connect(upstream, isForced));
+        boolean isUndecided = direct.successes() == 0 && direct.failures() == 0;
+        if (direct.successes() > 0 || isUndecided) {
+            if (!isUndecided) {
+                mSilent.heardAny();
+                mFailing.clear();
+            }
             return;
         }
+        Results tunnels = attempt(sample, this::tunnel);
         change(
-                verdict,
+                PathRule.verdict(direct.successes(), tunnels.successes()),
                 "%s; of %d upstreams tried, %d are reached directly and %d through other instances"
-                        .formatted(reason, sample.size(), connected, tunnelled));
+                        .formatted(
+                                reason,
+                                direct.failures(),
+                                direct.successes(),
+                                tunnels.successes()));
+    }
+
+    private Attempt connect(Peer upstream, boolean isForced) throws InterruptedException {
+        return mNetwork.connect(upstream, CONNECT_TIMEOUT, isForced);
+    }
+
+    private Attempt tunnel(Peer upstream) {
+        return mNetwork.tunnels(upstream) ? Attempt.CONNECTED : Attempt.FAILED;
     }
 
     private void change(ConnectionPath path, String reason) {
@@ -266,10 +287,11 @@
         if (sample.isEmpty()) {
             return;
         }
-        boolean isFirst = mNetwork.connects(sample.getFirst(), CONNECT_TIMEOUT);
-        List<Peer> others = isFirst ? sample.subList(1, sample.size()) : List.of();
-        int connected =
-                (isFirst ? 1 : 0) + count(others, each -> mNetwork.connects(each, CONNECT_TIMEOUT));
+        int connected = attempt(sample.subList(0, 1), each -> connect(each, true)).successes();
+        if (connected > 0) {
+            List<Peer> others = sample.subList(1, sample.size());
+            connected += attempt(others, each -> connect(each, true)).successes();
+        }
         if (PathRule.isRecovered(sample.size(), connected)) {
             change(
                     ConnectionPath.DIRECT,
@@ -277,16 +299,21 @@
             return;
         }
         if (mPath == ConnectionPath.NONE || mHasTunnelFailed) {
-            ConnectionPath found = PathRule.verdict(0, count(sample, mNetwork::tunnels));
+            ConnectionPath found = PathRule.verdict(0, attempt(sample, this::tunnel).successes());
             if (found != mPath) {
                 change(found, "tunnels through other instances were tried");
             }
         }
     }
 
-    /** Makes attempts side by side; returns how many had succeeded when the first one did. */
-    private static int count(List<Peer> sample, Attempt attempt) throws InterruptedException {
+    /**
+     * Makes attempts side by side; returns what had become of them when the first one succeeded, or
+     * all had ended.
+     */
+    private static Results attempt(List<Peer> sample, Attempter attempter)
+            throws InterruptedException {
         AtomicInteger successes = new AtomicInteger();
+        AtomicInteger failures = new AtomicInteger();
         AtomicInteger left = new AtomicInteger(sample.size());
         CompletableFuture<Void> decided = new CompletableFuture<>();
         for (Peer upstream : sample) {
@@ -294,24 +321,30 @@
                     .name("path-attempt")
                     .start(
                             () -> {
-                                try {
-                                    if (attempt.succeeds(upstream)) {
-                                        successes.incrementAndGet();
-                                        decided.complete(null);
-                                    }
-                                } catch (InterruptedException e) {
-                                    Thread.currentThread().interrupt();
-                                } finally {
-                                    if (left.decrementAndGet() == 0) {
-                                        decided.complete(null);
-                                    }
+                                Attempt result = attempt(upstream, attempter);
+                                if (result == Attempt.CONNECTED) {
+                                    successes.incrementAndGet();
+                                } else if (result == Attempt.FAILED) {
+                                    failures.incrementAndGet();
+                                }
+                                if (result == Attempt.CONNECTED || left.decrementAndGet() == 0) {
+                                    decided.complete(null);
                                 }
                             });
         }
         if (!sample.isEmpty()) {
             awaitDecided(decided);
         }
-        return successes.get();
+        return new Results(successes.get(), failures.get());
+    }
+
+    private static Attempt attempt(Peer upstream, Attempter attempter) {
+        try {
+            return attempter.attempt(upstream);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Attempt.NOT_MADE;
+        }
     }
 
     private static void awaitDecided(CompletableFuture<Void> decided) throws InterruptedException {
@@ -322,6 +355,9 @@
         }
     }
 
+    /** What has become of attempts so far. */
+    private record Results(int successes, int failures) {}
+
     /** Returns the path and the number of changes, for the log. */
     @Override
     public String toString() {
@@ -334,7 +370,7 @@
     }
 
     @FunctionalInterface
-    private interface Attempt {
-        boolean succeeds(Peer upstream) throws InterruptedException;
+    private interface Attempter {
+        Attempt attempt(Peer upstream) throws InterruptedException;
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/path/PathNetwork.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/PathNetwork.java
@@ -11,6 +11,16 @@
 
 /** The connection attempts by which paths are verified. Thread-safe. */
 public interface PathNetwork {
+    /** The result of a direct connection attempt. */
+    enum Attempt {
+        /** The connection was established. */
+        CONNECTED,
+        /** The connection was refused, or not established in time. */
+        FAILED,
+        /** No attempt was made, because the upstream accepts no more connections from here. */
+        NOT_MADE
+    }
+
     /**
      * Returns a random sample of the registered upstreams, of as many services and availability
      * zones as possible.
@@ -25,10 +35,12 @@
      *
      * @param upstream the upstream
      * @param timeout the longest wait
-     * @return whether it was established
+     * @param isForced whether to make the attempt even if it exceeds this instance's share of the
+     *     connections that the upstream accepts
+     * @return the result
      * @throws InterruptedException if the thread is interrupted
      */
-    boolean connects(Peer upstream, Duration timeout) throws InterruptedException;
+    Attempt connect(Peer upstream, Duration timeout, boolean isForced) throws InterruptedException;
 
     /**
      * Attempts a connection through another instance.
--- a/org.orchidmount/src/main/java/org/orchidmount/path/SilentUpstreams.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/SilentUpstreams.java
@@ -16,8 +16,19 @@
  * one can still be reached. Thread-safe.
  */
 final class SilentUpstreams {
-    /** Silence after which it is looked. */
-    private static final Duration SILENCE = Duration.ofMillis(150);
+    /** Bounds of the silence after which it is looked. */
+    private static final Duration MIN_SILENCE = Duration.ofMillis(150);
+
+    private static final Duration MAX_SILENCE = Duration.ofMillis(450);
+
+    /** Multiple of the mean response time after which few calls are still unanswered. */
+    private static final int SILENCE_FACTOR = 3;
+
+    /** Smoothing factor of the mean response time. */
+    private static final double SMOOTHING = 1.0 / 16;
+
+    /** Silence of all upstreams that is a sign of a lost path whatever calls take. */
+    private static final Duration LONG_SILENCE = Duration.ofSeconds(1);
 
     /** Interval between two looks at one upstream. */
     private static final Duration INTERVAL = Duration.ofMillis(500);
@@ -31,12 +42,26 @@
     private final Map<Peer, Long> mLookedNanos = new ConcurrentHashMap<>();
     private final MonotonicClock mClock;
     private volatile long mHeardAnyNanos;
+    private volatile double mMeanResponseNanos;
 
     SilentUpstreams(MonotonicClock clock) {
         mClock = clock;
         mHeardAnyNanos = clock.nanoTime();
     }
 
+    /** Records how long an upstream took to respond. Concurrent updates may be lost. */
+    void responded(Duration took) {
+        double mean = mMeanResponseNanos;
+        mMeanResponseNanos = mean + SMOOTHING * (took.toNanos() - mean);
+    }
+
+    private long silenceNanos() {
+        return Math.clamp(
+                (long) (SILENCE_FACTOR * mMeanResponseNanos),
+                MIN_SILENCE.toNanos(),
+                MAX_SILENCE.toNanos());
+    }
+
     /** Records that an upstream was heard. */
     void heard(Peer upstream) {
         long nowNanos = mClock.nanoTime();
@@ -54,19 +79,24 @@
 
     /** Returns whether no upstream has been heard lately. */
     boolean areAllSilent() {
-        return mClock.nanoTime() - mHeardAnyNanos >= SILENCE.toNanos();
+        return mClock.nanoTime() - mHeardAnyNanos >= silenceNanos();
+    }
+
+    /** Returns whether no upstream has been heard for so long that the path is most likely lost. */
+    boolean areAllSilentForLong() {
+        return mClock.nanoTime() - mHeardAnyNanos >= LONG_SILENCE.toNanos();
     }
 
     /** Returns the time since which an upstream counts as silent. */
     long silentSinceNanos() {
-        return mClock.nanoTime() - SILENCE.toNanos();
+        return mClock.nanoTime() - silenceNanos();
     }
 
     /** Returns whether it should be looked now whether an upstream can be reached. */
     boolean tryLook(Peer upstream) {
         long nowNanos = mClock.nanoTime();
         Long heardNanos = mHeardNanos.get(upstream);
-        if (heardNanos != null && nowNanos - heardNanos < SILENCE.toNanos()) {
+        if (heardNanos != null && nowNanos - heardNanos < silenceNanos()) {
             return false;
         }
         mLookedNanos.values().removeIf(at -> nowNanos - at >= INTERVAL.toNanos());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.orchidmount.clock.Millis;
@@ -198,6 +199,33 @@
         }
     }
 
+    /**
+     * Assigns a connection attempt to an upstream, which is counted like the connections of
+     * requests.
+     *
+     * @param peer the upstream
+     * @param maxAssignments returns the maximum number of concurrent assignments of this instance
+     *     to an upstream of a service
+     * @return the assignment; empty if there are as many, or the upstream is not known
+     */
+    Optional<Assignment> assignProbe(Peer peer, ToIntFunction<String> maxAssignments) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            return mUpstreams
+                    .at(peer.host() + ":" + peer.port())
+                    .filter(each -> each.assignments() < max(each, maxAssignments))
+                    .map(each -> assign(each, 0, 0));
+        }
+    }
+
+    private static int max(Upstream upstream, ToIntFunction<String> maxAssignments) {
+        return maxAssignments.applyAsInt(upstream.registration().service());
+    }
+
+    private Assignment assign(Upstream upstream, double workMillis, double nominalMillis) {
+        upstream.beginWork(workMillis);
+        return new Assignment(upstream, workMillis, nominalMillis, mClock.nanoTime());
+    }
+
     /** Returns a random sample of the available upstreams of all services. */
     List<Peer> sample(int most) {
         try (OrderedLock.Held _ = mLock.hold()) {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamIndex.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamIndex.java
@@ -91,6 +91,11 @@
         return registration.id().equals(mIdByAddress.get(registration.address()));
     }
 
+    /** Returns the upstream that an address belongs to. */
+    Optional<Upstream> at(String address) {
+        return Optional.ofNullable(mIdByAddress.get(address)).map(mById::get);
+    }
+
     /** Returns whether an upstream is registered at an address. */
     boolean hasAddress(String address) {
         return mIdByAddress.containsKey(address);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
@@ -8,6 +8,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.ToIntFunction;
 import org.orchidmount.internal.http.ConnectionPath;
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.http.Peer;
@@ -27,15 +29,19 @@
     private static final Duration CHECK_TIMEOUT = Duration.ofMillis(100);
 
     private final UpstreamDirectory mUpstreams;
+    private final ToIntFunction<String> mMaxAssignments;
     private volatile HttpConnections mConnections;
 
     /**
      * Creates an instance.
      *
      * @param upstreams the upstreams known to this instance
+     * @param maxAssignments returns this instance's share of the connections that an upstream of a
+     *     service accepts
      */
-    public UpstreamReachability(UpstreamDirectory upstreams) {
+    public UpstreamReachability(UpstreamDirectory upstreams, ToIntFunction<String> maxAssignments) {
         mUpstreams = upstreams;
+        mMaxAssignments = maxAssignments;
     }
 
     /**
@@ -53,8 +59,17 @@
     }
 
     @Override
-    public boolean connects(Peer upstream, Duration timeout) throws InterruptedException {
-        return mConnections.probe(upstream, timeout);
+    public Attempt connect(Peer upstream, Duration timeout, boolean isForced)
+            throws InterruptedException {
+        Optional<Assignment> assignment = mUpstreams.assignProbe(upstream, mMaxAssignments);
+        if (assignment.isEmpty() && !isForced) {
+            return Attempt.NOT_MADE;
+        }
+        try {
+            return mConnections.probe(upstream, timeout) ? Attempt.CONNECTED : Attempt.FAILED;
+        } finally {
+            assignment.ifPresent(mUpstreams::release);
+        }
     }
 
     @Override
@@ -88,7 +103,7 @@
 
     private boolean connectsInTime(Peer upstream) {
         try {
-            return mConnections.probe(upstream, CHECK_TIMEOUT);
+            return connect(upstream, CHECK_TIMEOUT, true) == Attempt.CONNECTED;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return false;
