Crashes of upstreams are counted behind a cut where others see them

An entry whose path was lost took each broken connection for the path's fault, and did not count.

An upstream that other entries do not reach, while they reach others, has ended: such a crash is counted at once. Only where nobody reaches anything does it wait until another upstream has taken its place.

PathMonitorTest waited for the path and asked for what its listener is told after that; it waits for both.

--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Explanation.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Explanation.java
@@ -37,7 +37,9 @@
         /** The service. */
         SERVICE(RequestReport::service),
         /** The upstream of the last attempt. */
-        UPSTREAM(RequestReport::upstream);
+        UPSTREAM(RequestReport::upstream),
+        /** The instance through which the last attempt reached its upstream. */
+        THROUGH(RequestReport::through);
 
         private final Function<RequestReport, String> mName;
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -14,6 +14,7 @@
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -25,6 +26,8 @@
 import org.orchidmount.consensus.GroupState;
 import org.orchidmount.consensus.Member;
 import org.orchidmount.consensus.ReplicaMessage;
+import org.orchidmount.internal.http.ConnectionPath;
+import org.orchidmount.internal.http.TunnelPeer;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration;
@@ -48,11 +51,30 @@
 
     static List<ClusterMessage> messages() {
         List<ClusterMessage> messages = new ArrayList<>(earlierMessages());
-        messages.add(new ClusterMessage.Greeting(1, "a", "zone-a", A, Capability.own()));
+        messages.add(
+                new ClusterMessage.Greeting(
+                        1,
+                        "a",
+                        "zone-a",
+                        A,
+                        Set.of(
+                                Capability.CRASH_RECORDS,
+                                Capability.UPSTREAM_LIMITS,
+                                Capability.SHARED_STATE)));
         messages.addAll(SharedStateCodecTest.messages());
+        messages.addAll(tunnelMessages());
         return messages;
     }
 
+    private static List<ClusterMessage> tunnelMessages() {
+        TunnelPeer peer = new TunnelPeer("b", "zone-b", "10.0.0.2", 7_675, "0123abcd");
+        return List.of(
+                new ClusterMessage.Greeting(
+                        1, "b", "zone-b", null, Capability.own(), Optional.of(peer)),
+                new ClusterMessage.TunnelPeers(List.of(peer)),
+                new ClusterMessage.PathReport(ConnectionPath.TUNNEL));
+    }
+
     /** Messages as sent before entries shared state. */
     private static List<ClusterMessage> earlierMessages() {
         return List.of(
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/EarlierFramesTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/EarlierFramesTest.java
@@ -23,7 +23,14 @@
  */
 final class EarlierFramesTest {
     @ParameterizedTest
-    @CsvSource({"719d22b, 16", "0681d09, 20", "96e0247, 22", "7373056, 24", "6bbd7d4, 26"})
+    @CsvSource({
+        "719d22b, 16",
+        "0681d09, 20",
+        "96e0247, 22",
+        "7373056, 24",
+        "6bbd7d4, 26",
+        "14ed39d, 30"
+    })
     void areReadAsWhatTheyAre(String landing, int count) throws Exception {
         List<String> frames = Pin.read("earlier/cluster-frames-" + landing + ".hex");
         assertThat(frames).hasSize(count);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/path/PathMonitorTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/path/PathMonitorTest.java
@@ -113,6 +113,8 @@
         awaitPath(ConnectionPath.TUNNEL);
         mNetwork.mConnected.addAll(UPSTREAMS);
         awaitPath(ConnectionPath.DIRECT);
+        // The listener is called after the path has changed.
+        Await.until("two changes", LONGEST, () -> mChanges.size() == 2);
         assertThat(mChanges)
                 .containsExactly(ConnectionPath.TUNNEL, ConnectionPath.DIRECT)
                 .inOrder();
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -285,6 +285,15 @@
         return mPaths.current() == ConnectionPath.NONE;
     }
 
+    /**
+     * Tells whether new connections are opened through other instances.
+     *
+     * @return true while the direct path is lost
+     */
+    public boolean usesTunnels() {
+        return mPaths.current() == ConnectionPath.TUNNEL;
+    }
+
     /**
      * Returns how long connections have been opened as they are now.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashReports.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashReports.java
@@ -168,17 +168,21 @@
      */
     public void suspectedCrash(
             Failure failure, CrashRecord after, Incarnation upstream, Peer peer) {
-        boolean hasEnded =
-                failure instanceof Failure.Broken
-                        && mProbe.probe(peer) == TerminationProbe.Finding.ENDED
-                        && !mPathCheck.isLostFromHere(peer);
-        if (hasEnded) {
+        if (failure instanceof Failure.Broken && hasEnded(peer)) {
             crashed(after);
         } else {
             mUnconfirmed.add(after, upstream, peer.host() + ":" + peer.port());
         }
     }
 
+    private boolean hasEnded(Peer peer) {
+        TerminationProbe.Finding finding = mProbe.probe(peer);
+        if (finding == TerminationProbe.Finding.SILENT) {
+            return mPathCheck.hasEndedForOthers(peer);
+        }
+        return finding == TerminationProbe.Finding.ENDED && !mPathCheck.isLostFromHere(peer);
+    }
+
     /**
      * Reports that a run was abandoned by this instance because its caller disconnected. The
      * upstream may continue the run for a moment and crash unnoticed, so it is watched.
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
@@ -91,14 +91,23 @@
         if (mConnections.probeTunnel(peer)) {
             return true;
         }
+        List<Peer> others = othersThan(peer);
+        return !others.isEmpty()
+                && others.stream().noneMatch(this::connectsInTime)
+                && others.stream().noneMatch(mConnections::probeTunnel);
+    }
+
+    @Override
+    public boolean hasEndedForOthers(Peer peer) {
+        return mConnections.usesTunnels()
+                && !mConnections.probeTunnel(peer)
+                && othersThan(peer).stream().anyMatch(mConnections::probeTunnel);
+    }
+
+    private List<Peer> othersThan(Peer peer) {
         List<Peer> others = new ArrayList<>(mUpstreams.sample(OTHERS_TRIED + 1));
         others.removeIf(other -> other.host().equals(peer.host()) && other.port() == peer.port());
-        for (Peer other : others) {
-            if (connectsInTime(other)) {
-                return false;
-            }
-        }
-        return !others.isEmpty();
+        return others;
     }
 
     private boolean connectsInTime(Peer upstream) {
