A verdict on the path needs the failures of several upstreams

With all but one upstream at their limit of connections, the failure of that one decided for all. Too few attempts now leave the path as it is. The first attempt has 25 ms alone, so that an intact path is verified by one connection.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/path/PathMonitorTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/path/PathMonitorTest.java
@@ -66,7 +66,7 @@
         private final AtomicInteger mAttempts = new AtomicInteger();
         private final Queue<Peer> mGivenUp = new ConcurrentLinkedQueue<>();
         private volatile boolean mTunnels = true;
-        private volatile boolean mIsFull;
+        private final Set<Peer> mFull = ConcurrentHashMap.newKeySet();
 
         private Network() {
             mConnected.addAll(UPSTREAMS);
@@ -79,7 +79,7 @@
 
         @Override
         public Attempt connect(Peer upstream, Duration timeout, boolean isForced) {
-            if (mIsFull && !isForced) {
+            if (mFull.contains(upstream) && !isForced) {
                 return Attempt.NOT_MADE;
             }
             mAttempts.incrementAndGet();
@@ -168,7 +168,7 @@
     @Test
     void upstreamsWithoutRoomAreTriedOnlyAfterLongSilence() {
         mNetwork.mConnected.clear();
-        mNetwork.mIsFull = true;
+        mNetwork.mFull.addAll(UPSTREAMS);
         mMonitor.heard(UPSTREAMS.getFirst());
         failAll();
         mMonitor.awaitVerified();
@@ -183,6 +183,19 @@
                 });
     }
 
+    /** Guards against a verdict on all upstreams by the failure of the only one with room. */
+    @Test
+    void oneFailureIsNoVerdictOnUpstreamsWithoutRoom() {
+        mNetwork.mFull.addAll(UPSTREAMS.subList(1, UPSTREAMS.size()));
+        mNetwork.mConnected.clear();
+        mNetwork.mTunnels = false;
+        mMonitor.heard(UPSTREAMS.getFirst());
+        failAll();
+        Await.until("tried", LONGEST, () -> mNetwork.mAttempts.get() > 0);
+        mMonitor.awaitVerified();
+        assertThat(mMonitor.current()).isEqualTo(ConnectionPath.DIRECT);
+    }
+
     /** Guards against calm traffic that costs connection attempts. */
     @Test
     void silenceOfOneCallIsNotVerifiedWhileOthersAreAnswered() {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionOpener.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionOpener.java
@@ -46,7 +46,7 @@
     private static final int SOCKET_BUFFER_BYTES = 64 * 1024;
 
     /** Far longer than a round trip within a site. */
-    private static final Duration TUNNEL_AFTER = Duration.ofMillis(50);
+    private static final Duration TUNNEL_AFTER = Duration.ofMillis(100);
 
     private final HttpConnections mPool;
     private final XnioWorker mWorker;
--- a/org.orchidmount/src/main/java/org/orchidmount/path/PathMonitor.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/PathMonitor.java
@@ -43,6 +43,9 @@
     /** Far longer than a round trip within a site. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(150);
 
+    /** Time for the first attempt alone; longer than a round trip within a site. */
+    private static final Duration STAGGER = Duration.ofMillis(25);
+
     /** Interval between two verifications if the first found the path to be well. */
     private static final Duration VERIFY_INTERVAL = Duration.ofMillis(500);
 
@@ -234,12 +237,12 @@
     private void decide(String reason, List<Peer> sample) throws InterruptedException {
         boolean isForced = mSilent.areAllSilentForLong();
         Results direct = attempt(sample, upstream -> connect(upstream, isForced));
-        boolean isUndecided = direct.successes() == 0 && direct.failures() == 0;
-        if (direct.successes() > 0 || isUndecided) {
-            if (!isUndecided) {
-                mSilent.heardAny();
-                mFailing.clear();
-            }
+        if (direct.successes() > 0) {
+            mSilent.heardAny();
+            mFailing.clear();
+            return;
+        }
+        if (!PathRule.isInDoubt(direct.failures(), sample.size())) {
             return;
         }
         Results tunnels = attempt(sample, this::tunnel);
@@ -307,8 +310,8 @@
     }
 
     /**
-     * Makes attempts side by side; returns what had become of them when the first one succeeded, or
-     * all had ended.
+     * Makes one attempt, and soon the others side by side; returns what had become of them when the
+     * first one succeeded, or all had ended.
      */
     private static Results attempt(List<Peer> sample, Attempter attempter)
             throws InterruptedException {
@@ -317,11 +320,15 @@
         AtomicInteger left = new AtomicInteger(sample.size());
         CompletableFuture<Void> decided = new CompletableFuture<>();
         for (Peer upstream : sample) {
+            boolean isFirst = upstream == sample.getFirst();
             Thread.ofVirtual()
                     .name("path-attempt")
                     .start(
                             () -> {
-                                Attempt result = attempt(upstream, attempter);
+                                Attempt result =
+                                        isFirst || !isDoneWithin(decided, STAGGER)
+                                                ? attempt(upstream, attempter)
+                                                : Attempt.NOT_MADE;
                                 if (result == Attempt.CONNECTED) {
                                     successes.incrementAndGet();
                                 } else if (result == Attempt.FAILED) {
@@ -338,6 +345,20 @@
         return new Results(successes.get(), failures.get());
     }
 
+    private static boolean isDoneWithin(CompletableFuture<Void> decided, Duration longest) {
+        try {
+            decided.get(longest.toNanos(), TimeUnit.NANOSECONDS);
+            return true;
+        } catch (TimeoutException e) {
+            return false;
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("connection attempts end without a result", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return true;
+        }
+    }
+
     private static Attempt attempt(Peer upstream, Attempter attempter) {
         try {
             return attempter.attempt(upstream);
--- a/org.orchidmount/src/main/java/org/orchidmount/path/SilentUpstreams.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/SilentUpstreams.java
@@ -28,7 +28,7 @@
     private static final double SMOOTHING = 1.0 / 16;
 
     /** Silence of all upstreams that is a sign of a lost path whatever calls take. */
-    private static final Duration LONG_SILENCE = Duration.ofSeconds(1);
+    private static final Duration LONG_SILENCE = Duration.ofSeconds(2);
 
     /** Interval between two looks at one upstream. */
     private static final Duration INTERVAL = Duration.ofMillis(500);
