Paths are looked at less often in calm

Silence of all upstreams now takes at least 250 ms, that of one 450 ms, and one is looked at once a second at most.

--- a/org.orchidmount/src/main/java/org/orchidmount/path/SilentUpstreams.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/SilentUpstreams.java
@@ -16,8 +16,8 @@
  * one can still be reached. Thread-safe.
  */
 final class SilentUpstreams {
-    /** Bounds of the silence after which it is looked. */
-    private static final Duration MIN_SILENCE = Duration.ofMillis(150);
+    /** Bounds of the silence of all upstreams that puts the path in doubt. */
+    private static final Duration MIN_SILENCE = Duration.ofMillis(250);
 
     private static final Duration MAX_SILENCE = Duration.ofMillis(450);
 
@@ -31,7 +31,7 @@
     private static final Duration LONG_SILENCE = Duration.ofSeconds(2);
 
     /** Interval between two looks at one upstream. */
-    private static final Duration INTERVAL = Duration.ofMillis(500);
+    private static final Duration INTERVAL = Duration.ofSeconds(1);
 
     /** Upstreams beyond which those not heard for long are forgotten. */
     private static final int MAX_UPSTREAMS = 1_024;
@@ -92,11 +92,14 @@
         return mClock.nanoTime() - silenceNanos();
     }
 
-    /** Returns whether it should be looked now whether an upstream can be reached. */
+    /**
+     * Returns whether it should be looked now whether an upstream can be reached: a single one is
+     * heard less often than all together, so it may be silent for longer.
+     */
     boolean tryLook(Peer upstream) {
         long nowNanos = mClock.nanoTime();
         Long heardNanos = mHeardNanos.get(upstream);
-        if (heardNanos != null && nowNanos - heardNanos < silenceNanos()) {
+        if (heardNanos != null && nowNanos - heardNanos < MAX_SILENCE.toNanos()) {
             return false;
         }
         mLookedNanos.values().removeIf(at -> nowNanos - at >= INTERVAL.toNanos());
