A crash is told from a cut by witnesses that reach other upstreams

Read in the diff: a tunnel that did not open in time counted like one that an upstream had refused, and the instance that refused need not be the one that reached others, so an instance that had just been cut off too could be the witness.

An instance now tells whether the upstream refused or did not answer, and the pure TerminationRule takes only one that reaches another upstream itself for a witness.

Another failure of the observer taken for one of what it observes: a call that is broken off because the path is lost, or fails while there is none, no longer counts against the upstream.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/path/PathMonitorTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/path/PathMonitorTest.java
@@ -252,7 +252,7 @@
         mPeers.update("voter", List.of(HELPER, other));
         assertThat(mMonitor.tunnelPeers(1)).containsExactly(HELPER);
         mMonitor.tunnelled(UPSTREAMS.getFirst(), HELPER, result);
-        TunnelPeer first = result == TunnelResult.REFUSED ? other : HELPER;
+        TunnelPeer first = result == TunnelResult.INSTANCE_REFUSED ? other : HELPER;
         assertThat(mMonitor.tunnelPeers(2).getFirst()).isEqualTo(first);
     }
 }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/path/TunnelServerTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/path/TunnelServerTest.java
@@ -123,7 +123,7 @@
     @ParameterizedTest
     @CsvSource({
         "token, 403",
-        "target, 502",
+        "target, 503",
         "isolated, 503",
         "draining, 503",
     })
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionOpener.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionOpener.java
@@ -25,6 +25,7 @@
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
+import org.orchidmount.internal.http.ConnectionPaths.TunnelResult;
 import org.orchidmount.upstream.CancelSignal;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -98,6 +99,11 @@
         return mTunnels.open(peer, step, cancel);
     }
 
+    /** Asks one instance whether it connects to an upstream. */
+    TunnelResult probeTunnel(Peer peer, TunnelPeer through) {
+        return mTunnels.probe(peer, through);
+    }
+
     private PooledConnection openDirectly(Peer peer, Step step, CancelSignal cancel)
             throws CallFailedException {
         CompletableFuture<ClientConnection> attempt = dial(peer);
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionPaths.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionPaths.java
@@ -94,9 +94,11 @@
     enum TunnelResult {
         /** The tunnel is open. */
         OPENED,
-        /** The instance could not connect to the upstream. */
-        UPSTREAM_UNREACHABLE,
-        /** The instance could not be reached, or opens no tunnels at present. */
-        REFUSED
+        /** The upstream refused the connection of the instance. */
+        UPSTREAM_REFUSED,
+        /** The upstream did not answer the instance in time. */
+        UPSTREAM_SILENT,
+        /** The instance could not be reached in time, or opens no tunnels at present. */
+        INSTANCE_REFUSED
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -9,6 +9,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -17,6 +18,7 @@
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
+import org.orchidmount.internal.http.ConnectionPaths.TunnelResult;
 import org.orchidmount.upstream.CancelSignal;
 import org.xnio.XnioWorker;
 
@@ -285,15 +287,6 @@
         return mPaths.current() == ConnectionPath.NONE;
     }
 
-    /**
-     * Tells whether new connections are opened through other instances.
-     *
-     * @return true while the direct path is lost
-     */
-    public boolean usesTunnels() {
-        return mPaths.current() == ConnectionPath.TUNNEL;
-    }
-
     /**
      * Returns how long connections have been opened as they are now.
      *
@@ -380,6 +373,27 @@
         return connection.isPresent();
     }
 
+    /**
+     * Asks one instance whether it connects to an upstream.
+     *
+     * @param peer the upstream
+     * @param through the instance
+     * @return the result; a tunnel that was opened is closed
+     */
+    public TunnelResult probeTunnel(Peer peer, TunnelPeer through) {
+        return mOpener.probeTunnel(peer, through);
+    }
+
+    /**
+     * Returns instances that may open a tunnel, the most promising first.
+     *
+     * @param most the maximum number
+     * @return the instances
+     */
+    public List<TunnelPeer> tunnelPeers(int most) {
+        return mPaths.tunnelPeers(most);
+    }
+
     /**
      * Closes the idle connections of a path that is no longer used, since a request that is sent on
      * one may be lost.
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/TunnelHandshake.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/TunnelHandshake.java
@@ -11,6 +11,7 @@
 import io.undertow.util.Methods;
 import java.util.Optional;
 import java.util.UUID;
+import org.orchidmount.internal.http.ConnectionPaths.TunnelResult;
 
 /**
  * The request that opens a tunnel, and its responses. The first request on a connection names the
@@ -23,11 +24,14 @@
     /** Status: the token is not that of this instance. */
     public static final int FORBIDDEN = 403;
 
-    /** Status: the upstream could not be reached. */
-    public static final int UPSTREAM_UNREACHABLE = 502;
+    /** Status: the upstream refused the connection. */
+    public static final int UPSTREAM_REFUSED = 502;
+
+    /** Status: the upstream did not answer in time. */
+    public static final int UPSTREAM_SILENT = 504;
 
     /** Status: the instance opens no tunnels at present. */
-    public static final int REFUSED = 503;
+    public static final int INSTANCE_REFUSED = 503;
 
     /** The field of the request that carries the token. */
     public static final String TOKEN_FIELD = "Orchidmount-Tunnel-Token";
@@ -38,6 +42,16 @@
 
     private TunnelHandshake() {}
 
+    /** Returns the result that a status tells. */
+    static TunnelResult result(int status) {
+        return switch (status) {
+            case OPENED -> TunnelResult.OPENED;
+            case UPSTREAM_REFUSED -> TunnelResult.UPSTREAM_REFUSED;
+            case UPSTREAM_SILENT -> TunnelResult.UPSTREAM_SILENT;
+            default -> TunnelResult.INSTANCE_REFUSED;
+        };
+    }
+
     /**
      * A request to open a tunnel, as the instance that opens it reads it.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/TunnelOpener.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/TunnelOpener.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import org.orchidmount.errors.CallFailedException;
-import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
 import org.orchidmount.internal.http.ConnectionPaths.TunnelResult;
 import org.orchidmount.internal.log.PartLog;
@@ -138,26 +138,45 @@
             Step step,
             CancelSignal cancel,
             CompletableFuture<PooledConnection> winner) {
-        TunnelResult result = TunnelResult.REFUSED;
+        TunnelResult result =
+                request(
+                        upstream,
+                        through,
+                        step,
+                        cancel,
+                        connection -> {
+                            if (!winner.complete(connection)) {
+                                connection.closeLater();
+                            }
+                        });
+        if (!cancel.isCancelled()) {
+            mPaths.tunnelled(upstream, through, result);
+        }
+    }
+
+    /** Asks one instance whether it connects to an upstream, and closes the tunnel. */
+    TunnelResult probe(Peer upstream, TunnelPeer through) {
+        return request(
+                upstream, through, Step.FORWARD, new CancelSignal(), PooledConnection::closeLater);
+    }
+
+    private TunnelResult request(
+            Peer upstream,
+            TunnelPeer through,
+            Step step,
+            CancelSignal cancel,
+            Consumer<PooledConnection> receiver) {
         try (HttpCall call = mHandshaker.request(upstream, through, step, TIMEOUT, cancel)) {
             ClientResponse response = call.awaitHandshake(TIMEOUT);
             call.readAll(TIMEOUT, MAX_RESPONSE_BYTES);
-            int status = response.getResponseCode();
-            if (status == TunnelHandshake.OPENED) {
-                PooledConnection connection = call.takeConnection();
-                result = TunnelResult.OPENED;
-                if (!winner.complete(connection)) {
-                    connection.closeLater();
-                }
-            } else if (status == TunnelHandshake.UPSTREAM_UNREACHABLE) {
-                result = TunnelResult.UPSTREAM_UNREACHABLE;
+            TunnelResult result = TunnelHandshake.result(response.getResponseCode());
+            if (result == TunnelResult.OPENED) {
+                receiver.accept(call.takeConnection());
             }
+            return result;
         } catch (CallFailedException e) {
-            Failure failure = e.failure();
-            LOG.debug("no tunnel through %s: %s", through, failure.describe());
-        }
-        if (!cancel.isCancelled()) {
-            mPaths.tunnelled(upstream, through, result);
+            LOG.debug("no tunnel through %s: %s", through, e.failure().describe());
+            return TunnelResult.INSTANCE_REFUSED;
         }
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/path/PathMonitor.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/PathMonitor.java
@@ -137,7 +137,7 @@
 
     @Override
     public void tunnelled(Peer upstream, TunnelPeer through, TunnelResult result) {
-        if (result == TunnelResult.REFUSED) {
+        if (result == TunnelResult.INSTANCE_REFUSED) {
             mPeers.refused(through);
         } else {
             mPeers.opened(through);
--- a/org.orchidmount/src/main/java/org/orchidmount/path/TunnelServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/TunnelServer.java
@@ -6,6 +6,7 @@
 package org.orchidmount.path;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -192,8 +193,9 @@
             return;
         }
         try (Socket upstream = new Socket()) {
-            if (!connect(upstream, request)) {
-                respond(caller, TunnelHandshake.UPSTREAM_UNREACHABLE, request);
+            int status = connect(upstream, request);
+            if (status != TunnelHandshake.OPENED) {
+                respond(caller, status, request);
                 return;
             }
             upstream.setTcpNoDelay(true);
@@ -217,21 +219,25 @@
         }
         boolean isUsable = !mIsDraining && mIsDirect.getAsBoolean();
         if (!isUsable || mTunnels.size() >= MAX_TUNNELS) {
-            return TunnelHandshake.REFUSED;
+            return TunnelHandshake.INSTANCE_REFUSED;
         }
         boolean isUpstream = mUpstreams.contains(request.host(), request.port());
-        return isUpstream ? TunnelHandshake.OPENED : TunnelHandshake.UPSTREAM_UNREACHABLE;
+        return isUpstream ? TunnelHandshake.OPENED : TunnelHandshake.INSTANCE_REFUSED;
     }
 
-    private boolean connect(Socket upstream, TunnelHandshake.Request request) {
+    /** Connects to an upstream; returns the status that tells the result. */
+    private int connect(Socket upstream, TunnelHandshake.Request request) {
         try {
             upstream.connect(
                     mAddresses.toDialled(new InetSocketAddress(request.host(), request.port())),
                     (int) CONNECT_TIMEOUT.toMillis());
-            return true;
+            return TunnelHandshake.OPENED;
+        } catch (ConnectException e) {
+            LOG.debug("%s:%d refuses connections: %s", request.host(), request.port(), e);
+            return TunnelHandshake.UPSTREAM_REFUSED;
         } catch (IOException e) {
             LOG.debug("no connection to %s:%d: %s", request.host(), request.port(), e);
-            return false;
+            return TunnelHandshake.UPSTREAM_SILENT;
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashReports.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashReports.java
@@ -41,7 +41,7 @@
     private final CrashAnnouncer mAnnouncer;
     private final TerminationProbe mProbe;
     private final TerminationWatch mWatch;
-    private final PathCheck mPathCheck;
+    private final TerminationWitnesses mWitnesses;
     private final RunLock mRunLock;
     private final UnconfirmedCrashes mUnconfirmed;
     private final RunningSuspects mRunning = new RunningSuspects();
@@ -66,7 +66,7 @@
             TerminationWatch watch,
             RunLock runLock,
             MonotonicClock clock) {
-        this(registry, announcer, probe, watch, PathCheck.NONE, runLock, clock);
+        this(registry, announcer, probe, watch, TerminationWitnesses.NONE, runLock, clock);
     }
 
     /**
@@ -76,7 +76,7 @@
      * @param announcer distributes the records
      * @param probe determines whether an upstream has terminated
      * @param watch waits for the termination of an upstream
-     * @param pathCheck determines whether the path to an upstream is lost instead
+     * @param witnesses tell whether the path to an upstream is lost instead
      * @param runLock serializes suspected requests over all instances
      * @param clock clock for the age of unconfirmed crashes
      */
@@ -85,10 +85,10 @@
             CrashAnnouncer announcer,
             TerminationProbe probe,
             TerminationWatch watch,
-            PathCheck pathCheck,
+            TerminationWitnesses witnesses,
             RunLock runLock,
             MonotonicClock clock) {
-        mPathCheck = pathCheck;
+        mWitnesses = witnesses;
         mRegistry = registry;
         mAnnouncer = announcer;
         mProbe = probe;
@@ -168,19 +168,17 @@
      */
     public void suspectedCrash(
             Failure failure, CrashRecord after, Incarnation upstream, Peer peer) {
-        if (failure instanceof Failure.Broken && hasEnded(peer)) {
+        if (failure instanceof Failure.Broken && hasTerminated(peer, mProbe.probe(peer))) {
             crashed(after);
         } else {
             mUnconfirmed.add(after, upstream, peer.host() + ":" + peer.port());
         }
     }
 
-    private boolean hasEnded(Peer peer) {
-        TerminationProbe.Finding finding = mProbe.probe(peer);
-        if (finding == TerminationProbe.Finding.SILENT) {
-            return mPathCheck.hasEndedForOthers(peer);
-        }
-        return finding == TerminationProbe.Finding.ENDED && !mPathCheck.isLostFromHere(peer);
+    /** Asks others only if this instance finds that nothing listens or answers. */
+    private boolean hasTerminated(Peer peer, TerminationProbe.Finding own) {
+        return own != TerminationProbe.Finding.LISTENS
+                && TerminationRule.hasTerminated(own, mWitnesses.ask(peer));
     }
 
     /**
@@ -208,7 +206,7 @@
         try {
             if (mWatch.awaitTermination(peer, WATCH_DURATION)
                     && !isPlanned.getAsBoolean()
-                    && !mPathCheck.isLostFromHere(peer)) {
+                    && hasTerminated(peer, TerminationProbe.Finding.ENDED)) {
                 crashed(after);
             }
         } finally {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -102,10 +102,13 @@
         return speedEstimator(service).speed().slowedBy(evidence().slowness(upstreamId));
     }
 
-    /** Updates the health of an upstream after a failed call, unless the request was cancelled. */
+    /**
+     * Updates the health of an upstream after a failed call, unless the request was cancelled or
+     * the path from here failed.
+     */
     void callFailed(Assignment assignment, Failure failure, CancelSignal cancel) {
         LOG.debug(failure.describe());
-        if (cancel.isCancelled()) {
+        if (cancel.isCancelled() || failure instanceof Failure.PathLost || connections.isCutOff()) {
             return;
         }
         if (failure instanceof Failure.Broken) {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
@@ -11,20 +11,28 @@
 import java.util.Optional;
 import java.util.function.ToIntFunction;
 import org.orchidmount.internal.http.ConnectionPath;
+import org.orchidmount.internal.http.ConnectionPaths.TunnelResult;
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.http.Peer;
+import org.orchidmount.internal.http.TunnelPeer;
 import org.orchidmount.path.PathListener;
 import org.orchidmount.path.PathNetwork;
-import org.orchidmount.quarantine.PathCheck;
+import org.orchidmount.quarantine.TerminationProbe;
+import org.orchidmount.quarantine.TerminationRule.Circumstances;
+import org.orchidmount.quarantine.TerminationRule.Witness;
+import org.orchidmount.quarantine.TerminationWitnesses;
 
 /**
  * Verifies paths with the connections and the directory of upstreams of this instance, and applies
  * changes of path to them. Thread-safe after {@link #setConnections}.
  */
-public final class UpstreamReachability implements PathNetwork, PathListener, PathCheck {
-    /** Other upstreams that are tried to tell a lost path from an upstream that has ended. */
+public final class UpstreamReachability implements PathNetwork, PathListener, TerminationWitnesses {
+    /** Other upstreams that are tried to tell a lost path from an upstream that has terminated. */
     private static final int OTHERS_TRIED = 2;
 
+    /** Other instances asked whether an upstream has ended. */
+    private static final int MAX_WITNESSES = 4;
+
     /** Far longer than a round trip within a site. */
     private static final Duration CHECK_TIMEOUT = Duration.ofMillis(100);
 
@@ -82,26 +90,34 @@
         mConnections.giveUpDirect(upstream, sinceNanos);
     }
 
-    /**
-     * Another instance that connects to the upstream proves that it has not ended; without one, a
-     * path by which other upstreams are reached is taken for intact.
-     */
     @Override
-    public boolean isLostFromHere(Peer peer) {
-        if (mConnections.probeTunnel(peer)) {
-            return true;
-        }
+    public Circumstances ask(Peer peer) {
         List<Peer> others = othersThan(peer);
-        return !others.isEmpty()
-                && others.stream().noneMatch(this::connectsInTime)
-                && others.stream().noneMatch(mConnections::probeTunnel);
+        List<Witness> witnesses = new ArrayList<>();
+        for (TunnelPeer instance : mConnections.tunnelPeers(MAX_WITNESSES)) {
+            TunnelResult found = mConnections.probeTunnel(peer, instance);
+            if (found != TunnelResult.INSTANCE_REFUSED) {
+                witnesses.add(witness(found, instance, others));
+            }
+        }
+        boolean reachesOthers = others.stream().anyMatch(this::connectsInTime);
+        return new Circumstances(witnesses, !others.isEmpty(), reachesOthers);
     }
 
-    @Override
-    public boolean hasEndedForOthers(Peer peer) {
-        return mConnections.usesTunnels()
-                && !mConnections.probeTunnel(peer)
-                && othersThan(peer).stream().anyMatch(mConnections::probeTunnel);
+    private Witness witness(TunnelResult found, TunnelPeer instance, List<Peer> others) {
+        if (found == TunnelResult.OPENED) {
+            return new Witness(TerminationProbe.Finding.LISTENS, true);
+        }
+        if (found == TunnelResult.UPSTREAM_SILENT) {
+            return new Witness(TerminationProbe.Finding.SILENT, false);
+        }
+        boolean reachesOthers =
+                others.stream()
+                        .anyMatch(
+                                other ->
+                                        mConnections.probeTunnel(other, instance)
+                                                == TunnelResult.OPENED);
+        return new Witness(TerminationProbe.Finding.ENDED, reachesOthers);
     }
 
     private List<Peer> othersThan(Peer peer) {
