After a reading of the whole change: one rule once, and clearer parts

- A tunnel that breaks under a call is no failure of the direct path: it is recorded where the connection is known, for direct ones only.
- A tunnel that carries nothing for 2 minutes ends.
- An instance's share of a runner's connections was computed a second time, in platform/; RelayContext's rule now serves both.
- "Look" is "probe"; the frame TunnelPeers is TunnelOffers, apart from the class of that name.
- The line at an entry's end counts verifications and probes.

Run: tests of tunnels, paths, HTTP, pins, crashes, surplus answers, attempts and start; all pass.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -71,7 +71,7 @@
         return List.of(
                 new ClusterMessage.Greeting(
                         1, "b", "zone-b", null, Capability.own(), Optional.of(peer)),
-                new ClusterMessage.TunnelPeers(List.of(peer)),
+                new ClusterMessage.TunnelOffers(List.of(peer)),
                 new ClusterMessage.PathReport(ConnectionPath.TUNNEL));
     }
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/TunnelAnnouncementTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/TunnelAnnouncementTest.java
@@ -25,7 +25,7 @@
 import org.orchidmount.clock.SystemMonotonicClock;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.PathReport;
-import org.orchidmount.cluster.ClusterMessage.TunnelPeers;
+import org.orchidmount.cluster.ClusterMessage.TunnelOffers;
 import org.orchidmount.internal.http.ConnectionPath;
 import org.orchidmount.internal.http.TunnelPeer;
 import org.orchidmount.junit.Await;
@@ -104,7 +104,7 @@
                     "two notices came",
                     LONGEST,
                     () -> received.count(ClusterMessage.TableNotice.class) > 1);
-            assertThat(received.count(TunnelPeers.class) > 0).isEqualTo(isSupported);
+            assertThat(received.count(TunnelOffers.class) > 0).isEqualTo(isSupported);
         }
     }
 
@@ -141,7 +141,7 @@
         List<ClusterMessage> messages =
                 List.of(
                         greeting,
-                        new TunnelPeers(List.of(offer, offer("two", "t-2"))),
+                        new TunnelOffers(List.of(offer, offer("two", "t-2"))),
                         new PathReport(ConnectionPath.NONE));
         for (ClusterMessage message : messages) {
             assertThat(ClusterCodec.decode(ClusterCodec.encode(message))).isEqualTo(message);
@@ -152,8 +152,9 @@
     @Test
     void unusableTunnelsAreSkipped() throws IOException {
         TunnelPeer unusable = new TunnelPeer("", "zone-0", "127.0.0.1", 0, "t");
-        byte[] frame = ClusterCodec.encode(new TunnelPeers(List.of(unusable, offer("two", "t-2"))));
+        byte[] frame =
+                ClusterCodec.encode(new TunnelOffers(List.of(unusable, offer("two", "t-2"))));
         assertThat(ClusterCodec.decode(frame))
-                .isEqualTo(new TunnelPeers(List.of(offer("two", "t-2"))));
+                .isEqualTo(new TunnelOffers(List.of(offer("two", "t-2"))));
     }
 }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/TunnelSampleTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/TunnelSampleTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.orchidmount.cluster.ClusterMessage.TunnelPeers;
+import org.orchidmount.cluster.ClusterMessage.TunnelOffers;
 import org.orchidmount.internal.http.TunnelPeer;
 
 /** Which entries open tunnels for which others, and what telling them costs. */
@@ -91,7 +91,7 @@
                         .filter(entry -> !sampleOf(entry, offers).equals(sampleOf(entry, left)))
                         .count();
         int bytes =
-                ClusterCodec.encode(new TunnelPeers(sampleOf(offers.getFirst(), offers))).length;
+                ClusterCodec.encode(new TunnelOffers(sampleOf(offers.getFirst(), offers))).length;
         // An instance leaves and comes back, and every voter tells those that it concerns.
         double messages = 2.0 * CHANGES_PER_DAY * VOTERS * changed / gone.size() / ENTRIES;
         double bytesPerSecond = messages * bytes / SECONDS_PER_DAY;
--- a/org.orchidmount.test/src/test/java/org/orchidmount/path/TunnelServerTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/path/TunnelServerTest.java
@@ -16,6 +16,7 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -176,4 +177,29 @@
             return true;
         }
     }
+
+    /** Guards against tunnels that are kept for callers that have gone without a sign. */
+    @Test
+    void aTunnelThatCarriesNothingEnds() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK));
+                Socket caller = new Socket(LOOPBACK, listener.getLocalPort());
+                Socket accepted = listener.accept();
+                Socket upstream = new Socket(LOOPBACK, mUpstream.getLocalPort());
+                Socket atUpstream = mUpstream.accept()) {
+            AtomicLong bytes = new AtomicLong();
+            Tunnel tunnel =
+                    new Tunnel(
+                            accepted,
+                            upstream,
+                            bytes,
+                            new SystemMonotonicClock(),
+                            Duration.ofMillis(200));
+            Thread running = Thread.ofVirtual().start(tunnel::run);
+            caller.getOutputStream().write(1);
+            assertThat(atUpstream.getInputStream().read()).isEqualTo(1);
+            assertThat(running.join(LONGEST)).isTrue();
+            assertThat(atUpstream.getInputStream().read()).isEqualTo(-1);
+            assertThat(bytes.get()).isEqualTo(1);
+        }
+    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -36,7 +36,7 @@
 import org.orchidmount.cluster.ClusterMessage.TableDocument;
 import org.orchidmount.cluster.ClusterMessage.TableNotice;
 import org.orchidmount.cluster.ClusterMessage.TableRequest;
-import org.orchidmount.cluster.ClusterMessage.TunnelPeers;
+import org.orchidmount.cluster.ClusterMessage.TunnelOffers;
 import org.orchidmount.cluster.ClusterMessage.UpstreamLimitRecords;
 import org.orchidmount.cluster.ClusterMessage.Voters;
 import org.orchidmount.cluster.ClusterMessage.WaitingRequestsMessage;
@@ -94,7 +94,7 @@
     private static final int EVIDENCE_REPORT = 15;
     private static final int EVIDENCE_DIGEST = 16;
     private static final int WAITING_REQUESTS = 17;
-    private static final int TUNNEL_PEERS = 18;
+    private static final int TUNNEL_OFFERS = 18;
     private static final int PATH_REPORT = 19;
 
     /** Type numbers of consensus frames, part of the protocol. */
@@ -167,8 +167,8 @@
         } else if (message instanceof UpstreamLimitRecords records) {
             out.packInt(UPSTREAM_LIMITS);
             UpstreamLimitCodec.write(out, records.limits());
-        } else if (message instanceof TunnelPeers tunnels) {
-            out.packInt(TUNNEL_PEERS);
+        } else if (message instanceof TunnelOffers tunnels) {
+            out.packInt(TUNNEL_OFFERS);
             TunnelPeerCodec.writeList(out, tunnels.peers());
         } else if (message instanceof PathReport report) {
             out.packInt(PATH_REPORT).packInt(report.path().ordinal());
@@ -327,7 +327,7 @@
                     new EvidenceDigestMessage(SharedStateCodec.readDigest(in, rejections));
             case WAITING_REQUESTS ->
                     new WaitingRequestsMessage(SharedStateCodec.readWaiting(in, rejections));
-            case TUNNEL_PEERS -> new TunnelPeers(TunnelPeerCodec.readList(in, rejections));
+            case TUNNEL_OFFERS -> new TunnelOffers(TunnelPeerCodec.readList(in, rejections));
             case PATH_REPORT -> new PathReport(constant(ConnectionPath.values(), in.unpackInt()));
             case QUOTA_REQUEST -> readQuotaRequest(in);
             case QUOTA_REPLY -> readQuotaReply(in);
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
@@ -125,8 +125,8 @@
      *
      * @param peers the entries
      */
-    record TunnelPeers(List<TunnelPeer> peers) implements ClusterMessage {
-        public TunnelPeers {
+    record TunnelOffers(List<TunnelPeer> peers) implements ClusterMessage {
+        public TunnelOffers {
             peers = List.copyOf(peers);
         }
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryTunnels.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryTunnels.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.PathReport;
-import org.orchidmount.cluster.ClusterMessage.TunnelPeers;
+import org.orchidmount.cluster.ClusterMessage.TunnelOffers;
 import org.orchidmount.internal.http.ConnectionPath;
 
 /**
@@ -44,7 +44,7 @@
 
     /** Handles an announcement of tunnels; returns false for other messages. */
     boolean received(HostPort voter, ClusterMessage message) {
-        if (!(message instanceof TunnelPeers announced)) {
+        if (!(message instanceof TunnelOffers announced)) {
             return false;
         }
         mReceiver.announced(String.valueOf(voter), announced.peers());
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/TunnelSample.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/TunnelSample.java
@@ -15,8 +15,8 @@
  * Chooses for an entry the entries that open tunnels for it: some of its own availability zone, and
  * some of others, because a cut may take a whole zone.
  *
- * <p>Chosen by rendezvous hashing: another entry that comes or goes changes few samples, and every
- * entry helps about as many. Stateless.
+ * <p>Selected by rendezvous hashing: another entry that comes or goes changes few samples, and
+ * every entry helps about as many. Stateless.
  */
 final class TunnelSample {
     /** Entries in a sample; all of them on a small site. */
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterTunnels.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterTunnels.java
@@ -14,7 +14,7 @@
 import java.util.TreeMap;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
 import org.orchidmount.cluster.ClusterMessage.PathReport;
-import org.orchidmount.cluster.ClusterMessage.TunnelPeers;
+import org.orchidmount.cluster.ClusterMessage.TunnelOffers;
 import org.orchidmount.internal.http.ConnectionPath;
 import org.orchidmount.internal.http.TunnelPeer;
 import org.orchidmount.internal.log.PartLog;
@@ -102,7 +102,7 @@
         List<TunnelPeer> sample = TunnelSample.of(entry.node(), entry.zone(), offers.values());
         if (!sample.equals(mSent.getOrDefault(link, List.of()))) {
             mSent.put(link, sample);
-            link.send(new TunnelPeers(sample));
+            link.send(new TunnelOffers(sample));
         }
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -36,11 +36,6 @@
 public final class HttpCall implements AutoCloseable {
     private static final PartLog LOG = PartLog.of("connections");
 
-    /** Stands in a log line where a call or a response has no identity. */
-    private static final String NO_IDENTITY = "none";
-
-    private static final String IDENTITIES = "%s to %s: %s sent as %s, response %d of %s";
-
     private final HttpConnections mPool;
     private final Peer mPeer;
     private final Step mStep;
@@ -56,6 +51,7 @@
     private volatile Optional<String> mIdentity = Optional.empty();
     private volatile boolean mIsIdentified;
     private CancelSignal.Registration mCancelRegistration = () -> {};
+    private volatile boolean mIsAborted;
     private volatile long mHeardNanos;
     private boolean mRequestEnded;
     private boolean mClosed;
@@ -134,45 +130,27 @@
     private void onResponse(ClientExchange exchange) {
         ClientResponse response = exchange.getResponse();
         Optional<String> received = mPool.identity(response.getResponseHeaders());
-        if (isForeign(received)) {
+        if (CallIdentity.isForeign(mIdentity, received, mPooled.uses() == 1)) {
             refuseForeign(response, received);
             return;
         }
         mIsIdentified = received.isPresent() && received.equals(mIdentity);
-        LOG.debug(IDENTITIES, describeIdentities(response, received));
+        LOG.debug(CallIdentity.DESCRIPTION, describe(response, received));
         mPump = new ChannelPump(exchange.getResponseChannel(), mConnection.getBufferPool(), mBody);
         mResponse.complete(exchange.getResponse());
         mPump.start();
     }
 
-    /**
-     * An upstream may answer twice, the second time late, in the place of the next response. So the
-     * place proves nothing: where the call or the response has no identity, a response is that of
-     * the call on a new connection only, where there was no call before.
-     */
-    private boolean isForeign(Optional<String> received) {
-        boolean isFirst = mPooled.uses() == 1;
-        boolean isUnknown = mIdentity.isEmpty() || received.isEmpty();
-        return isUnknown ? !isFirst : !received.equals(mIdentity);
-    }
-
     private void refuseForeign(ClientResponse response, Optional<String> received) {
-        LOG.info(IDENTITIES, describeIdentities(response, received));
+        LOG.info(CallIdentity.DESCRIPTION, describe(response, received));
         mPool.surplusFrom(mPeer);
         failAll(new CallErrors.ForeignResponseException());
         mPooled.giveUp(this);
     }
 
-    /** Names the connection, its use, and whose response this is. */
-    private Object[] describeIdentities(ClientResponse response, Optional<String> received) {
-        return new Object[] {
-            mPooled,
-            mPeer.name(),
-            mStep.label(),
-            mIdentity.orElse(NO_IDENTITY),
-            response.getResponseCode(),
-            received.orElse(NO_IDENTITY)
-        };
+    private Object[] describe(ClientResponse response, Optional<String> received) {
+        return CallIdentity.describe(
+                mPooled, mPeer, mStep, mIdentity, response.getResponseCode(), received);
     }
 
     private void resumeReading() {
@@ -365,6 +343,7 @@
 
     /** Breaks the call off from any thread; a waiting reader or writer fails at once. */
     public void abort() {
+        mIsAborted = true;
         failAll(new IOException("call aborted"));
         mPooled.giveUp(this);
     }
@@ -388,7 +367,15 @@
     }
 
     private <T> T guarded(CallErrors.Blocking<T> blocking) throws CallFailedException {
-        return mErrors.guard(blocking, this::abort);
+        try {
+            return mErrors.guard(blocking, this::abort);
+        } catch (CallFailedException e) {
+            boolean isBroken = e.failure() instanceof Failure.Broken && !mIsAborted;
+            if (isBroken && mPooled.through().isEmpty()) {
+                mPool.broken(mPeer);
+            }
+            throw e;
+        }
     }
 
     private static <T> T await(CompletableFuture<T> future, Duration timeout)
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -9,7 +9,6 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -18,7 +17,6 @@
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
-import org.orchidmount.internal.http.ConnectionPaths.TunnelResult;
 import org.orchidmount.upstream.CancelSignal;
 import org.xnio.XnioWorker;
 
@@ -38,6 +36,7 @@
     private final HttpString mIdentityField;
     private final ConnectionPaths mPaths;
     private final ConnectionOpener mOpener;
+    private final PathProbes mProbes;
 
     /** Calls that are broken off once their path is known to be lost. */
     private final Set<HttpCall> mRepeatable = ConcurrentHashMap.newKeySet();
@@ -88,6 +87,7 @@
         mPaths = paths;
         mOpener =
                 new ConnectionOpener(this, worker, connectTimeout, identityField, addresses, paths);
+        mProbes = new PathProbes(mOpener, paths);
         mIdle = new IdleConnections(clock);
     }
 
@@ -313,12 +313,10 @@
     }
 
     /**
-     * Records that a connection to a peer broke under a call. Its idle connections are closed: they
+     * Records that a direct connection to a peer broke under a call. The idle ones are closed: they
      * may be as broken, which is found out only by a request that may then have run.
-     *
-     * @param peer the peer
      */
-    public void broken(Peer peer) {
+    void broken(Peer peer) {
         mIdle.closeIf(peer, connection -> connection.through().isEmpty());
         mPaths.broken(peer);
     }
@@ -347,51 +345,12 @@
     }
 
     /**
-     * Attempts a direct connection, and closes it.
-     *
-     * @param peer the upstream
-     * @param timeout the longest wait
-     * @return whether it was established
-     * @throws InterruptedException if the thread is interrupted
-     */
-    public boolean probe(Peer peer, Duration timeout) throws InterruptedException {
-        Optional<PooledConnection> connection = mOpener.probe(peer, timeout);
-        connection.ifPresent(PooledConnection::closeLater);
-        return connection.isPresent();
-    }
-
-    /**
-     * Attempts a connection through another instance, and closes it.
-     *
-     * @param peer the upstream
-     * @return whether it was established
-     */
-    public boolean probeTunnel(Peer peer) {
-        Optional<PooledConnection> connection =
-                mOpener.openTunnel(peer, Step.FORWARD, new CancelSignal());
-        connection.ifPresent(PooledConnection::closeLater);
-        return connection.isPresent();
-    }
-
-    /**
-     * Asks one instance whether it connects to an upstream.
-     *
-     * @param peer the upstream
-     * @param through the instance
-     * @return the result; a tunnel that was opened is closed
-     */
-    public TunnelResult probeTunnel(Peer peer, TunnelPeer through) {
-        return mOpener.probeTunnel(peer, through);
-    }
-
-    /**
-     * Returns instances that may open a tunnel, the most promising first.
+     * Returns the connection attempts by which paths are verified.
      *
-     * @param most the maximum number
-     * @return the instances
+     * @return the probes, which use the same addresses and paths as calls
      */
-    public List<TunnelPeer> tunnelPeers(int most) {
-        return mPaths.tunnelPeers(most);
+    public PathProbes probes() {
+        return mProbes;
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/path/PathMonitor.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/PathMonitor.java
@@ -43,9 +43,6 @@
     /** Far longer than a round trip within a site. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(150);
 
-    /** Time for the first attempt alone; longer than a round trip within a site. */
-    private static final Duration STAGGER = Duration.ofMillis(25);
-
     /** Interval between two verifications if the first found the path to be well. */
     private static final Duration VERIFY_INTERVAL = Duration.ofMillis(500);
 
@@ -62,6 +59,8 @@
     private final Map<Peer, Boolean> mFailing = new ConcurrentHashMap<>();
     private final AtomicBoolean mIsBusy = new AtomicBoolean();
     private final AtomicInteger mChanges = new AtomicInteger();
+    private final AtomicInteger mVerifications = new AtomicInteger();
+    private final AtomicInteger mProbes = new AtomicInteger();
     private volatile PathListener mListener;
     private volatile ConnectionPath mPath = ConnectionPath.DIRECT;
     private volatile CompletableFuture<Void> mVerified = CompletableFuture.completedFuture(null);
@@ -167,14 +166,15 @@
         }
         if (mSilent.areAllSilent()) {
             verify("no upstream responds");
-        } else if (mSilent.tryLook(upstream)) {
-            Thread.ofVirtual().name("path-look").start(() -> look(upstream));
+        } else if (mSilent.tryBeginProbe(upstream)) {
+            Thread.ofVirtual().name("path-probe").start(() -> probeSilent(upstream));
         }
     }
 
     /** Gives up the direct connections to a silent upstream that only other instances reach. */
-    private void look(Peer upstream) {
+    private void probeSilent(Peer upstream) {
         long sinceNanos = mSilent.silentSinceNanos();
+        mProbes.incrementAndGet();
         try {
             Attempt attempt = mNetwork.connect(upstream, CONNECT_TIMEOUT, false);
             if (attempt == Attempt.FAILED && mNetwork.tunnels(upstream)) {
@@ -219,6 +219,7 @@
 
     private void verify(String reason, CompletableFuture<Void> verified) {
         try {
+            mVerifications.incrementAndGet();
             List<Peer> sample = mNetwork.sample(SAMPLE);
             if (!sample.isEmpty()) {
                 decide(reason, sample);
@@ -236,7 +237,8 @@
 
     private void decide(String reason, List<Peer> sample) throws InterruptedException {
         boolean isForced = mSilent.areAllSilentForLong();
-        Results direct = attempt(sample, upstream -> connect(upstream, isForced));
+        PathAttempts.Results direct =
+                PathAttempts.make(sample, upstream -> connect(upstream, isForced));
         if (direct.successes() > 0) {
             mSilent.heardAny();
             mFailing.clear();
@@ -245,7 +247,7 @@
         if (!PathRule.isInDoubt(direct.failures(), sample.size())) {
             return;
         }
-        Results tunnels = attempt(sample, this::tunnel);
+        PathAttempts.Results tunnels = PathAttempts.make(sample, this::tunnel);
         change(
                 PathRule.verdict(direct.successes(), tunnels.successes()),
                 "%s; of %d upstreams tried, %d are reached directly and %d through other instances"
@@ -290,10 +292,11 @@
         if (sample.isEmpty()) {
             return;
         }
-        int connected = attempt(sample.subList(0, 1), each -> connect(each, true)).successes();
+        int connected =
+                PathAttempts.make(sample.subList(0, 1), each -> connect(each, true)).successes();
         if (connected > 0) {
             List<Peer> others = sample.subList(1, sample.size());
-            connected += attempt(others, each -> connect(each, true)).successes();
+            connected += PathAttempts.make(others, each -> connect(each, true)).successes();
         }
         if (PathRule.isRecovered(sample.size(), connected)) {
             change(
@@ -302,96 +305,23 @@
             return;
         }
         if (mPath == ConnectionPath.NONE || mHasTunnelFailed) {
-            ConnectionPath found = PathRule.verdict(0, attempt(sample, this::tunnel).successes());
+            ConnectionPath found =
+                    PathRule.verdict(0, PathAttempts.make(sample, this::tunnel).successes());
             if (found != mPath) {
                 change(found, "tunnels through other instances were tried");
             }
         }
     }
 
-    /**
-     * Makes one attempt, and soon the others side by side; returns what had become of them when the
-     * first one succeeded, or all had ended.
-     */
-    private static Results attempt(List<Peer> sample, Attempter attempter)
-            throws InterruptedException {
-        AtomicInteger successes = new AtomicInteger();
-        AtomicInteger failures = new AtomicInteger();
-        AtomicInteger left = new AtomicInteger(sample.size());
-        CompletableFuture<Void> decided = new CompletableFuture<>();
-        for (Peer upstream : sample) {
-            boolean isFirst = upstream == sample.getFirst();
-            Thread.ofVirtual()
-                    .name("path-attempt")
-                    .start(
-                            () -> {
-                                Attempt result =
-                                        isFirst || !isDoneWithin(decided, STAGGER)
-                                                ? attempt(upstream, attempter)
-                                                : Attempt.NOT_MADE;
-                                if (result == Attempt.CONNECTED) {
-                                    successes.incrementAndGet();
-                                } else if (result == Attempt.FAILED) {
-                                    failures.incrementAndGet();
-                                }
-                                if (result == Attempt.CONNECTED || left.decrementAndGet() == 0) {
-                                    decided.complete(null);
-                                }
-                            });
-        }
-        if (!sample.isEmpty()) {
-            awaitDecided(decided);
-        }
-        return new Results(successes.get(), failures.get());
-    }
-
-    private static boolean isDoneWithin(CompletableFuture<Void> decided, Duration longest) {
-        try {
-            decided.get(longest.toNanos(), TimeUnit.NANOSECONDS);
-            return true;
-        } catch (TimeoutException e) {
-            return false;
-        } catch (ExecutionException e) {
-            throw new IllegalStateException("connection attempts end without a result", e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return true;
-        }
-    }
-
-    private static Attempt attempt(Peer upstream, Attempter attempter) {
-        try {
-            return attempter.attempt(upstream);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return Attempt.NOT_MADE;
-        }
-    }
-
-    private static void awaitDecided(CompletableFuture<Void> decided) throws InterruptedException {
-        try {
-            decided.get();
-        } catch (ExecutionException e) {
-            throw new IllegalStateException("connection attempts end without a result", e);
-        }
-    }
-
-    /** What has become of attempts so far. */
-    private record Results(int successes, int failures) {}
-
-    /** Returns the path and the number of changes, for the log. */
+    /** Returns the path and the counters, for the log. */
     @Override
     public String toString() {
-        return "%s, %d changes".formatted(mPath, mChanges.get());
+        return "%s, %d changes, %d verifications, %d probes of silent upstreams"
+                .formatted(mPath, mChanges.get(), mVerifications.get(), mProbes.get());
     }
 
     @Override
     public void close() {
         mIsClosed = true;
     }
-
-    @FunctionalInterface
-    private interface Attempter {
-        Attempt attempt(Peer upstream) throws InterruptedException;
-    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/path/SilentUpstreams.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/SilentUpstreams.java
@@ -12,8 +12,8 @@
 import org.orchidmount.internal.http.Peer;
 
 /**
- * When each upstream was heard on a direct connection, and when it was last looked whether a silent
- * one can still be reached. Thread-safe.
+ * When each upstream was last heard on a direct connection, and when a silent one was last probed.
+ * Thread-safe.
  */
 final class SilentUpstreams {
     /** Bounds of the silence of all upstreams that puts the path in doubt. */
@@ -30,8 +30,8 @@
     /** Silence of all upstreams that is a sign of a lost path whatever calls take. */
     private static final Duration LONG_SILENCE = Duration.ofSeconds(2);
 
-    /** Interval between two looks at one upstream. */
-    private static final Duration INTERVAL = Duration.ofSeconds(1);
+    /** Interval between two probes of one upstream. */
+    private static final Duration PROBE_INTERVAL = Duration.ofSeconds(1);
 
     /** Upstreams beyond which those not heard for long are forgotten. */
     private static final int MAX_UPSTREAMS = 1_024;
@@ -39,7 +39,7 @@
     private static final Duration RETENTION = Duration.ofSeconds(10);
 
     private final Map<Peer, Long> mHeardNanos = new ConcurrentHashMap<>();
-    private final Map<Peer, Long> mLookedNanos = new ConcurrentHashMap<>();
+    private final Map<Peer, Long> mProbedNanos = new ConcurrentHashMap<>();
     private final MonotonicClock mClock;
     private volatile long mHeardAnyNanos;
     private volatile double mMeanResponseNanos;
@@ -93,16 +93,16 @@
     }
 
     /**
-     * Returns whether it should be looked now whether an upstream can be reached: a single one is
-     * heard less often than all together, so it may be silent for longer.
+     * Returns whether a silent upstream is to be probed now, and records that it is. A single one
+     * is heard less often than all together, so it may be silent for longer.
      */
-    boolean tryLook(Peer upstream) {
+    boolean tryBeginProbe(Peer upstream) {
         long nowNanos = mClock.nanoTime();
         Long heardNanos = mHeardNanos.get(upstream);
         if (heardNanos != null && nowNanos - heardNanos < MAX_SILENCE.toNanos()) {
             return false;
         }
-        mLookedNanos.values().removeIf(at -> nowNanos - at >= INTERVAL.toNanos());
-        return mLookedNanos.putIfAbsent(upstream, nowNanos) == null;
+        mProbedNanos.values().removeIf(at -> nowNanos - at >= PROBE_INTERVAL.toNanos());
+        return mProbedNanos.putIfAbsent(upstream, nowNanos) == null;
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/path/Tunnel.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/Tunnel.java
@@ -9,7 +9,10 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
+import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.log.PartLog;
 
 /**
@@ -17,17 +20,32 @@
  *
  * <p>Invariants: at most one buffer in each direction is held, so a side that does not read holds
  * up the other; a reset of the upstream reaches the caller as a reset, since an end without one may
- * be taken for the end of a response. Thread-safe.
+ * be taken for the end of a response; a tunnel that carries nothing for {@link #MAX_IDLE} ends, as
+ * its caller may have gone without a sign. Thread-safe.
  */
 final class Tunnel implements AutoCloseable {
     private static final PartLog LOG = PartLog.of("tunnel");
     private static final int BUFFER_BYTES = 8 * 1024;
 
+    /** Longer than a request may take. */
+    static final Duration MAX_IDLE = Duration.ofMinutes(2);
+
     private final Socket mCaller;
     private final Socket mUpstream;
     private final AtomicLong mBytes;
+    private final MonotonicClock mClock;
+    private final Duration mMaxIdle;
+    private volatile long mCarriedNanos;
 
-    Tunnel(Socket caller, Socket upstream, AtomicLong bytes) {
+    Tunnel(
+            Socket caller,
+            Socket upstream,
+            AtomicLong bytes,
+            MonotonicClock clock,
+            Duration maxIdle) {
+        mClock = clock;
+        mMaxIdle = maxIdle;
+        mCarriedNanos = clock.nanoTime();
         mCaller = caller;
         mUpstream = upstream;
         mBytes = bytes;
@@ -76,11 +94,26 @@
 
     private void copy(Socket from, Socket to) throws IOException {
         byte[] buffer = new byte[BUFFER_BYTES];
+        from.setSoTimeout((int) mMaxIdle.toMillis());
         InputStream in = from.getInputStream();
         OutputStream out = to.getOutputStream();
-        for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+        for (int count = read(in, buffer); count >= 0; count = read(in, buffer)) {
             out.write(buffer, 0, count);
             mBytes.addAndGet(count);
+            mCarriedNanos = mClock.nanoTime();
+        }
+    }
+
+    /** Reads on while the other direction carries something. */
+    private int read(InputStream in, byte[] buffer) throws IOException {
+        while (true) {
+            try {
+                return in.read(buffer);
+            } catch (SocketTimeoutException e) {
+                if (mClock.nanoTime() - mCarriedNanos >= mMaxIdle.toNanos()) {
+                    throw e;
+                }
+            }
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/path/TunnelServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/TunnelServer.java
@@ -199,7 +199,7 @@
                 return;
             }
             upstream.setTcpNoDelay(true);
-            Tunnel tunnel = new Tunnel(caller, upstream, mBytes);
+            Tunnel tunnel = new Tunnel(caller, upstream, mBytes, mClock, Tunnel.MAX_IDLE);
             mTunnels.add(tunnel);
             try {
                 mOpened.incrementAndGet();
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -111,9 +111,6 @@
         if (cancel.isCancelled() || failure instanceof Failure.PathLost || connections.isCutOff()) {
             return;
         }
-        if (failure instanceof Failure.Broken) {
-            connections.broken(assignment.peer());
-        }
         if (failure.mayHaveRun()) {
             upstreams.failed(assignment);
         } else {
@@ -150,6 +147,10 @@
      * instances.
      */
     int maxAssignments(Service service) {
+        return maxAssignments(service, throttle);
+    }
+
+    static int maxAssignments(Service service, UpstreamThrottle throttle) {
         return service.maxConnections().isEmpty()
                 ? UpstreamDirectory.Need.UNLIMITED
                 : throttle.localShare(service.maxConnections().getAsInt());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamReachability.java
@@ -9,18 +9,21 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
 import org.orchidmount.internal.http.ConnectionPath;
 import org.orchidmount.internal.http.ConnectionPaths.TunnelResult;
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.http.TunnelPeer;
+import org.orchidmount.pacing.UpstreamThrottle;
 import org.orchidmount.path.PathListener;
 import org.orchidmount.path.PathNetwork;
 import org.orchidmount.quarantine.TerminationProbe;
 import org.orchidmount.quarantine.TerminationRule.Circumstances;
 import org.orchidmount.quarantine.TerminationRule.Witness;
 import org.orchidmount.quarantine.TerminationWitnesses;
+import org.orchidmount.routes.RouteTable;
 
 /**
  * Verifies paths with the connections and the directory of upstreams of this instance, and applies
@@ -37,19 +40,33 @@
     private static final Duration CHECK_TIMEOUT = Duration.ofMillis(100);
 
     private final UpstreamDirectory mUpstreams;
-    private final ToIntFunction<String> mMaxAssignments;
     private volatile HttpConnections mConnections;
+    private volatile ToIntFunction<String> mMaxAssignments =
+            service -> UpstreamDirectory.Need.UNLIMITED;
 
     /**
      * Creates an instance.
      *
      * @param upstreams the upstreams known to this instance
-     * @param maxAssignments returns this instance's share of the connections that an upstream of a
-     *     service accepts
      */
-    public UpstreamReachability(UpstreamDirectory upstreams, ToIntFunction<String> maxAssignments) {
+    public UpstreamReachability(UpstreamDirectory upstreams) {
         mUpstreams = upstreams;
-        mMaxAssignments = maxAssignments;
+    }
+
+    /**
+     * Sets what bounds the connections of probes, as it bounds those of requests; until then
+     * nothing does.
+     *
+     * @param table the route table in force
+     * @param throttle knows this instance's share of what an upstream accepts
+     */
+    public void setLimits(Supplier<Optional<RouteTable>> table, UpstreamThrottle throttle) {
+        mMaxAssignments =
+                name ->
+                        table.get()
+                                .flatMap(current -> current.service(name))
+                                .map(service -> RelayContext.maxAssignments(service, throttle))
+                                .orElse(UpstreamDirectory.Need.UNLIMITED);
     }
 
     /**
@@ -74,7 +91,9 @@
             return Attempt.NOT_MADE;
         }
         try {
-            return mConnections.probe(upstream, timeout) ? Attempt.CONNECTED : Attempt.FAILED;
+            return mConnections.probes().connects(upstream, timeout)
+                    ? Attempt.CONNECTED
+                    : Attempt.FAILED;
         } finally {
             assignment.ifPresent(mUpstreams::release);
         }
@@ -82,7 +101,7 @@
 
     @Override
     public boolean tunnels(Peer upstream) {
-        return mConnections.probeTunnel(upstream);
+        return mConnections.probes().tunnels(upstream);
     }
 
     @Override
@@ -94,8 +113,8 @@
     public Circumstances ask(Peer peer) {
         List<Peer> others = othersThan(peer);
         List<Witness> witnesses = new ArrayList<>();
-        for (TunnelPeer instance : mConnections.tunnelPeers(MAX_WITNESSES)) {
-            TunnelResult found = mConnections.probeTunnel(peer, instance);
+        for (TunnelPeer instance : mConnections.probes().tunnelPeers(MAX_WITNESSES)) {
+            TunnelResult found = mConnections.probes().tunnel(peer, instance);
             if (found != TunnelResult.INSTANCE_REFUSED) {
                 witnesses.add(witness(found, instance, others));
             }
@@ -115,7 +134,7 @@
                 others.stream()
                         .anyMatch(
                                 other ->
-                                        mConnections.probeTunnel(other, instance)
+                                        mConnections.probes().tunnel(other, instance)
                                                 == TunnelResult.OPENED);
         return new Witness(TerminationProbe.Finding.ENDED, reachesOthers);
     }
