--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Explanation.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Explanation.java
@@ -39,7 +39,11 @@
         /** The upstream of the last attempt. */
         UPSTREAM(RequestReport::upstream),
         /** The instance through which the last attempt reached its upstream. */
-        THROUGH(RequestReport::through);
+        THROUGH(RequestReport::through),
+        /** The software version of the last upstream. */
+        VERSION(RequestReport::version),
+        /** What restricted the request to one software version. */
+        BOUND_BY(RequestReport::boundBy);
 
         private final Function<RequestReport, String> mName;
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -37,6 +37,9 @@
 import org.orchidmount.quota.QuotaAnswer;
 import org.orchidmount.quota.QuotaLimit;
 import org.orchidmount.quota.QuotaRequest;
+import org.orchidmount.stream.StreamKey;
+import org.orchidmount.stream.StreamOrigin;
+import org.orchidmount.stream.StreamRecord;
 
 /** Tests {@code ClusterCodec}. */
 final class ClusterCodecTest {
@@ -63,9 +66,27 @@
                                 Capability.SHARED_STATE)));
         messages.addAll(SharedStateCodecTest.messages());
         messages.addAll(tunnelMessages());
+        messages.add(
+                new ClusterMessage.Registrations(
+                        3,
+                        List.of(
+                                engine("i-1").withVersion(Optional.of("v1.1")),
+                                startedEngine("i-2"))));
+        messages.addAll(streamMessages());
         return messages;
     }
 
+    private static List<ClusterMessage> streamMessages() {
+        StreamRecord stream =
+                new StreamRecord(
+                        new StreamKey(17), new StreamOrigin("s", "v1"), Duration.ofSeconds(14));
+        return List.of(
+                new ClusterMessage.StreamRecords(List.of(stream)),
+                new ClusterMessage.StreamRequest(7, stream.key()),
+                new ClusterMessage.StreamReply(7, Optional.of(stream)),
+                new ClusterMessage.StreamReply(7, Optional.empty()));
+    }
+
     private static List<ClusterMessage> tunnelMessages() {
         TunnelPeer peer = new TunnelPeer("b", "zone-b", "10.0.0.2", 7_675, "0123abcd");
         return List.of(
--- a/org.orchidmount.test/src/test/java/org/orchidmount/membership/RegistrationTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/membership/RegistrationTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -49,6 +50,36 @@
         assertThat(registry.find("i-1")).isEmpty();
     }
 
+    /** Guards against a version that is lost by a relay that does not forward it. */
+    @ParameterizedTest
+    @CsvSource({"1, 2", "2, 1"})
+    void anIncarnationKeepsItsVersion(long stated, long unstated) {
+        Registration versioned =
+                message(State.READY, stated, Stage.DECODE).withVersion(Optional.of("v1"));
+        Registration bare = message(State.READY, unstated, Stage.DECODE);
+        assertThat(versioned.merge(bare).version()).hasValue("v1");
+        assertThat(bare.merge(versioned).version()).hasValue("v1");
+    }
+
+    /** Guards against engines of another version, or of none that is known, that go on. */
+    @ParameterizedTest
+    @CsvSource({
+        "v1, i-1, v1, i-2, true",
+        "v1, i-1, v2, i-2, false",
+        "v1, i-1, , i-2, false",
+        ", i-1, , i-2, false",
+        ", i-1, , i-1, true",
+        ", i-1, v1, i-2, false"
+    })
+    void onlyTheVersionOfTheWriterGoesOn(
+            String written, String writer, String version, String other, boolean isPermitted) {
+        VersionConstraint constraint =
+                VersionConstraint.writtenBy(
+                        ready(writer).withVersion(Optional.ofNullable(written)));
+        Registration candidate = ready(other).withVersion(Optional.ofNullable(version));
+        assertThat(constraint.permits(candidate)).isEqualTo(isPermitted);
+    }
+
     /** Times that a monotonic clock may show: it may pass the largest number. */
     @ParameterizedTest
     @ValueSource(longs = {0, Long.MAX_VALUE - 50})
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/AvailableMemoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/AvailableMemoryTest.java
@@ -68,6 +68,7 @@
                     null,
                     null,
                     null,
+                    null,
                     mClock);
 
     AvailableMemoryTest() {
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/FullUpstreamsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/FullUpstreamsTest.java
@@ -17,6 +17,7 @@
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
+import org.orchidmount.membership.VersionConstraint;
 
 /** Whether a request found no place because upstreams have got what they take. */
 final class FullUpstreamsTest {
@@ -40,6 +41,7 @@
                     null,
                     null,
                     null,
+                    null,
                     null);
 
     private void register(String id, String service, Stage stage, State state) {
@@ -70,6 +72,7 @@
                 names == null
                         ? Set.of()
                         : Arrays.stream(names.split(" ")).collect(Collectors.toSet());
-        assertThat(mContext.areAllThrottled(service, stage, full)).isEqualTo(isWhy);
+        assertThat(mContext.areAllThrottled(service, stage, VersionConstraint.ANY, full))
+                .isEqualTo(isWhy);
     }
 }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/RoomWaitTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/RoomWaitTest.java
@@ -134,6 +134,7 @@
                 new WaitingQueue(mWaiting, mAnnounced::add, () -> mIsInForce),
                 null,
                 null,
+                null,
                 mClock);
     }
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamEvidenceUseTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamEvidenceUseTest.java
@@ -237,6 +237,7 @@
                 null,
                 null,
                 null,
+                null,
                 mClock);
     }
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/report/RequestReportTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/report/RequestReportTest.java
@@ -101,6 +101,8 @@
                 OptionalInt.of(2),
                 4,
                 2_100,
-                "front-2");
+                "front-2",
+                "v1.1",
+                "CONTINUED");
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/Capability.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/Capability.java
@@ -38,7 +38,13 @@
      * As an entry, uses tunnels of other entries where it cannot reach upstreams; as a voter,
      * announces which entries open tunnels.
      */
-    TUNNELS(8);
+    TUNNELS(8),
+
+    /**
+     * As a voter, holds the origins of streams and tells them to entries. An entry that is linked
+     * to no voter with it continues only streams that began there.
+     */
+    STREAM_ORIGINS(16);
 
     private final int mBit;
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -33,6 +33,9 @@
 import org.orchidmount.cluster.ClusterMessage.Registrations;
 import org.orchidmount.cluster.ClusterMessage.RegistrationsAck;
 import org.orchidmount.cluster.ClusterMessage.Replication;
+import org.orchidmount.cluster.ClusterMessage.StreamRecords;
+import org.orchidmount.cluster.ClusterMessage.StreamReply;
+import org.orchidmount.cluster.ClusterMessage.StreamRequest;
 import org.orchidmount.cluster.ClusterMessage.TableDocument;
 import org.orchidmount.cluster.ClusterMessage.TableNotice;
 import org.orchidmount.cluster.ClusterMessage.TableRequest;
@@ -53,10 +56,10 @@
 import org.orchidmount.internal.http.ConnectionPath;
 import org.orchidmount.load.InFlightSequence;
 import org.orchidmount.membership.Incarnation;
-import org.orchidmount.membership.Registration;
 import org.orchidmount.quota.QuotaAnswer;
 import org.orchidmount.quota.QuotaLimit;
 import org.orchidmount.quota.QuotaRequest;
+import org.orchidmount.stream.StreamKey;
 
 /**
  * Encodes and decodes cluster messages and the durable state as MessagePack: a type number,
@@ -105,6 +108,12 @@
     private static final int APPEND_REPLY = 23;
     private static final int HELLO = 24;
 
+    /** Type numbers of frames of stream origins, part of the protocol. */
+    private static final int STREAM_RECORDS = 25;
+
+    private static final int STREAM_REQUEST = 26;
+    private static final int STREAM_REPLY = 27;
+
     private ClusterCodec() {}
 
     static byte[] encode(ClusterMessage message) {
@@ -146,6 +155,15 @@
             out.packInt(QUOTA_REPLY).packLong(reply.number());
             out.packInt(reply.answer().outcome().ordinal());
             out.packLong(reply.answer().retryAfter().toNanos()).packString(reply.owner());
+        } else if (message instanceof StreamRecords records) {
+            out.packInt(STREAM_RECORDS);
+            StreamRecordCodec.writeList(out, records.streams());
+        } else if (message instanceof StreamRequest request) {
+            out.packInt(STREAM_REQUEST).packLong(request.number());
+            out.packLong(request.key().digest());
+        } else if (message instanceof StreamReply reply) {
+            out.packInt(STREAM_REPLY).packLong(reply.number());
+            StreamRecordCodec.writeOptional(out, reply.stream());
         } else if (message instanceof WaitingRequestsMessage waiting) {
             out.packInt(WAITING_REQUESTS);
             SharedStateCodec.writeWaiting(out, waiting.requests());
@@ -156,7 +174,8 @@
             out.packInt(EVIDENCE_REPORT);
             SharedStateCodec.writeReport(out, evidence.report());
         } else if (message instanceof Registrations registrations) {
-            writeRegistrations(out, registrations);
+            out.packInt(REGISTRATIONS).packLong(registrations.number());
+            RegistrationCodec.writeList(out, registrations.registrations());
         } else if (message instanceof RegistrationsAck held) {
             out.packInt(REGISTRATIONS_ACK).packLong(held.number());
         } else if (message instanceof QuotaReturn units) {
@@ -237,18 +256,6 @@
         return new QuotaReply(number, new QuotaAnswer(outcome, retryAfter), in.unpackString());
     }
 
-    private static void writeRegistrations(MessageBufferPacker out, Registrations registrations)
-            throws IOException {
-        out.packInt(REGISTRATIONS).packLong(registrations.number());
-        out.packArrayHeader(registrations.registrations().size());
-        for (Registration registration : registrations.registrations()) {
-            writeRegistration(out, registration);
-        }
-        writeStarts(
-                out,
-                registrations.registrations().stream().map(Registration::incarnation).toList());
-    }
-
     private static void writeReplication(MessageBufferPacker out, Replication replication)
             throws IOException {
         ReplicaMessage message = replication.message();
@@ -303,21 +310,13 @@
                     new TableNotice(in.unpackLong(), in.unpackBoolean(), in.unpackInt());
             case TABLE_REQUEST -> new TableRequest();
             case TABLE_DOCUMENT -> new TableDocument(in.unpackLong(), readDocument(in));
-            case REGISTRATIONS -> {
-                long number = in.unpackLong();
-                List<Registration> registrations = new ArrayList<>();
-                for (int left = readSize(in); left > 0; left--) {
-                    registrations.add(readRegistration(in));
-                }
-                List<OptionalLong> starts = readStarts(in, registrations.size());
-                for (int i = 0; i < starts.size(); i++) {
-                    Registration read = registrations.get(i);
-                    registrations.set(
-                            i, read.withIncarnation(incarnation(read.id(), starts.get(i))));
-                }
-                yield new Registrations(
-                        number, usable(registrations, ClusterCodec::isUsable, rejections));
-            }
+            case REGISTRATIONS ->
+                    new Registrations(
+                            in.unpackLong(),
+                            usable(
+                                    RegistrationCodec.readList(in),
+                                    RegistrationCodec::isUsable,
+                                    rejections));
             case REGISTRATIONS_ACK -> new RegistrationsAck(in.unpackLong());
             case CRASH_RECORDS -> new CrashRecords(CrashRecordCodec.read(in));
             case UPSTREAM_LIMITS -> new UpstreamLimitRecords(UpstreamLimitCodec.read(in));
@@ -329,6 +328,11 @@
                     new WaitingRequestsMessage(SharedStateCodec.readWaiting(in, rejections));
             case TUNNEL_OFFERS -> new TunnelOffers(TunnelPeerCodec.readList(in, rejections));
             case PATH_REPORT -> new PathReport(constant(ConnectionPath.values(), in.unpackInt()));
+            case STREAM_RECORDS -> new StreamRecords(StreamRecordCodec.readList(in));
+            case STREAM_REQUEST ->
+                    new StreamRequest(in.unpackLong(), new StreamKey(in.unpackLong()));
+            case STREAM_REPLY ->
+                    new StreamReply(in.unpackLong(), StreamRecordCodec.readOptional(in));
             case QUOTA_REQUEST -> readQuotaRequest(in);
             case QUOTA_REPLY -> readQuotaReply(in);
             case QUOTA_RETURN -> new QuotaReturn(in.unpackString(), readCount(in));
@@ -337,11 +341,14 @@
                 for (int left = readSize(in); left > 0; left--) {
                     sequences.add(readSequence(in));
                 }
-                List<OptionalLong> starts = readStarts(in, sequences.size());
+                List<OptionalLong> starts = RegistrationCodec.readStarts(in, sequences.size());
                 for (int i = 0; i < starts.size(); i++) {
                     InFlightSequence read = sequences.get(i);
                     sequences.set(
-                            i, read.withIncarnation(incarnation(read.upstreamId(), starts.get(i))));
+                            i,
+                            read.withIncarnation(
+                                    RegistrationCodec.incarnation(
+                                            read.upstreamId(), starts.get(i))));
                 }
                 yield new InFlightSequences(
                         usable(sequences, PeerRecordValidator::isUsable, rejections));
@@ -473,78 +480,6 @@
         return new EntryId(in.unpackLong(), in.unpackLong());
     }
 
-    private static void writeRegistration(MessageBufferPacker out, Registration registration)
-            throws IOException {
-        out.packString(registration.id()).packString(registration.service());
-        out.packString(registration.address()).packString(registration.zone());
-        out.packInt(registration.slots()).packInt(registration.stage().ordinal());
-        out.packInt(registration.state().ordinal()).packLong(registration.sequence());
-    }
-
-    /**
-     * Reads a registration. Its stage or state is null if a peer of another version sent a value
-     * that is unknown here.
-     */
-    private static Registration readRegistration(MessageUnpacker in) throws IOException {
-        return new Registration(
-                in.unpackString(),
-                in.unpackString(),
-                in.unpackString(),
-                in.unpackString(),
-                in.unpackInt(),
-                constantOrNull(Registration.Stage.values(), in.unpackInt()),
-                constantOrNull(Registration.State.values(), in.unpackInt()),
-                in.unpackLong());
-    }
-
-    /**
-     * Writes the start times of upstreams at the end of a frame, so that a peer that does not know
-     * this field can still read the frame and ignores it. Writes nothing if no start time is
-     * stated.
-     */
-    private static void writeStarts(MessageBufferPacker out, List<Incarnation> incarnations)
-            throws IOException {
-        if (incarnations.stream().noneMatch(Incarnation::isStartKnown)) {
-            return;
-        }
-        out.packArrayHeader(incarnations.size());
-        for (Incarnation incarnation : incarnations) {
-            if (incarnation.isStartKnown()) {
-                out.packLong(incarnation.startMillis().getAsLong());
-            } else {
-                out.packNil();
-            }
-        }
-    }
-
-    /**
-     * Reads the start times of the given number of upstreams; returns an empty list if the frame
-     * has no such field.
-     */
-    private static List<OptionalLong> readStarts(MessageUnpacker in, int upstreams)
-            throws IOException {
-        if (!in.hasNext()) {
-            return List.of();
-        }
-        int size = readSize(in);
-        if (size != upstreams) {
-            throw new IOException(
-                    "malformed frame: %d start times for %d upstreams".formatted(size, upstreams));
-        }
-        List<OptionalLong> starts = new ArrayList<>();
-        for (int left = size; left > 0; left--) {
-            boolean isStated = !in.tryUnpackNil();
-            starts.add(isStated ? OptionalLong.of(in.unpackLong()) : OptionalLong.empty());
-        }
-        return starts;
-    }
-
-    private static Incarnation incarnation(String id, OptionalLong startMillis) {
-        return startMillis.isPresent()
-                ? Incarnation.startedAt(id, startMillis.getAsLong())
-                : Incarnation.ofUnknownStart(id);
-    }
-
     private static void writeSequences(MessageBufferPacker out, List<InFlightSequence> sequences)
             throws IOException {
         out.packInt(IN_FLIGHT_SEQUENCES).packArrayHeader(sequences.size());
@@ -554,7 +489,8 @@
             out.packInt(sequence.maxOutputTokens()).packInt(sequence.generatedTokens());
             out.packBoolean(sequence.ended());
         }
-        writeStarts(out, sequences.stream().map(InFlightSequence::engine).toList());
+        RegistrationCodec.writeStarts(
+                out, sequences.stream().map(InFlightSequence::engine).toList(), false);
     }
 
     private static InFlightSequence readSequence(MessageUnpacker in) throws IOException {
@@ -568,12 +504,7 @@
                 in.unpackBoolean());
     }
 
-    private static boolean isUsable(Registration registration) {
-        boolean isKnown = registration.stage() != null && registration.state() != null;
-        return isKnown && PeerRecordValidator.isUsable(registration);
-    }
-
-    private static <T> T constantOrNull(T[] values, int ordinal) {
+    static <T> T constantOrNull(T[] values, int ordinal) {
         return ordinal >= 0 && ordinal < values.length ? values[ordinal] : null;
     }
 
@@ -593,7 +524,7 @@
         return count;
     }
 
-    private static int readSize(MessageUnpacker in) throws IOException {
+    static int readSize(MessageUnpacker in) throws IOException {
         int size = in.unpackArrayHeader();
         if (size > MAX_LIST_ELEMENTS) {
             throw new IOException("malformed frame: too many list elements: " + size);
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
@@ -20,6 +20,8 @@
 import org.orchidmount.quarantine.CrashRecord;
 import org.orchidmount.quota.QuotaAnswer;
 import org.orchidmount.quota.QuotaRequest;
+import org.orchidmount.stream.StreamKey;
+import org.orchidmount.stream.StreamRecord;
 import org.orchidmount.waiting.WaitingRequest;
 
 /**
@@ -138,6 +140,33 @@
      */
     record PathReport(ConnectionPath path) implements ClusterMessage {}
 
+    /**
+     * Origins of streams that began at the sending entry.
+     *
+     * @param streams the records
+     */
+    record StreamRecords(List<StreamRecord> streams) implements ClusterMessage {
+        public StreamRecords {
+            streams = List.copyOf(streams);
+        }
+    }
+
+    /**
+     * Requests the origin of a stream from a voter.
+     *
+     * @param number identifier echoed by the reply
+     * @param key the stream
+     */
+    record StreamRequest(long number, StreamKey key) implements ClusterMessage {}
+
+    /**
+     * Reply to a {@link StreamRequest}.
+     *
+     * @param number the number of the request
+     * @param stream the record; empty if the voter does not know the origin
+     */
+    record StreamReply(long number, Optional<StreamRecord> stream) implements ClusterMessage {}
+
     /** Keep-alive, sent on an otherwise idle link. */
     record KeepAlive() implements ClusterMessage {}
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -50,6 +50,7 @@
 import org.orchidmount.quota.QuotaRequest;
 import org.orchidmount.routes.RouteTable;
 import org.orchidmount.routes.RouteTableParser;
+import org.orchidmount.stream.StreamOrigins;
 import org.orchidmount.waiting.WaitingAnnouncer;
 import org.orchidmount.waiting.WaitingReceiver;
 import org.orchidmount.waiting.WaitingRequest;
@@ -122,11 +123,12 @@
     private final Map<Link, HostPort> mLinks = new HashMap<>();
     private final Map<Link, Greeting> mGreetings = new HashMap<>();
     private final Registry mRegistry = new Registry(DEPARTURE_RETENTION.toNanos());
-    private final Map<String, OwnSequence> mOwnSequences = new HashMap<>();
+    private final OwnSequences mOwnSequences = new OwnSequences();
     private final QuotaRequests mQuotaRequests;
     private final EntryRecords mRecords;
     private final EntrySharedState mSharedState;
     private final EntryTunnels mTunnels;
+    private final EntryStreams mStreams;
     private final CountDownLatch mFirstTable = new CountDownLatch(1);
     private final long mStartNanos;
     private long mTableRequestedNanos;
@@ -143,13 +145,6 @@
     private volatile boolean mReady;
     private volatile int mEntryCount = 1;
 
-    /** A sequence placed by this instance, with its current progress. */
-    private record OwnSequence(InFlightSequence sequence, IntSupplier generatedTokens) {
-        InFlightSequence now() {
-            return sequence.withGenerated(generatedTokens.getAsInt());
-        }
-    }
-
     /** Receives updates from the voters; called on the node's thread. */
     public interface Listener {
         /**
@@ -217,6 +212,7 @@
         mQuotaRequests = new QuotaRequests(node.hashCode());
         mRecords = new EntryRecords(node, clock);
         mSharedState = new EntrySharedState(zone, this::sendSharedState, mTasks, clock);
+        mStreams = new EntryStreams(node, zone, mTasks, clock);
         mStartNanos = clock.nanoTime();
         mTableRequestedNanos = mStartNanos - TABLE_REQUEST_INTERVAL.toNanos();
         mLastUnlinkedNanos = mStartNanos;
@@ -293,7 +289,7 @@
     public void begin(InFlightSequence sequence, IntSupplier generatedTokens) {
         mTasks.post(
                 () -> {
-                    mOwnSequences.put(sequence.id(), new OwnSequence(sequence, generatedTokens));
+                    mOwnSequences.begin(sequence, generatedTokens);
                     announce(List.of(sequence));
                 });
     }
@@ -302,7 +298,7 @@
     public void end(InFlightSequence sequence) {
         mTasks.post(
                 () -> {
-                    mOwnSequences.remove(sequence.id());
+                    mOwnSequences.end(sequence);
                     announce(List.of(sequence));
                 });
     }
@@ -345,8 +341,7 @@
      * longer announced.
      */
     private void announceProgress() {
-        List<InFlightSequence> sequences =
-                mOwnSequences.values().stream().map(OwnSequence::now).toList();
+        List<InFlightSequence> sequences = mOwnSequences.now();
         sequences.forEach(mListener::onSequence);
         if (!sequences.isEmpty()) {
             announce(sequences);
@@ -522,6 +517,15 @@
         }
     }
 
+    /**
+     * Returns what the instances of the site know of the origins of streams.
+     *
+     * @return the live origins
+     */
+    public StreamOrigins streamOrigins() {
+        return mStreams;
+    }
+
     private void dial(HostPort address) {
         mDialers.computeIfAbsent(address, to -> new Dialer(to, mGreeting, mHandler));
     }
@@ -541,7 +545,8 @@
             voters.members().forEach(this::addVoter);
         } else if (message instanceof Greeting greeting) {
             onGreeting(link, greeting);
-        } else if (!mTunnels.received(mLinks.get(link), message)
+        } else if (!mStreams.received(link, message)
+                && !mTunnels.received(mLinks.get(link), message)
                 && !mSharedState.received(mLinks.get(link), message)) {
             mRecords.received(message);
         }
@@ -592,6 +597,7 @@
         mRecords.linked(link, greeting);
         resendDepartures(link);
         mTunnels.linked(link, greeting);
+        mStreams.linked(link, greeting);
         addVoter(greeting.voter());
         LOG.info("connected to voter %s", greeting.node());
     }
@@ -662,6 +668,7 @@
             mDialers.remove(address).close();
         }
         mRegistry.removeExpired(nowNanos);
+        mStreams.removeExpired();
         if (mLinks.isEmpty()) {
             mLastUnlinkedNanos = nowNanos;
         }
@@ -672,6 +679,7 @@
         mNotices.remove(link);
         mGreetings.remove(link);
         mRecords.lost(link);
+        mStreams.lost(link);
         HostPort voter = mLinks.remove(link);
         if (voter != null) {
             mQuotaRequests.onVoterLost(voter, link);
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -16,7 +16,6 @@
 import java.util.SortedMap;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.orchidmount.clock.MonotonicClock;
@@ -79,13 +78,14 @@
     private final Persister<StateWrite> mPersister;
     private final VoterLinks mLinks;
     private final LinkServer mServer;
-    private final StageController mStages;
+    private final VoterStages mStages;
     private final Registry mRegistry = new Registry(DEPARTURE_RETENTION_NANOS);
     private final PendingDepartures mDepartures = new PendingDepartures();
     private final VoterQuota mQuota;
     private final VoterRecords mRecords;
     private final VoterSharedState mSharedState;
     private final VoterTunnels mTunnels = new VoterTunnels(mTasks);
+    private final VoterStreams mStreams;
 
     /** Registrations received from upstreams since the last batch to the other voters. */
     private final Map<String, Registration> mUnsent = new HashMap<>();
@@ -126,13 +126,19 @@
                         handler);
         mRecords = new VoterRecords(config.node(), config.folder(), mLinks, clock);
         mSharedState = new VoterSharedState(mLinks, mTasks, clock);
+        mStreams = new VoterStreams(clock);
         mServer = new LinkServer(config.address(), greeting, handler);
         mStages =
-                new StageController(
-                        config.stages(),
-                        config.node(),
-                        new UpstreamPauses(clock),
-                        leaving -> mTasks.post(() -> onLeaving(leaving)));
+                new VoterStages(
+                        new StageController(
+                                config.stages(),
+                                config.node(),
+                                new UpstreamPauses(clock),
+                                leaving -> mTasks.post(() -> onLeaving(leaving))),
+                        mReplica,
+                        mRegistry,
+                        mTasks,
+                        clock);
         mQuota = new VoterQuota(mReplica, mSelf, config.firstStart(), clock.nanoTime());
         mTasks.every(TICK_MILLIS, this::tick);
         mTasks.every(NOTICE_INTERVAL_MILLIS, this::runMaintenance);
@@ -273,6 +279,19 @@
         return query(() -> mRecords.limits().limitsWithUse(mQuota));
     }
 
+    /**
+     * Returns the registrations of the upstreams that have not left.
+     *
+     * @return the registrations; may never complete
+     */
+    public CompletableFuture<List<Registration>> upstreams() {
+        return query(
+                () ->
+                        mRegistry.all().stream()
+                                .filter(held -> held.state() != Registration.State.GONE)
+                                .toList());
+    }
+
     /**
      * Returns how each linked entry reaches upstreams.
      *
@@ -362,7 +381,7 @@
                         return;
                     }
                     Optional<Registration> changed = apply(registration);
-                    if (isLeaving(registration)) {
+                    if (registration.isLeaving()) {
                         replicateDeparture(
                                 mRegistry.find(registration.id()).orElse(registration), done);
                         return;
@@ -377,7 +396,7 @@
     private Optional<Registration> apply(Registration registration) {
         long nowNanos = mClock.nanoTime();
         Optional<Registration> changed =
-                isLeaving(registration)
+                registration.isLeaving()
                         ? mRegistry.mergeDeparture(registration, nowNanos)
                         : mRegistry.merge(registration, nowNanos);
         changed.ifPresent(VoterNode::logChange);
@@ -390,10 +409,6 @@
         mRegistry.merge(leaving, mClock.nanoTime()).ifPresent(this::forward);
     }
 
-    private static boolean isLeaving(Registration registration) {
-        return registration.state() != Registration.State.READY;
-    }
-
     /**
      * Queues a registration for the next batch, unless it is a late one of an earlier incarnation,
      * which would replace that of the current one.
@@ -457,12 +472,13 @@
 
     private static void logChange(Registration changed) {
         LOG.info(
-                "upstream %s of service %s at %s is %s, stage %s, sequence %d",
+                "upstream %s of service %s at %s is %s, stage %s, version %s, sequence %d",
                 changed.id(),
                 changed.service(),
                 changed.address(),
                 changed.state(),
                 changed.stage(),
+                changed.version().orElse("unknown"),
                 changed.sequence());
     }
 
@@ -491,7 +507,9 @@
             link.send(new TableDocument(mCommitted.tableVersion(), mCommitted.tableDocument()));
         } else if (message instanceof Voters voters) {
             voters.members().forEach(this::learn);
-        } else if (!mTunnels.received(link, message) && !mSharedState.received(link, message)) {
+        } else if (!mStreams.received(link, message)
+                && !mTunnels.received(link, message)
+                && !mSharedState.received(link, message)) {
             mRecords.received(message);
         }
     }
@@ -598,7 +616,7 @@
         mReplica.tick(mClock.nanoTime());
         mQuota.tick(mClock.nanoTime());
         logRoleChange();
-        orderStages();
+        mStages.tick(mClock.nanoTime());
         if (mHadQuorumContact != mReplica.hasQuorumContact()) {
             mHadQuorumContact = mReplica.hasQuorumContact();
             LOG.info("quorum %s", mHadQuorumContact ? "regained" : "lost");
@@ -606,27 +624,6 @@
         }
     }
 
-    private void orderStages() {
-        long nowNanos = mClock.nanoTime();
-        long term = mReplica.holdsQuorum() ? mReplica.term() : -1;
-        long countedNanos = nowNanos - mStages.countedWithin().toNanos();
-        long expectedNanos = nowNanos - mStages.expectedWithin().toNanos();
-        List<Registration> current = mRegistry.receivedBetween(countedNanos, nowNanos + 1);
-        List<Registration> silent = mRegistry.receivedBetween(expectedNanos, countedNanos);
-        mStages.tick(term, current, silent, () -> stillLeads(term), nowNanos);
-    }
-
-    /** Returns, on another thread, whether this voter leads a quorum in a term. */
-    private boolean stillLeads(long term) {
-        CompletableFuture<Boolean> leads = new CompletableFuture<>();
-        mTasks.post(
-                () -> {
-                    mReplica.tick(mClock.nanoTime());
-                    leads.complete(mReplica.holdsQuorum() && mReplica.term() == term);
-                });
-        return leads.completeOnTimeout(false, TICK_MILLIS, TimeUnit.MILLISECONDS).join();
-    }
-
     private void logRoleChange() {
         if (mLastRole != mReplica.role()) {
             mLastRole = mReplica.role();
@@ -639,6 +636,7 @@
         mLinks.forgetSilentPeers(mReplica.state().members(), nowNanos);
         mRegistry.removeExpired(nowNanos);
         mRecords.forgetEnded(mRegistry);
+        mStreams.removeExpired();
         mQuota.logUses();
         mLinks.sendToEntries(notice());
         if (!mUnsent.isEmpty()) {
--- a/org.orchidmount/src/main/java/org/orchidmount/membership/Registration.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/membership/Registration.java
@@ -5,6 +5,8 @@
  */
 package org.orchidmount.membership;
 
+import java.util.Optional;
+
 /**
  * Most recent state that an upstream has reported of itself. Immutable.
  *
@@ -16,6 +18,8 @@
  * @param stage stage of prompt serving that the upstream performs
  * @param state whether the upstream accepts new work
  * @param sequence number that increases with each message of the same incarnation
+ * @param version version of the upstream's software; versions have no order. Empty if it is not
+ *     known, since an instance of an earlier build has forwarded the registration
  */
 public record Registration(
         Incarnation incarnation,
@@ -25,7 +29,8 @@
         int slots,
         Stage stage,
         State state,
-        long sequence) {
+        long sequence,
+        Optional<String> version) {
 
     /** Stage of prompt serving that an upstream performs. */
     public enum Stage {
@@ -50,8 +55,21 @@
         GONE
     }
 
+    /** Creates a registration of an upstream whose software version is not known. */
+    public Registration(
+            Incarnation incarnation,
+            String service,
+            String address,
+            String zone,
+            int slots,
+            Stage stage,
+            State state,
+            long sequence) {
+        this(incarnation, service, address, zone, slots, stage, state, sequence, Optional.empty());
+    }
+
     /**
-     * Creates a registration of an upstream that states no start.
+     * Creates a registration of an upstream that states neither its start nor its version.
      *
      * @param id identity of the upstream
      * @param service service to which the upstream belongs
@@ -83,6 +101,15 @@
         return incarnation.id();
     }
 
+    /**
+     * Returns whether the upstream accepts no more work.
+     *
+     * @return true once it has announced that it leaves, or has left
+     */
+    public boolean isLeaving() {
+        return state != State.READY;
+    }
+
     /**
      * Returns a copy with another incarnation.
      *
@@ -90,7 +117,19 @@
      * @return the copy
      */
     public Registration withIncarnation(Incarnation other) {
-        return new Registration(other, service, address, zone, slots, stage, state, sequence);
+        return new Registration(
+                other, service, address, zone, slots, stage, state, sequence, version);
+    }
+
+    /**
+     * Returns a copy with another software version.
+     *
+     * @param other the version; empty if it is not known
+     * @return the copy
+     */
+    public Registration withVersion(Optional<String> other) {
+        return new Registration(
+                incarnation, service, address, zone, slots, stage, state, sequence, other);
     }
 
     /**
@@ -101,13 +140,14 @@
      */
     public Registration withState(State changed) {
         return new Registration(
-                incarnation, service, address, zone, slots, stage, changed, sequence);
+                incarnation, service, address, zone, slots, stage, changed, sequence, version);
     }
 
     /**
      * Merges two registrations of the same upstream. Of two incarnations only the one with the
      * newer start counts. Within an incarnation the newer message wins, but a state never goes
-     * back: an upstream that has begun to leave does not return.
+     * back: an upstream that has begun to leave does not return. An incarnation keeps its version,
+     * also if the newer message comes by an instance that does not forward versions.
      *
      * @param other the other registration
      * @return the merged registration
@@ -120,8 +160,12 @@
             return other;
         }
         Registration newer = other.sequence > sequence ? other : this;
+        Registration older = newer == this ? other : this;
         State furthest = state.compareTo(other.state) >= 0 ? state : other.state;
-        return newer.state == furthest ? newer : newer.withState(furthest);
+        Registration merged = newer.state == furthest ? newer : newer.withState(furthest);
+        return merged.version.isPresent() || older.version.isEmpty()
+                ? merged
+                : merged.withVersion(older.version);
     }
 
     /**
@@ -137,6 +181,7 @@
                 && zone.equals(other.zone)
                 && slots == other.slots
                 && stage == other.stage
-                && state == other.state;
+                && state == other.state
+                && version.equals(other.version);
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Assignment.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Assignment.java
@@ -7,6 +7,7 @@
 
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.membership.Incarnation;
+import org.orchidmount.membership.Registration;
 import org.orchidmount.upstream.CancelSignal;
 
 /**
@@ -18,7 +19,7 @@
     private final double mWorkMillis;
     private final double mNominalMillis;
     private final long mAssignedNanos;
-    private final Incarnation mIncarnation;
+    private final Registration mRegistration;
     private final Peer mPeer;
     private boolean mPending = true;
 
@@ -27,7 +28,7 @@
         mWorkMillis = workMillis;
         mNominalMillis = nominalMillis;
         mAssignedNanos = assignedNanos;
-        mIncarnation = upstream.incarnation();
+        mRegistration = upstream.registration();
         mPeer = upstream.peer();
     }
 
@@ -37,12 +38,17 @@
 
     /** Returns the id of the upstream, which stays the same when it restarts. */
     String id() {
-        return mIncarnation.id();
+        return mRegistration.id();
     }
 
     /** Returns the incarnation of the upstream that the work was assigned to. */
     Incarnation incarnation() {
-        return mIncarnation;
+        return mRegistration.incarnation();
+    }
+
+    /** Returns the registration of the upstream at the time of the assignment. */
+    Registration registration() {
+        return mRegistration;
     }
 
     Peer peer() {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -54,6 +54,7 @@
     private final RequestProgress mProgress;
     private final Optional<SequenceTracker> mTracker;
     private final CrashReporter mCrashReporter;
+    private final StreamBinding mBinding;
     private final long mArrivedNanos;
     private Optional<StreamForward> mStream = Optional.empty();
     private Optional<FallbackResponse> mFallback = Optional.empty();
@@ -85,7 +86,8 @@
             CancelSignal cancel,
             RequestProgress progress,
             Optional<SequenceTracker> tracker,
-            CrashReporter crashReporter) {
+            CrashReporter crashReporter,
+            StreamBinding binding) {
         mContext = context;
         mRequest = request;
         mRoute = request.route();
@@ -94,6 +96,7 @@
         mProgress = progress;
         mTracker = tracker;
         mCrashReporter = crashReporter;
+        mBinding = binding;
         mArrivedNanos = context.clock().nanoTime();
     }
 
@@ -304,7 +307,10 @@
             throws CallFailedException, IOException, TimeoutException, InterruptedException {
         StreamForward stream = mStream.orElseGet(() -> new StreamForward(mCaller));
         mStream = Optional.of(stream);
-        stream.beginUpstream(status, headers);
+        stream.beginUpstream(
+                status,
+                headers,
+                () -> mBinding.bindToFirstEvent(placement.assignment().registration()));
         long before = stream.lastEventId();
         StreamTiming timing = forward(placement, call, stream);
         if (!stream.isAtEventBoundary()) {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
@@ -27,6 +27,10 @@
         GIVEN_UP,
         /** The request was refused because upstreams crash when they run it. */
         QUARANTINED,
+        /** Refused: it continues a stream whose origin is not known here. */
+        ORIGIN_UNKNOWN,
+        /** Refused: it continues a stream of a version of which no upstream serves. */
+        VERSION_GONE,
         /** A stream was aborted of which the caller had received a part. */
         CUT,
         /** The caller disconnected. */
@@ -69,6 +73,8 @@
             case UPSTREAM_ERROR -> RequestEnd.UPSTREAM_ERROR;
             case GIVEN_UP -> givenUp(facts);
             case QUARANTINED -> quarantined(facts);
+            case ORIGIN_UNKNOWN -> RequestEnd.REFUSED_ORIGIN_UNKNOWN;
+            case VERSION_GONE -> RequestEnd.REFUSED_VERSION_GONE;
             case CUT -> RequestEnd.CUT;
             case CALLER_LEFT -> RequestEnd.CALLER_LEFT;
         };
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -50,6 +50,7 @@
     private final Prefiller mPrefiller;
     private final EngineSearch mSearch;
     private final AvailableMemory mAvailableMemory;
+    private final StreamBinding mBinding;
     private boolean mLacksPrefill;
     private boolean mIsTooLarge;
     private boolean mIsThrottled;
@@ -64,8 +65,10 @@
             boolean isClientRetry,
             CancelSignal cancel,
             RequestProgress progress,
-            CrashReporter crashReporter) {
+            CrashReporter crashReporter,
+            StreamBinding binding) {
         mContext = context;
+        mBinding = binding;
         mRequest = request;
         mPrompt = prompt;
         mService = service;
@@ -112,7 +115,8 @@
                         mOutput,
                         mTracker,
                         mPrefiller,
-                        mAvailableMemory);
+                        mAvailableMemory,
+                        binding);
         mRoomWait =
                 new RoomWait(context, request, service, mOutput, cancel, progress, new InOrder());
     }
@@ -236,15 +240,18 @@
 
     private boolean areAllThrottled() {
         Set<String> throttled = mContext.throttle().throttledUpstreams();
-        return mContext.areAllThrottled(mService.name(), Stage.DECODE, throttled);
+        return mContext.areAllThrottled(
+                mService.name(), Stage.DECODE, mBinding.constraint(), throttled);
     }
 
     /**
-     * Returns whether waiting is useless: there is no engine, none can be reached, or none accepts
-     * work before the wait ends.
+     * Returns whether waiting is useless: there is no engine that may run the request, none can be
+     * reached, or none accepts work before the wait ends.
      */
     private boolean isNoneAvailableWithin(long waitNanos) {
-        List<Incarnation> engines = mContext.upstreams().available(mService.name(), Stage.DECODE);
+        List<Incarnation> engines =
+                mContext.upstreams()
+                        .available(mService.name(), Stage.DECODE, mBinding.constraint());
         return engines.isEmpty()
                 || mContext.connections().isCutOff()
                 || mIsThrottled
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EngineSearch.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EngineSearch.java
@@ -45,6 +45,7 @@
     private final MemoryReservations mReservations;
     private final EngineCosts mCosts;
     private final AvailableMemory mAvailableMemory;
+    private final StreamBinding mBinding;
     private Set<String> mHeldEngines = Set.of();
 
     /**
@@ -53,6 +54,7 @@
      * @param stated the output lengths that the caller states
      * @param output the sequence to place
      * @param availableMemory the part of an engine's memory that the request may use
+     * @param binding the engines that may run the request
      */
     EngineSearch(
             RelayContext context,
@@ -65,7 +67,8 @@
             InFlightSequence output,
             SequenceTracker tracker,
             Prefiller prefiller,
-            AvailableMemory availableMemory) {
+            AvailableMemory availableMemory,
+            StreamBinding binding) {
         mContext = context;
         mRequest = request;
         mPrompt = prompt;
@@ -79,6 +82,7 @@
         mReservations = new MemoryReservations(context, request.id(), cancel, progress);
         mCosts = new EngineCosts(context, service, prompt.tokens(), request.route().maxEventGap());
         mAvailableMemory = availableMemory;
+        mBinding = binding;
     }
 
     /** Sets the engines that are kept for requests ahead in the queue. */
@@ -170,7 +174,8 @@
      */
     private Set<String> excluded(PrefillRule.Choice choice) {
         Set<String> excluded = new HashSet<>(saturatedEngines());
-        excluded.addAll(mContext.upstreams().avoided(mService.name(), Stage.DECODE));
+        excluded.addAll(
+                mContext.upstreams().avoided(mService.name(), Stage.DECODE, mBinding.constraint()));
         excluded.addAll(mContext.throttle().throttledUpstreams());
         excluded.addAll(mHeldEngines);
         if (choice == PrefillRule.Choice.UNSPLIT_IF_IDLE) {
@@ -197,7 +202,10 @@
                                 Stage.DECODE,
                                 upstreamId -> !mCosts.pausesTooLong(upstreamId)));
         boolean isAnyLeft =
-                mContext.upstreams().available(mService.name(), Stage.DECODE).stream()
+                mContext
+                        .upstreams()
+                        .available(mService.name(), Stage.DECODE, mBinding.constraint())
+                        .stream()
                         .anyMatch(engine -> !withPausing.contains(engine.id()));
         if (isAnyLeft) {
             excluded.addAll(withPausing);
@@ -260,7 +268,8 @@
                 mayTakeTried,
                 excluded,
                 mContext.maxAssignments(mService),
-                mCosts);
+                mCosts,
+                mBinding.constraint());
     }
 
     /** Releases the memory reserved for a placement that the request did not use. */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -6,6 +6,7 @@
 package org.orchidmount.relay;
 
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
@@ -17,10 +18,13 @@
 import org.orchidmount.load.SequenceAnnouncer;
 import org.orchidmount.pacing.UpstreamThrottle;
 import org.orchidmount.quarantine.CrashReports;
+import org.orchidmount.routes.Route;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.ClientRetryDetector;
 import org.orchidmount.routing.OutputLengthEstimator;
 import org.orchidmount.routing.UrgentArrivals;
+import org.orchidmount.stream.StreamOrigin;
+import org.orchidmount.stream.StreamOrigins;
 import org.orchidmount.upstream.CancelSignal;
 import org.orchidmount.waiting.WaitingQueue;
 
@@ -41,6 +45,7 @@
      * @param waiting the requests that wait for room at engines
      * @param connections connections to upstreams
      * @param protocol the protocol of the upstreams
+     * @param origins the origins of streams
      * @param clock the clock
      */
     public Relay(
@@ -54,6 +59,7 @@
             WaitingQueue waiting,
             HttpConnections connections,
             UpstreamProtocol protocol,
+            StreamOrigins origins,
             MonotonicClock clock) {
         mContext =
                 new RelayContext(
@@ -71,6 +77,7 @@
                         waiting,
                         connections,
                         protocol,
+                        origins,
                         clock);
         loads.setEndObserver(waiting.requests()::changed);
         upstreams.setObserver(
@@ -80,6 +87,35 @@
                 });
     }
 
+    /**
+     * Selects the service that runs a request: the one that began the stream which the request
+     * continues, if the route still sends requests there, otherwise one by weight.
+     *
+     * @param route the route of the request
+     * @param prompt the properties of its prompt
+     * @param point uniformly distributed random number from 0 (inclusive) to 1 (exclusive)
+     * @return the name of the service
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public String selectService(Route route, RelayRequest.Prompt prompt, double point)
+            throws InterruptedException {
+        if (route.destinations().size() == 1 || !prompt.isContinuation()) {
+            return route.selectService(point);
+        }
+        Optional<StreamOrigin> origin =
+                prompt.continuedRequestId().isPresent()
+                        ? mContext.origins().find(prompt.continuedRequestId().get())
+                        : Optional.empty();
+        return origin.map(StreamOrigin::service)
+                .filter(service -> isDestination(route, service))
+                .orElseGet(() -> route.selectService(point));
+    }
+
+    private static boolean isDestination(Route route, String service) {
+        return route.destinations().stream()
+                .anyMatch(each -> each.weight() > 0 && each.service().equals(service));
+    }
+
     /**
      * Relays a request until it is answered, refused or cut off.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -26,6 +26,7 @@
 import org.orchidmount.load.SequenceAnnouncer;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration.Stage;
+import org.orchidmount.membership.VersionConstraint;
 import org.orchidmount.pacing.SendPermit;
 import org.orchidmount.pacing.UpstreamStatement;
 import org.orchidmount.pacing.UpstreamThrottle;
@@ -36,6 +37,7 @@
 import org.orchidmount.routing.EngineSpeedEstimator;
 import org.orchidmount.routing.OutputLengthEstimator;
 import org.orchidmount.routing.UrgentArrivals;
+import org.orchidmount.stream.StreamOrigins;
 import org.orchidmount.upstream.CancelSignal;
 import org.orchidmount.waiting.WaitingQueue;
 
@@ -56,6 +58,7 @@
  * @param waiting the requests that wait for room at engines
  * @param connections connections to upstreams
  * @param protocol the protocol of the upstreams
+ * @param origins the origins of streams
  * @param clock the clock
  */
 record RelayContext(
@@ -73,6 +76,7 @@
         WaitingQueue waiting,
         HttpConnections connections,
         UpstreamProtocol protocol,
+        StreamOrigins origins,
         MonotonicClock clock) {
     /** Size limit of the response to a control call; actual responses are far smaller. */
     static final int MAX_CONTROL_BYTES = 64 * 1024;
@@ -194,16 +198,18 @@
     }
 
     /**
-     * Returns whether a service has available upstreams and all of them are throttled, that is, at
-     * their stated limit or in a pause that they have asked for.
+     * Returns whether a service has available upstreams that may run a request and all of them are
+     * throttled, that is, at their stated limit or in a pause that they have asked for.
      *
+     * @param constraint the upstreams that may run the request
      * @param throttled the ids of the throttled upstreams of all services
      */
-    boolean areAllThrottled(String service, Stage stage, Set<String> throttled) {
+    boolean areAllThrottled(
+            String service, Stage stage, VersionConstraint constraint, Set<String> throttled) {
         if (throttled.isEmpty()) {
             return false;
         }
-        List<Incarnation> available = upstreams.available(service, stage);
+        List<Incarnation> available = upstreams.available(service, stage, constraint);
         return !available.isEmpty()
                 && available.stream().allMatch(upstream -> throttled.contains(upstream.id()));
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRequest.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRequest.java
@@ -77,9 +77,29 @@
      * @param expectedOutputTokens the length of the output in tokens that the caller expects; 0 if
      *     it states none
      * @param lastEventId the id of the last event that the caller has received; 0 for none
+     * @param continuedRequestId the id of the request that brought the first event of the stream
+     *     that this one continues; empty if the caller states none
      */
     public record Prompt(
-            int tokens, int maxOutputTokens, int expectedOutputTokens, long lastEventId) {}
+            int tokens,
+            int maxOutputTokens,
+            int expectedOutputTokens,
+            long lastEventId,
+            Optional<String> continuedRequestId) {
+        /** Creates the properties of a request that names no other one. */
+        public Prompt(int tokens, int maxOutputTokens, int expectedOutputTokens, long lastEventId) {
+            this(tokens, maxOutputTokens, expectedOutputTokens, lastEventId, Optional.empty());
+        }
+
+        /**
+         * Returns whether the request continues a stream of which the caller has received events.
+         *
+         * @return true if it does
+         */
+        public boolean isContinuation() {
+            return lastEventId > 0;
+        }
+    }
 
     /**
      * Returns the time left until the request must be answered.
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -58,6 +58,7 @@
     private final Optional<EnginePlacer> mEngines;
     private final AttemptRunner mAttempts;
     private final CrashReporter mCrashReporter;
+    private final StreamBinding mBinding;
     private final Set<Incarnation> mTried = new HashSet<>();
     private AttemptRule.History mHistory = AttemptRule.History.NONE;
     private boolean mLastRefused;
@@ -86,6 +87,7 @@
         mIsStillAllowed = isStillAllowed;
         mProgress = new RequestProgress(context.clock(), request.id());
         mCrashReporter = new CrashReporter(context, request, cancel);
+        mBinding = new StreamBinding(context.origins(), request, service, context.clock());
         boolean isClientRetry = isClientRetry();
         mEngines =
                 request.prompt()
@@ -99,7 +101,8 @@
                                                 isClientRetry,
                                                 cancel,
                                                 mProgress,
-                                                mCrashReporter));
+                                                mCrashReporter,
+                                                mBinding));
         mAttempts =
                 new AttemptRunner(
                         context,
@@ -108,7 +111,8 @@
                         cancel,
                         mProgress,
                         mEngines.map(EnginePlacer::tracker),
-                        mCrashReporter);
+                        mCrashReporter,
+                        mBinding);
         mReporter = new RequestReporter(request, service, isClientRetry, mProgress);
     }
 
@@ -123,11 +127,12 @@
         try (mCrashReporter;
                 CancelSignal.Registration _ = mCancel.onCancel(mProgress::callerLeft)) {
             End end = serve();
-            mReporter.ended(end, mHistory, mIsThrottled, mAttempts, mEngines);
+            mReporter.ended(end, mHistory, mIsThrottled, mAttempts, mEngines, mBinding.cause());
             boolean mayHaveRun = end == End.SERVED || mHistory.executions() > 0;
             return mayHaveRun ? Execution.MAY_HAVE_RUN : Execution.NOT_RUN;
         } catch (IOException | TimeoutException e) {
-            mReporter.ended(End.CALLER_LEFT, mHistory, mIsThrottled, mAttempts, mEngines);
+            mReporter.ended(
+                    End.CALLER_LEFT, mHistory, mIsThrottled, mAttempts, mEngines, mBinding.cause());
             throw e;
         } finally {
             mProgress.ended();
@@ -136,6 +141,10 @@
 
     private End serve() throws IOException, TimeoutException, InterruptedException {
         mBudget.recordRequest();
+        mBinding.bindContinuation();
+        if (!hasUpstream()) {
+            return refuseContinuation();
+        }
         while (mayTry()) {
             Optional<Placement> placement = place();
             if (placement.isEmpty()) {
@@ -207,7 +216,9 @@
         while (true) {
             Optional<Assignment> assignment = mContext.upstreams().assign(need(throttled), mTried);
             if (assignment.isEmpty()) {
-                mIsThrottled = mContext.areAllThrottled(mService.name(), Stage.NONE, throttled);
+                mIsThrottled =
+                        mContext.areAllThrottled(
+                                mService.name(), Stage.NONE, mBinding.constraint(), throttled);
                 return Optional.empty();
             }
             Optional<SendPermit> permit = mContext.acquirePermit(assignment.get(), mRequest);
@@ -227,7 +238,8 @@
                 !mLastRefused,
                 throttled,
                 mContext.maxAssignments(mService),
-                UpstreamDirectory.Backlog.OWN);
+                UpstreamDirectory.Backlog.OWN,
+                mBinding.constraint());
     }
 
     private AttemptOutcome attemptAt(Placement placement)
@@ -246,7 +258,7 @@
             if (outcome == AttemptOutcome.NOT_REACHED && placement.reservation().isEmpty()) {
                 mContext.throttle().refund(placement.permit());
             }
-            mReporter.recordAttempt(placement.assignment().id(), prefilledByUpstream);
+            mReporter.recordAttempt(placement.assignment().registration(), prefilledByUpstream);
             mEngines.ifPresent(engines -> releaseOrMarkUsed(engines, placement, outcome));
             return outcome;
         } finally {
@@ -309,6 +321,30 @@
         return End.GIVEN_UP;
     }
 
+    /** Returns whether an upstream is registered that may run the request. */
+    private boolean hasUpstream() {
+        return mBinding.cause() == StreamBinding.Cause.NONE
+                || !mContext.upstreams()
+                        .available(mService.name(), stage(), mBinding.constraint())
+                        .isEmpty();
+    }
+
+    /**
+     * Refuses to continue a stream: no instance that could be asked knows its origin, or no
+     * upstream of its version serves any more.
+     */
+    private End refuseContinuation() throws IOException, TimeoutException, InterruptedException {
+        boolean isUnknown = mBinding.cause() == StreamBinding.Cause.UNKNOWN;
+        LOG.info(
+                "%s: the stream cannot be continued: %s",
+                mRequest.id(),
+                isUnknown
+                        ? "the version that began it is not known here"
+                        : "no upstream of the version that began it serves");
+        mCaller.refuse(FinalOutcome.NOT_CONTINUABLE, Duration.ZERO);
+        return isUnknown ? End.ORIGIN_UNKNOWN : End.VERSION_GONE;
+    }
+
     private void refuseQuarantined() throws IOException, TimeoutException, InterruptedException {
         mCrashReporter.refused();
         mCaller.refuse(FinalOutcome.QUARANTINED, Duration.ZERO);
@@ -322,7 +358,10 @@
         return mIsThrottled
                 || mEngines.map(EnginePlacer::isThrottled).orElse(false)
                 || mContext.areAllThrottled(
-                        mService.name(), stage(), mContext.throttle().throttledUpstreams());
+                        mService.name(),
+                        stage(),
+                        mBinding.constraint(),
+                        mContext.throttle().throttledUpstreams());
     }
 
     private Stage stage() {
@@ -350,7 +389,8 @@
      * work, it is based on that.
      */
     private Duration retryAfter() {
-        List<Incarnation> upstreams = mContext.upstreams().available(mService.name(), stage());
+        List<Incarnation> upstreams =
+                mContext.upstreams().available(mService.name(), stage(), mBinding.constraint());
         if (mIsThrottled && !upstreams.isEmpty()) {
             Duration delay =
                     mContext.throttle()
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestReporter.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.membership.Registration;
 import org.orchidmount.relay.EndClassifier.End;
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.report.RequestEnd;
@@ -34,6 +35,7 @@
     private boolean mIsCutOff;
     private long mBackInMillis = RequestReport.NO_RETRY_MILLIS;
     private String mLastUpstream = RequestReport.NO_UPSTREAM;
+    private String mLastVersion = RequestReport.NO_VERSION;
 
     RequestReporter(
             RelayRequest request,
@@ -48,9 +50,13 @@
     }
 
     /** Records an attempt, and whether its upstream prefilled the prompt itself. */
-    void recordAttempt(String upstreamId, boolean prefilledByUpstream) {
+    void recordAttempt(Registration upstream, boolean prefilledByUpstream) {
         mAttempts++;
-        mLastUpstream = upstreamId;
+        mLastUpstream = upstream.id();
+        mLastVersion =
+                upstream.version()
+                        .map(version -> version.replace(' ', '_'))
+                        .orElse(RequestReport.NO_VERSION);
         mUnsplitTokens += prefilledByUpstream ? mPromptTokens : 0;
     }
 
@@ -66,7 +72,8 @@
             AttemptRule.History history,
             boolean isThrottled,
             AttemptRunner attempts,
-            Optional<EnginePlacer> engines) {
+            Optional<EnginePlacer> engines,
+            StreamBinding.Cause boundBy) {
         Optional<Duration> first = attempts.firstResponse();
         RequestEnd reported =
                 EndClassifier.classify(
@@ -107,7 +114,11 @@
                         mRequest.urgency(),
                         engines.map(placer -> placer.roomWait().aheadOnArrival()).orElse(0),
                         mBackInMillis,
-                        attempts.through().orElse(RequestReport.DIRECT));
+                        attempts.through().orElse(RequestReport.DIRECT),
+                        mLastVersion,
+                        boundBy == StreamBinding.Cause.NONE
+                                ? RequestReport.UNBOUND
+                                : boundBy.name());
         LOG.info("%s", report.toLine());
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/StreamForward.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/StreamForward.java
@@ -21,6 +21,7 @@
     private int mStatus;
     private HeaderMap mHeaders;
     private EventFramer mFramer = new EventFramer();
+    private Runnable mBeforeFirstEvent = () -> {};
     private boolean mStarted;
     private long mLastEventId;
 
@@ -33,12 +34,15 @@
      *
      * @param status the HTTP status
      * @param headers the header fields to forward, if no head has been sent yet
+     * @param beforeFirstEvent called before the first event of all is forwarded, if that is one of
+     *     this upstream
      */
-    void beginUpstream(int status, HeaderMap headers) {
+    void beginUpstream(int status, HeaderMap headers, Runnable beforeFirstEvent) {
         mFramer = new EventFramer();
         if (!mStarted) {
             mStatus = status;
             mHeaders = headers;
+            mBeforeFirstEvent = beforeFirstEvent;
         }
     }
 
@@ -49,6 +53,9 @@
                 continue;
             }
             mLastEventId = Math.max(mLastEventId, event.id());
+            if (!mStarted) {
+                mBeforeFirstEvent.run();
+            }
             start();
             mCaller.sendPart(event.bytes());
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -27,6 +27,7 @@
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.membership.Registration.State;
+import org.orchidmount.membership.VersionConstraint;
 import org.orchidmount.routing.UpstreamCost;
 import org.orchidmount.routing.UpstreamHealth;
 import org.orchidmount.upstream.CancelSignal;
@@ -260,8 +261,24 @@
      * @return their incarnations
      */
     List<Incarnation> available(String service, Stage stage) {
+        return available(service, stage, VersionConstraint.ANY);
+    }
+
+    /**
+     * Returns the available upstreams that may run a request.
+     *
+     * @param service the service
+     * @param stage the stage of the upstreams
+     * @param constraint the upstreams that may run the request
+     * @return their incarnations
+     */
+    List<Incarnation> available(String service, Stage stage, VersionConstraint constraint) {
         try (OrderedLock.Held _ = mLock.hold()) {
-            return mUpstreams.available(service, stage).map(Upstream::incarnation).toList();
+            return mUpstreams
+                    .available(service, stage)
+                    .filter(upstream -> constraint.permits(upstream.registration()))
+                    .map(Upstream::incarnation)
+                    .toList();
         }
     }
 
@@ -395,8 +412,21 @@
      * @return the ids; empty if there is no other upstream, so that one of them is tried
      */
     Set<String> avoided(String service, Stage stage) {
+        return avoided(service, stage, VersionConstraint.ANY);
+    }
+
+    /**
+     * Returns the upstreams that may run a request, but are ejected or persistently refuse work of
+     * this instance.
+     *
+     * @param service the service
+     * @param stage the stage
+     * @param constraint the upstreams that may run the request
+     * @return the ids; empty if there is no other such upstream, so that one of them is tried
+     */
+    Set<String> avoided(String service, Stage stage, VersionConstraint constraint) {
         try (OrderedLock.Held _ = mLock.hold()) {
-            return mSelection.avoided(service, stage, mClock.nanoTime());
+            return mSelection.avoided(service, stage, constraint, mClock.nanoTime());
         }
     }
 
@@ -433,6 +463,7 @@
      * @param maxAssignments the maximum number of concurrent assignments of this instance to an
      *     upstream
      * @param backlog the estimator of the backlog of an upstream
+     * @param constraint the upstreams that may run the request
      */
     record Need(
             String service,
@@ -442,7 +473,30 @@
             boolean mayTakeTried,
             Set<String> excluded,
             int maxAssignments,
-            Backlog backlog) {
+            Backlog backlog,
+            VersionConstraint constraint) {
+        /** Creates the requirements of a request that any upstream may run. */
+        Need(
+                String service,
+                Stage stage,
+                double workMillis,
+                double crossZoneMillis,
+                boolean mayTakeTried,
+                Set<String> excluded,
+                int maxAssignments,
+                Backlog backlog) {
+            this(
+                    service,
+                    stage,
+                    workMillis,
+                    crossZoneMillis,
+                    mayTakeTried,
+                    excluded,
+                    maxAssignments,
+                    backlog,
+                    VersionConstraint.ANY);
+        }
+
         /** Value of {@code maxAssignments} that sets no limit. */
         static final int UNLIMITED = Integer.MAX_VALUE;
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamSelection.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamSelection.java
@@ -15,6 +15,7 @@
 import org.orchidmount.evidence.UpstreamEvidenceView;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration.Stage;
+import org.orchidmount.membership.VersionConstraint;
 import org.orchidmount.routing.Slowness;
 import org.orchidmount.routing.UpstreamCost;
 import org.orchidmount.routing.UpstreamHealth;
@@ -71,7 +72,8 @@
     }
 
     private static boolean isCandidate(Upstream upstream, UpstreamDirectory.Need need) {
-        return upstream.assignments() < need.maxAssignments()
+        return need.constraint().permits(upstream.registration())
+                && upstream.assignments() < need.maxAssignments()
                 && !need.excluded().contains(upstream.registration().id());
     }
 
@@ -150,13 +152,16 @@
 
     /**
      * Returns the ids of the upstreams that are ejected or persistently refuse work of this
-     * instance; empty if there is no other upstream.
+     * instance; empty if there is no other upstream that the constraint permits.
      */
-    Set<String> avoided(String service, Stage stage, long nowNanos) {
+    Set<String> avoided(String service, Stage stage, VersionConstraint constraint, long nowNanos) {
         Set<String> ejected = ejected(service, stage);
         Set<String> avoided = new HashSet<>();
         boolean hasOther = false;
         for (Upstream upstream : mUpstreams.available(service, stage).toList()) {
+            if (!constraint.permits(upstream.registration())) {
+                continue;
+            }
             String id = upstream.registration().id();
             if (upstream.isAvoided(nowNanos) || ejected.contains(id)) {
                 avoided.add(id);
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
@@ -54,6 +54,16 @@
      * request.
      */
     REFUSED_QUARANTINED,
+    /**
+     * Refused: the request continues a stream, and no instance that could be asked knows which
+     * software version began it.
+     */
+    REFUSED_ORIGIN_UNKNOWN,
+    /**
+     * Refused: the request continues a stream, and no upstream of the software version that began
+     * it serves.
+     */
+    REFUSED_VERSION_GONE,
     /** The time limit of the request expired. */
     TIMED_OUT,
     /** Failed, and an upstream may have executed the request. */
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
@@ -37,6 +37,8 @@
  *     are not placed in order
  * @param backInMillis time to retry that the caller was told; -1 if none
  * @param through instance through which the last attempt reached its upstream; "-" if it was direct
+ * @param version software version of the upstream of the last attempt; "-" if it is not known
+ * @param boundBy what restricted the request to one software version; "-" if nothing did
  */
 public record RequestReport(
         String id,
@@ -57,7 +59,9 @@
         OptionalInt urgency,
         int waitAhead,
         long backInMillis,
-        String through) {
+        String through,
+        String version,
+        String boundBy) {
     /** The log part of report lines, which prefixes each of them. */
     public static final String PART = "request";
 
@@ -73,6 +77,12 @@
     /** Value of {@code through} if the last attempt was direct, or if there was none. */
     public static final String DIRECT = "-";
 
+    /** Value of {@code version} if it is not known. */
+    public static final String NO_VERSION = "-";
+
+    /** Value of {@code boundBy} if the request was not restricted to a version. */
+    public static final String UNBOUND = "-";
+
     /** Value of {@code account} if the request counts for no client account. */
     public static final String NO_ACCOUNT = "-";
 
@@ -127,7 +137,9 @@
                 urgency,
                 0,
                 NO_RETRY_MILLIS,
-                DIRECT);
+                DIRECT,
+                NO_VERSION,
+                UNBOUND);
     }
 
     /**
@@ -166,7 +178,9 @@
                 "urgency=" + urgencyText(),
                 "waitAhead=" + waitAhead,
                 "backInMillis=" + backInMillis,
-                "through=" + through);
+                "through=" + through,
+                "version=" + version,
+                "boundBy=" + boundBy);
     }
 
     /**
@@ -221,7 +235,9 @@
                 fields.optionalNumber("urgency", NO_URGENCY),
                 (int) fields.numberOrDefault("waitAhead", 0),
                 fields.numberOrDefault("backInMillis", NO_RETRY_MILLIS),
-                fields.textOrDefault("through", DIRECT));
+                fields.textOrDefault("through", DIRECT),
+                fields.textOrDefault("version", NO_VERSION),
+                fields.textOrDefault("boundBy", UNBOUND));
     }
 
     /** The key=value fields of a line. */
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/FinalOutcome.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/FinalOutcome.java
@@ -14,7 +14,12 @@
     /** The deadline has passed, and the request may have run. */
     TIMED_OUT,
     /** Upstreams crash when they run the request, so it is no longer run; a retry is useless. */
-    QUARANTINED;
+    QUARANTINED,
+    /**
+     * The request continues a stream, which no upstream can do; it has not run, and a retry is
+     * useless, but the caller may begin the stream again.
+     */
+    NOT_CONTINUABLE;
 
     /**
      * Returns the outcome of a request that is given up.
