A late heartbeat does not keep an address from its owner

A heartbeat that was held up arrives after its sender has crashed and another upstream is registered at the address. Where the sender was not known, the directory gave it the address, and the upstream that uses it got no work any more.

Cause: an address stayed with the last one to register there, also after it had gone. The requests themselves were safe: each names its upstream, and another one turns it away (421).

Change: when an upstream goes, by its registration or by such an answer, its address passes to another one that is ready there, with its version.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -14,6 +14,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -544,6 +545,27 @@
         return new Registration(id, "s", "10.0.0.9:80", "a", 4, Stage.PREFILL, State.READY, 1);
     }
 
+    /**
+     * Guards against a heartbeat of an incarnation that has crashed, which arrives once another one
+     * is registered at its address: the other one must get work again.
+     */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void aLateHeartbeatDoesNotKeepAnAddressFromItsOwner(boolean isGoneByAnswer) {
+        Registration owner = ready("i-new", "a", 1).withVersion(Optional.of("v2"));
+        Registration late = ready("i-old", "a", 1).withVersion(Optional.of("v1"));
+        mDirectory.update(owner);
+        mDirectory.update(late);
+        if (isGoneByAnswer) {
+            mDirectory.misdirected(mDirectory.assign(NEED, Set.of()).get());
+        } else {
+            mDirectory.update(late.withState(State.GONE));
+        }
+        Assignment assignment = mDirectory.assign(NEED, Set.of()).get();
+        assertThat(assignment.incarnation()).isEqualTo(owner.incarnation());
+        assertThat(assignment.registration().version()).hasValue("v2");
+    }
+
     private static Registration ready(String id, String zone, int machine) {
         return new Registration(
                 id, "s", "10.0.0." + machine + ":80", zone, 4, Stage.NONE, State.READY, 1);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -174,6 +174,7 @@
     void misdirected(Assignment assignment) {
         try (OrderedLock.Held _ = mLock.hold()) {
             assignment.upstream().markReplaced();
+            mUpstreams.releaseAddress(assignment.upstream());
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamIndex.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamIndex.java
@@ -26,8 +26,8 @@
  * the upstreams of one service only.
  *
  * <p>Invariants: each upstream is indexed under the service of its registration, and under no
- * other; an address belongs to the upstream that registered there last. Not thread-safe: guarded by
- * the directory's lock.
+ * other; an address belongs to the upstream that registered there last and is not gone. Not
+ * thread-safe: guarded by the directory's lock.
  */
 final class UpstreamIndex {
     /**
@@ -52,6 +52,9 @@
         if (!known.incarnation().equals(before)) {
             mIdByAddress.put(registration.address(), registration.id());
         }
+        if (known.isGone()) {
+            releaseAddress(known);
+        }
         return Optional.empty();
     }
 
@@ -73,6 +76,23 @@
         mIdByAddress.put(registration.address(), registration.id());
     }
 
+    /**
+     * Gives the address of an upstream that has gone to another one that is registered there. A
+     * heartbeat that arrives after its sender has crashed may have taken the address from the
+     * upstream that uses it now.
+     */
+    void releaseAddress(Upstream gone) {
+        String address = gone.registration().address();
+        if (!gone.registration().id().equals(mIdByAddress.get(address))) {
+            return;
+        }
+        mById.values().stream()
+                .filter(upstream -> upstream.isReady())
+                .filter(upstream -> upstream.registration().address().equals(address))
+                .findFirst()
+                .ifPresent(owner -> mIdByAddress.put(address, owner.registration().id()));
+    }
+
     /** Returns whether an address belongs to an upstream or to none. */
     boolean mayOwn(String id, String address) {
         return mIdByAddress.getOrDefault(address, id).equals(id);
