Crashes are counted for the parts that prompts share

Cause: evidence was filed under a key that the cause does not share. Each crash counted for the content of its request, which is new each time.

Change: the ledger of crash records holds suspects of two kinds. RunGuard counts a crash for the request and for each part of its prompt but the last, unless the part is proven (an engine has written an answer with it to its end, or for a second) or common (nearly all recent prompts of the route hold it). Three crashes in a row quarantine a part at all instances; suspected parts run one at a time until they are proven.

Ruled out: lost records (no fingerprint had a second crash) and load (sound prompts alone crash nothing). Tried and taken out: to run unproven parts one at a time for 5 s after any such crash; it changed nothing.

--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/RawUpstream.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/RawUpstream.java
@@ -10,6 +10,7 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -123,8 +124,21 @@
      * @throws IOException if no port can be bound
      */
     public RawUpstream(Script script) throws IOException {
+        this(0, script);
+    }
+
+    /**
+     * Starts an upstream on a port, for example that of one that has ended.
+     *
+     * @param port the TCP port, 0 for a free one
+     * @param script what it does with each request
+     * @throws IOException if the port cannot be bound
+     */
+    public RawUpstream(int port, Script script) throws IOException {
         mScript = script;
-        mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        mServer = new ServerSocket();
+        mServer.setReuseAddress(true);
+        mServer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 50);
         mAccepting = Thread.ofVirtual().name("raw-upstream").start(this::accept);
     }
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/CrashReportsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/CrashReportsTest.java
@@ -59,7 +59,7 @@
         Incarnation upstream =
                 registration("i-1", startMillis, ADDRESS, Registration.State.READY).incarnation();
         CrashRecord after = CrashRecord.none(REQUEST).afterCrash(0, 0);
-        mReports.suspectedCrash(how.mFailure, after, upstream, PEER);
+        mReports.suspectedCrash(how.mFailure, List.of(after), upstream, PEER);
     }
 
     private static Registration registration(
@@ -151,7 +151,7 @@
 
     @Test
     void aRequestThatItsUpstreamSurvivedIsClearedEverywhere() {
-        mReports.crashed(CrashRecord.none(REQUEST).afterCrash(0, 0));
+        mReports.crashed(List.of(CrashRecord.none(REQUEST).afterCrash(0, 0)));
         mReports.survived(REQUEST);
         mReports.survived(REQUEST);
         assertThat(mAnnounced).hasSize(2);
@@ -166,7 +166,7 @@
         mEnds = ends;
         CountDownLatch watched = new CountDownLatch(1);
         CrashRecord after = CrashRecord.none(REQUEST).afterCrash(0, 0);
-        mReports.abandoned(after, PEER, () -> isPlanned, watched::countDown);
+        mReports.abandoned(List.of(after), PEER, () -> isPlanned, watched::countDown);
         assertThat(watched.await(20, TimeUnit.SECONDS)).isTrue();
         assertThat(mRegistry.find(REQUEST).crashes()).isEqualTo(crashes);
     }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/RunGuardTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/quarantine/RunGuardTest.java
@@ -7,6 +7,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,7 +39,7 @@
 
     private void crash(int times) {
         for (int i = 0; i < times; i++) {
-            mReports.crashed(mReports.find(Fingerprints.of("a")).afterCrash(0, 0));
+            mReports.crashed(List.of(mReports.find(Fingerprints.of("a")).afterCrash(0, 0)));
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashReports.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/CrashReports.java
@@ -48,6 +48,7 @@
     private final AtomicLong mCrashes = new AtomicLong();
     private final AtomicLong mRefusals = new AtomicLong();
     private final AtomicInteger mWatched = new AtomicInteger();
+    private final PartHistory mParts;
 
     /**
      * Creates an instance without any reports.
@@ -95,6 +96,7 @@
         mWatch = watch;
         mRunLock = runLock;
         mUnconfirmed = new UnconfirmedCrashes(clock);
+        mParts = new PartHistory(clock);
     }
 
     /**
@@ -106,6 +108,15 @@
         return mRegistry.isEmpty();
     }
 
+    /**
+     * Returns what this instance knows in favour of parts of prompts.
+     *
+     * @return the live history
+     */
+    public PartHistory parts() {
+        return mParts;
+    }
+
     /**
      * Returns the record of a request.
      *
@@ -148,11 +159,11 @@
     /**
      * Reports that an upstream has crashed.
      *
-     * @param after record of the request that it was running, including this crash
+     * @param after records of the suspects, including this crash
      */
-    public void crashed(CrashRecord after) {
+    public void crashed(List<CrashRecord> after) {
         mCrashes.incrementAndGet();
-        announce(mRegistry.merge(List.of(after)));
+        announce(mRegistry.merge(after));
     }
 
     /**
@@ -162,12 +173,12 @@
      * missing answer proves nothing.
      *
      * @param failure how the call failed
-     * @param after record of the request that it was running, including a crash
+     * @param after records of the suspects, including a crash
      * @param upstream incarnation of the upstream
      * @param peer address of the upstream
      */
     public void suspectedCrash(
-            Failure failure, CrashRecord after, Incarnation upstream, Peer peer) {
+            Failure failure, List<CrashRecord> after, Incarnation upstream, Peer peer) {
         if (failure instanceof Failure.Broken && hasTerminated(peer, mProbe.probe(peer))) {
             crashed(after);
         } else {
@@ -185,14 +196,14 @@
      * Reports that a run was abandoned by this instance because its caller disconnected. The
      * upstream may continue the run for a moment and crash unnoticed, so it is watched.
      *
-     * @param after record of the request, including a crash
+     * @param after records of the suspects, including a crash
      * @param peer address of the upstream
      * @param isPlanned returns whether the upstream had announced its departure; called when it has
      *     terminated
      * @param onWatchEnd called once when the watch is over, whatever its result
      */
     public void abandoned(
-            CrashRecord after, Peer peer, BooleanSupplier isPlanned, Runnable onWatchEnd) {
+            List<CrashRecord> after, Peer peer, BooleanSupplier isPlanned, Runnable onWatchEnd) {
         if (mWatched.incrementAndGet() > MAX_WATCHED) {
             mWatched.decrementAndGet();
             onWatchEnd.run();
@@ -202,7 +213,7 @@
     }
 
     private void watch(
-            CrashRecord after, Peer peer, BooleanSupplier isPlanned, Runnable onWatchEnd) {
+            List<CrashRecord> after, Peer peer, BooleanSupplier isPlanned, Runnable onWatchEnd) {
         try {
             if (mWatch.awaitTermination(peer, WATCH_DURATION)
                     && !isPlanned.getAsBoolean()
@@ -245,14 +256,15 @@
 
     private void announce(List<CrashRecord> changed) {
         for (CrashRecord record : changed) {
+            String kind = record.fingerprint().isPart() ? "prompt part" : "request";
             if (record.isQuarantined()) {
                 LOG.warn(
-                        "request %s is quarantined: %d consecutive upstream crashes",
-                        record.fingerprint(), record.crashes());
+                        "%s %s is quarantined: %d consecutive upstream crashes",
+                        kind, record.fingerprint(), record.crashes());
             } else {
                 LOG.info(
-                        "request %s: %d crashes of upstreams in a row",
-                        record.fingerprint(), record.crashes());
+                        "%s %s: %d crashes of upstreams in a row",
+                        kind, record.fingerprint(), record.crashes());
             }
             mAnnouncer.announce(record);
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/RunGuard.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/RunGuard.java
@@ -5,18 +5,23 @@
  */
 package org.orchidmount.quarantine;
 
+import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.membership.Incarnation;
 
 /**
  * Checks before each run of one request whether it may run, and reports the crashes of its runs.
+ * The suspects of a crash are the whole request and each part of its prompt that no engine is known
+ * to have survived.
  *
- * <p>Invariant: a crash is added to the record that was known when the run began. The fingerprint
- * is computed when it is first needed, so that requests incur no cost while no crash is known.
- * Confined to one thread.
+ * <p>Invariant: a crash is added to the records that were known when the run began. The fingerprint
+ * of a request is computed when it is first needed, so that requests incur no cost while no crash
+ * is known. Confined to one thread.
  */
 public final class RunGuard implements AutoCloseable {
     /** Number of crashes from which copies of a request to a model engine run one at a time. */
@@ -29,15 +34,23 @@
     public static final int SERIALIZE_PLAIN_AFTER = 2;
 
     private final CrashReports mReports;
-    private final Supplier<RequestFingerprint> mFingerprintSupplier;
-    private final int mSerializeAfter;
-    private RequestFingerprint mFingerprint;
+    private final Suspect mRequest;
+    private final Optional<PromptParts> mParts;
+    private final List<Suspect> mPartSuspects;
 
-    /** Record that was known when the current run began; null if no crash was known. */
-    private CrashRecord mKnownRecord;
-
-    /** Whether this request holds the right to run among its copies. */
-    private boolean mHasRunLock;
+    /**
+     * Creates a guard of a request whose prompt shares no parts.
+     *
+     * @param reports crash reports of this instance
+     * @param fingerprintSupplier computes the fingerprint of the request
+     * @param serializeAfter number of crashes from which copies of the request run one at a time
+     */
+    public RunGuard(
+            CrashReports reports,
+            Supplier<RequestFingerprint> fingerprintSupplier,
+            int serializeAfter) {
+        this(reports, fingerprintSupplier, serializeAfter, Optional.empty());
+    }
 
     /**
      * Creates a guard.
@@ -45,14 +58,20 @@
      * @param reports crash reports of this instance
      * @param fingerprintSupplier computes the fingerprint of the request
      * @param serializeAfter number of crashes from which copies of the request run one at a time
+     * @param parts the parts of its prompt; empty if it has none
      */
     public RunGuard(
             CrashReports reports,
             Supplier<RequestFingerprint> fingerprintSupplier,
-            int serializeAfter) {
+            int serializeAfter,
+            Optional<PromptParts> parts) {
         mReports = reports;
-        mFingerprintSupplier = fingerprintSupplier;
-        mSerializeAfter = serializeAfter;
+        mRequest = new Suspect(reports, fingerprintSupplier, serializeAfter);
+        mParts = parts;
+        mPartSuspects =
+                parts.map(PromptParts::all).orElse(List.of()).stream()
+                        .map(part -> new Suspect(reports, () -> part, SERIALIZE_PROMPTS_AFTER))
+                        .toList();
     }
 
     /**
@@ -61,49 +80,45 @@
      * @return the fingerprint
      */
     public RequestFingerprint fingerprint() {
-        if (mFingerprint == null) {
-            mFingerprint = mFingerprintSupplier.get();
-        }
-        return mFingerprint;
+        return mRequest.fingerprint();
+    }
+
+    /** Returns the parts of the prompt that may be what crashes engines. */
+    private Stream<Suspect> suspectedParts() {
+        return mPartSuspects.stream()
+                .filter(part -> mParts.orElseThrow().maySuspect(part.fingerprint()));
+    }
+
+    /**
+     * Returns the fingerprints of the parts of the prompt that may be what crashes engines.
+     *
+     * @return the fingerprints, in the order of the parts
+     */
+    public List<RequestFingerprint> suspectedPartFingerprints() {
+        return suspectedParts().map(Suspect::fingerprint).toList();
     }
 
     /**
      * Returns whether the request must not be run any more.
      *
-     * @return true if too many upstreams have crashed while running it
+     * @return true if too many upstreams have crashed while running it, or prompts with a part of
+     *     it
      */
     public boolean isQuarantined() {
-        return !mReports.isEmpty() && mReports.find(fingerprint()).isQuarantined();
+        return mRequest.isQuarantined()
+                || !mReports.isEmpty() && suspectedParts().anyMatch(Suspect::isQuarantined);
     }
 
     /**
      * Begins a run. Must be called immediately before the run, since a crash of this run is counted
      * in addition to all those known by then.
      *
-     * @return false if the request must not run now, because it is quarantined or another copy of
-     *     it is running
+     * @return false if the request must not run now, because it is quarantined or another request
+     *     that shares a suspect with it is running
      */
     public boolean tryBeginRun() {
-        mKnownRecord = mReports.isEmpty() ? null : mReports.find(fingerprint());
-        if (mKnownRecord == null) {
-            return true;
-        }
-        return !mKnownRecord.isQuarantined()
-                && tryAcquireRunLock()
-                && !mKnownRecord.isQuarantined();
-    }
-
-    /**
-     * Reloads the record after acquiring the run lock, since the previous holder may have added a
-     * crash.
-     */
-    private boolean tryAcquireRunLock() {
-        if (mKnownRecord.crashes() < mSerializeAfter || mHasRunLock) {
-            return true;
-        }
-        mHasRunLock = mReports.tryAcquireRunLock(fingerprint());
-        mKnownRecord = mReports.find(fingerprint());
-        return mHasRunLock;
+        return mRequest.tryBeginRun()
+                && (mReports.isEmpty() || suspectedParts().allMatch(Suspect::tryBeginRun));
     }
 
     /**
@@ -131,8 +146,9 @@
     }
 
     /**
-     * Reports that the current run was abandoned because its caller disconnected. Copies of the
-     * request wait for the run lock until it is known whether the upstream survives.
+     * Reports that the current run was abandoned because its caller disconnected. Requests that
+     * share a suspect with it wait for the run lock until it is known whether the upstream
+     * survives.
      *
      * @param peer address of the upstream
      * @param isPlanned returns whether the upstream has announced its departure
@@ -141,36 +157,45 @@
      */
     public void abandoned(
             Peer peer, BooleanSupplier isPlanned, long resumePosition, long position) {
-        boolean hadRunLock = mHasRunLock;
-        mHasRunLock = false;
-        mReports.abandoned(
-                afterCrash(resumePosition, position),
-                peer,
-                isPlanned,
-                () -> {
-                    if (hadRunLock) {
-                        mReports.releaseRunLock(fingerprint());
-                    }
-                });
+        List<CrashRecord> after = afterCrash(resumePosition, position);
+        List<Suspect> locked = suspects().filter(Suspect::takeRunLock).toList();
+        mReports.abandoned(after, peer, isPlanned, () -> locked.forEach(Suspect::releaseRunLock));
     }
 
-    private CrashRecord afterCrash(long resumePosition, long position) {
-        CrashRecord before = mKnownRecord == null ? CrashRecord.none(fingerprint()) : mKnownRecord;
-        return before.afterCrash(resumePosition, position);
+    private Stream<Suspect> suspects() {
+        return Stream.concat(Stream.of(mRequest), mPartSuspects.stream());
+    }
+
+    /**
+     * Returns the records of all suspects, including a crash. A part crashes its upstream at the
+     * beginning of the output, so the position says nothing of it.
+     */
+    private List<CrashRecord> afterCrash(long resumePosition, long position) {
+        return Stream.concat(
+                        Stream.of(mRequest.afterCrash(resumePosition, position)),
+                        suspectedParts().map(part -> part.afterCrash(0, 0)))
+                .toList();
     }
 
     /** Reports that an upstream has survived the request. */
     public void survived() {
-        if (!mReports.isEmpty()) {
-            mReports.survived(fingerprint());
-        }
+        mRequest.survived();
+        partsSurvived();
+    }
+
+    /**
+     * Reports that an upstream has written an answer for longer than one that crashes on a part of
+     * the prompt does.
+     */
+    public void partsSurvived() {
+        mParts.ifPresent(PromptParts::proven);
+        mPartSuspects.forEach(Suspect::survived);
+        mPartSuspects.forEach(Suspect::close);
     }
 
-    /** Releases the run lock, so that another copy of the request can run. */
+    /** Releases the run locks, so that other requests that share a suspect can run. */
     @Override
     public void close() {
-        if (mHasRunLock) {
-            mReports.releaseRunLock(fingerprint());
-        }
+        suspects().forEach(Suspect::close);
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/UnconfirmedCrashes.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/UnconfirmedCrashes.java
@@ -34,7 +34,7 @@
     private final List<Unconfirmed> mUnconfirmed = new ArrayList<>();
 
     private record Unconfirmed(
-            CrashRecord after, Incarnation upstream, String address, long sinceNanos) {
+            List<CrashRecord> after, Incarnation upstream, String address, long sinceNanos) {
         boolean isExpired(long nowNanos) {
             return nowNanos - sinceNanos > CONFIRMATION_TIMEOUT.toNanos();
         }
@@ -61,11 +61,11 @@
     /**
      * Adds a suspected crash that awaits its confirmation.
      *
-     * @param after record of the request that the upstream was running, including the crash
+     * @param after records of the suspects, including the crash
      * @param upstream incarnation of the upstream
      * @param address host and port at which it listened
      */
-    void add(CrashRecord after, Incarnation upstream, String address) {
+    void add(List<CrashRecord> after, Incarnation upstream, String address) {
         long nowNanos = mClock.nanoTime();
         try (OrderedLock.Held _ = mLock.hold()) {
             mUnconfirmed.removeIf(old -> old.isExpired(nowNanos));
@@ -80,11 +80,11 @@
      * Processes a registration.
      *
      * @param registration the registration
-     * @return records of the crashes that it confirms
+     * @return for each crash that it confirms, the records of the suspects
      */
-    List<CrashRecord> takeConfirmed(Registration registration) {
+    List<List<CrashRecord>> takeConfirmed(Registration registration) {
         long nowNanos = mClock.nanoTime();
-        List<CrashRecord> confirmed = new ArrayList<>();
+        List<List<CrashRecord>> confirmed = new ArrayList<>();
         try (OrderedLock.Held _ = mLock.hold()) {
             mUnconfirmed.removeIf(
                     old -> old.isExpired(nowNanos) || old.isPlannedDeparture(registration));
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -18,6 +18,7 @@
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.http.HttpHead;
 import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.quarantine.PartHistory;
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.relay.UpstreamCall.Phase;
 import org.orchidmount.routes.RequestKind;
@@ -332,10 +333,15 @@
         long before = stream.lastEventId();
         StreamTiming timing = new StreamTiming(mContext.clock(), mArrivedNanos);
         mTiming = Optional.of(timing);
+        boolean isProven = false;
         for (byte[] part = call.read(timeLeft()); part != null; part = call.read(timeLeft())) {
             boolean first = timing.recordPart();
             recordFirstResponse();
             stream.part(part);
+            if (!isProven && timing.isLongerThan(PartHistory.PROVEN_AFTER)) {
+                isProven = true;
+                mCrashReporter.partsSurvived();
+            }
             mTracker.ifPresent(tracker -> tracker.generated(stream.lastEventId() - before));
             if (first) {
                 mContext.upstreams().release(assignment);
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/CrashReporter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/CrashReporter.java
@@ -9,8 +9,10 @@
 import org.orchidmount.errors.Failure;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.quarantine.CrashReports;
+import org.orchidmount.quarantine.PromptParts;
 import org.orchidmount.quarantine.RequestFingerprint;
 import org.orchidmount.quarantine.RunGuard;
+import org.orchidmount.routes.Service;
 import org.orchidmount.upstream.CancelSignal;
 
 /**
@@ -31,7 +33,8 @@
     private final CrashReports mReports;
     private final RunGuard mGuard;
 
-    CrashReporter(RelayContext context, RelayRequest request, CancelSignal cancel) {
+    CrashReporter(
+            RelayContext context, RelayRequest request, Service service, CancelSignal cancel) {
         mContext = context;
         mRequest = request;
         mCancel = cancel;
@@ -42,7 +45,13 @@
                         this::fingerprint,
                         request.prompt().isPresent()
                                 ? RunGuard.SERIALIZE_PROMPTS_AFTER
-                                : RunGuard.SERIALIZE_PLAIN_AFTER);
+                                : RunGuard.SERIALIZE_PLAIN_AFTER,
+                        request.prompt().map(prompt -> parts(prompt, service)));
+    }
+
+    private PromptParts parts(RelayRequest.Prompt prompt, Service service) {
+        return new PromptParts(
+                mReports.parts(), mRequest.route().name(), service.name(), prompt.sharedParts());
     }
 
     private RequestFingerprint fingerprint() {
@@ -109,13 +118,14 @@
                 Millis.ofNanos(mContext.clock().nanoTime() - assignment.assignedNanos());
         LOG.info(
                 "%s: connection broken: %s; fingerprint %s, %.0f ms after placement, from event %d"
-                        + " to %d, sequences in flight at the upstream: %s",
+                        + " to %d, suspected parts %s, sequences in flight at the upstream: %s",
                 mRequest.id(),
                 failure.describe(),
                 mGuard.fingerprint(),
                 elapsedMillis,
                 fromEventId,
                 toEventId,
+                mGuard.suspectedPartFingerprints(),
                 mContext.loads().sequencesAt(assignment.id()));
     }
 
@@ -124,6 +134,11 @@
         mGuard.survived();
     }
 
+    /** Records that an upstream has written an answer for so long that no part of it crashes. */
+    void partsSurvived() {
+        mGuard.partsSurvived();
+    }
+
     /** Records that the request was refused because it is quarantined. */
     void refused() {
         LOG.info(
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRequest.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayRequest.java
@@ -8,6 +8,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.orchidmount.routes.ClientAccount;
@@ -79,16 +80,30 @@
      * @param lastEventId the id of the last event that the caller has received; 0 for none
      * @param continuedRequestId the id of the request that brought the first event of the stream
      *     that this one continues; empty if the caller states none
+     * @param sharedParts the ids of the parts of the prompt that other prompts may share, in their
+     *     order: all but the last
      */
     public record Prompt(
             int tokens,
             int maxOutputTokens,
             int expectedOutputTokens,
             long lastEventId,
-            Optional<String> continuedRequestId) {
-        /** Creates the properties of a request that names no other one. */
+            Optional<String> continuedRequestId,
+            List<String> sharedParts) {
+        /** Creates the properties of a prompt. */
+        public Prompt {
+            sharedParts = List.copyOf(sharedParts);
+        }
+
+        /** Creates the properties of a request that names no other one and shares no parts. */
         public Prompt(int tokens, int maxOutputTokens, int expectedOutputTokens, long lastEventId) {
-            this(tokens, maxOutputTokens, expectedOutputTokens, lastEventId, Optional.empty());
+            this(
+                    tokens,
+                    maxOutputTokens,
+                    expectedOutputTokens,
+                    lastEventId,
+                    Optional.empty(),
+                    List.of());
         }
 
         /**
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -86,7 +86,7 @@
         mCancel = cancel;
         mIsStillAllowed = isStillAllowed;
         mProgress = new RequestProgress(context.clock(), request.id());
-        mCrashReporter = new CrashReporter(context, request, cancel);
+        mCrashReporter = new CrashReporter(context, request, service, cancel);
         mBinding = new StreamBinding(context.origins(), request, service, context.clock());
         boolean isClientRetry = isClientRetry();
         mEngines =
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/StreamTiming.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/StreamTiming.java
@@ -5,6 +5,7 @@
  */
 package org.orchidmount.relay;
 
+import java.time.Duration;
 import org.orchidmount.clock.Millis;
 import org.orchidmount.clock.MonotonicClock;
 
@@ -51,6 +52,11 @@
         return Math.round(Millis.ofNanos(mLongestPauseNanos));
     }
 
+    /** Returns whether more time than this lies between the first and the latest part. */
+    boolean isLongerThan(Duration time) {
+        return mLatestNanos - mFirstNanos > time.toNanos();
+    }
+
     /** Returns the time between the first and the latest part. */
     double durationMillis() {
         return Millis.ofNanos(mLatestNanos - mFirstNanos);
