--- a/org.orchidmount/src/main/java/org/orchidmount/quarantine/PartHistory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/quarantine/PartHistory.java
@@ -21,7 +21,7 @@
  * one that begins to write an answer, so a part with which one has written an answer is no suspect,
  * whatever crashes it is present at; and neither is one that nearly all prompts of a route share.
  *
- * <p>Invariant: holds a bounded number of parts, the least recently proven are forgotten first.
+ * <p>Invariant: holds a bounded number of parts, the least recently used are forgotten first.
  * Thread-safe.
  */
 public final class PartHistory {
@@ -33,6 +33,9 @@
 
     private static final int MAX_PARTS = 16_384;
 
+    /** Routes whose recent prompts are held; tables name new ones all day. */
+    private static final int MAX_ROUTES = 512;
+
     /** Recent prompts of a route that are looked at. */
     private static final int RECENT_PROMPTS = 64;
 
@@ -43,14 +46,25 @@
 
     private final OrderedLock mLock = new OrderedLock(LockRank.QUARANTINE);
     private final MonotonicClock mClock;
-    private final Map<String, Recent> mRecentByRoute = new HashMap<>();
-    private final Map<RequestFingerprint, Long> mProvenNanos =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<RequestFingerprint, Long> eldest) {
-                    return size() > MAX_PARTS;
-                }
-            };
+    private final Map<String, Recent> mRecentByRoute = new BoundedMap<>(MAX_ROUTES);
+    private final Map<RequestFingerprint, Long> mProvenNanos = new BoundedMap<>(MAX_PARTS);
+
+    /** A map that forgets what was used the longest ago. */
+    private static final class BoundedMap<K, V> extends LinkedHashMap<K, V> {
+        private static final long serialVersionUID = 1;
+        private static final float LOAD_FACTOR = 0.75f;
+        private final int mCapacity;
+
+        BoundedMap(int capacity) {
+            super(16, LOAD_FACTOR, true);
+            mCapacity = capacity;
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+            return size() > mCapacity;
+        }
+    }
 
     /** The recent prompts of one route. */
     private static final class Recent {
