A continued stream that is not named goes on while one version serves

Change: such a request is bound to the only version of its service, if all upstreams known here, those that have left included, state the same, and a voter in contact with a quorum was heard within 1.6 s. A stream that is named and not known is still refused. The line of a refusal names the stream.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StreamOriginsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/StreamOriginsTest.java
@@ -110,7 +110,8 @@
             Thread.ofVirtual().start(peer::run);
             Thread.ofVirtual().start(link::run);
             EntryStreams streams =
-                    new EntryStreams("e", "zone-0", tasks, new SystemMonotonicClock());
+                    new EntryStreams(
+                            "e", "zone-0", tasks, () -> Duration.ZERO, new SystemMonotonicClock());
             streams.begun("id-1", ORIGIN, LIFETIME);
             streams.linked(
                     link, new Greeting(VoterNode.PROTOCOL, "voter", "zone-0", null, capabilities));
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamDirectoryTest.java
@@ -545,6 +545,19 @@
         return new Registration(id, "s", "10.0.0.9:80", "a", 4, Stage.PREFILL, State.READY, 1);
     }
 
+    /** Guards against a version that is guessed while there is another one, or an unknown one. */
+    @ParameterizedTest
+    @CsvSource({"v1, v1", "v2, ''", "'', ''"})
+    void aServiceHasAnOnlyVersionIfAllItsUpstreamsStateIt(String other, String only) {
+        mDirectory.update(ready("i-a", "a", 1).withVersion(Optional.of("v1")));
+        Registration second =
+                ready("i-b", "a", 2)
+                        .withVersion(Optional.of(other).filter(version -> !version.isEmpty()));
+        mDirectory.update(second);
+        mDirectory.update(second.withState(State.GONE));
+        assertThat(mDirectory.onlyVersion("s", Stage.NONE).orElse("")).isEqualTo(only);
+    }
+
     /**
      * Guards against a heartbeat of an incarnation that has crashed, which arrives once another one
      * is registered at its address: the other one must get work again.
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -212,7 +212,7 @@
         mQuotaRequests = new QuotaRequests(node.hashCode());
         mRecords = new EntryRecords(node, clock);
         mSharedState = new EntrySharedState(zone, this::sendSharedState, mTasks, clock);
-        mStreams = new EntryStreams(node, zone, mTasks, clock);
+        mStreams = new EntryStreams(node, zone, mTasks, this::timeSinceConfirmation, clock);
         mStartNanos = clock.nanoTime();
         mTableRequestedNanos = mStartNanos - TABLE_REQUEST_INTERVAL.toNanos();
         mLastUnlinkedNanos = mStartNanos;
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryStreams.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryStreams.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.cluster.ClusterMessage.Greeting;
@@ -45,9 +46,13 @@
     /** Time for a reply; well above a round trip within a site. */
     private static final Duration REPLY_TIMEOUT = Duration.ofMillis(300);
 
+    /** Longest time between two notices of a voter in contact with a quorum, with a margin. */
+    private static final Duration CONFIRMED_WITHIN = Duration.ofMillis(1_600);
+
     private final String mInstance;
     private final String mZone;
     private final TaskThread mTasks;
+    private final Supplier<Duration> mSinceConfirmation;
     private final StreamRegistry mKnown;
 
     /** Streams that began here. */
@@ -70,7 +75,22 @@
         }
     }
 
-    EntryStreams(String instance, String zone, TaskThread tasks, MonotonicClock clock) {
+    /**
+     * Creates an instance.
+     *
+     * @param instance name of this entry
+     * @param zone its availability zone
+     * @param tasks the entry's thread
+     * @param sinceConfirmation returns the time since a voter with contact to a quorum was heard
+     * @param clock the clock
+     */
+    EntryStreams(
+            String instance,
+            String zone,
+            TaskThread tasks,
+            Supplier<Duration> sinceConfirmation,
+            MonotonicClock clock) {
+        mSinceConfirmation = sinceConfirmation;
         mInstance = instance;
         mZone = zone;
         mTasks = tasks;
@@ -133,6 +153,11 @@
         return found.map(StreamRecord::origin);
     }
 
+    @Override
+    public boolean knowsAllUpstreams() {
+        return mSinceConfirmation.get().compareTo(CONFIRMED_WITHIN) < 0;
+    }
+
     private Optional<StreamRecord> ask(StreamKey key) throws InterruptedException {
         CompletableFuture<Optional<StreamRecord>> result = new CompletableFuture<>();
         mTasks.post(() -> search(key, result));
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -87,7 +87,13 @@
         mIsStillAllowed = isStillAllowed;
         mProgress = new RequestProgress(context.clock(), request.id());
         mCrashReporter = new CrashReporter(context, request, service, cancel);
-        mBinding = new StreamBinding(context.origins(), request, service, context.clock());
+        mBinding =
+                new StreamBinding(
+                        context.origins(),
+                        request,
+                        service,
+                        () -> context.upstreams().onlyVersion(service.name(), stage()),
+                        context.clock());
         boolean isClientRetry = isClientRetry();
         mEngines =
                 request.prompt()
@@ -336,8 +342,9 @@
     private End refuseContinuation() throws IOException, TimeoutException, InterruptedException {
         boolean isUnknown = mBinding.cause() == StreamBinding.Cause.UNKNOWN;
         LOG.info(
-                "%s: the stream cannot be continued: %s",
+                "%s: the stream of %s cannot be continued: %s",
                 mRequest.id(),
+                mBinding.continuedRequestId(),
                 isUnknown
                         ? "the version that began it is not known here"
                         : "no upstream of the version that began it serves");
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/StreamBinding.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/StreamBinding.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.membership.Registration;
 import org.orchidmount.membership.VersionConstraint;
@@ -26,6 +27,7 @@
     private final StreamOrigins mOrigins;
     private final RelayRequest mRequest;
     private final Service mService;
+    private final Supplier<Optional<String>> mOnlyVersion;
     private final MonotonicClock mClock;
     private VersionConstraint mConstraint = VersionConstraint.ANY;
     private Cause mCause = Cause.NONE;
@@ -38,12 +40,30 @@
         FIRST_EVENT,
         /** The origin of the stream that it continues. */
         CONTINUED,
+        /**
+         * It continues a stream without naming it, while all known upstreams are of one version.
+         */
+        ONLY_VERSION,
         /** It continues a stream of which no instance that could be asked knows the origin. */
         UNKNOWN
     }
 
+    /**
+     * Creates the binding of a request.
+     *
+     * @param origins the origins of streams
+     * @param request the request
+     * @param service the service that runs it
+     * @param onlyVersion returns the version of all upstreams of the service, if it is one
+     * @param clock the clock
+     */
     StreamBinding(
-            StreamOrigins origins, RelayRequest request, Service service, MonotonicClock clock) {
+            StreamOrigins origins,
+            RelayRequest request,
+            Service service,
+            Supplier<Optional<String>> onlyVersion,
+            MonotonicClock clock) {
+        mOnlyVersion = onlyVersion;
         mOrigins = origins;
         mRequest = request;
         mService = service;
@@ -55,18 +75,26 @@
         if (mRequest.prompt().filter(RelayRequest.Prompt::isContinuation).isEmpty()) {
             return;
         }
-        Optional<StreamOrigin> origin = findOrigin();
-        mCause = origin.isPresent() ? Cause.CONTINUED : Cause.UNKNOWN;
+        Optional<String> firstId =
+                mRequest.prompt().flatMap(RelayRequest.Prompt::continuedRequestId);
+        Optional<StreamOrigin> origin =
+                firstId.isPresent() ? mOrigins.find(firstId.get()) : originOfUnnamed();
+        mCause = origin.isEmpty() ? Cause.UNKNOWN : causeOf(firstId);
         mConstraint =
                 origin.filter(known -> known.service().equals(mService.name()))
                         .map(known -> VersionConstraint.version(known.version()))
                         .orElse(upstream -> false);
     }
 
-    private Optional<StreamOrigin> findOrigin() throws InterruptedException {
-        Optional<String> firstId =
-                mRequest.prompt().flatMap(RelayRequest.Prompt::continuedRequestId);
-        return firstId.isPresent() ? mOrigins.find(firstId.get()) : Optional.empty();
+    private static Cause causeOf(Optional<String> firstId) {
+        return firstId.isPresent() ? Cause.CONTINUED : Cause.ONLY_VERSION;
+    }
+
+    /** A caller that does not name the stream is served only where there is nothing to choose. */
+    private Optional<StreamOrigin> originOfUnnamed() {
+        return mOrigins.knowsAllUpstreams()
+                ? mOnlyVersion.get().map(version -> new StreamOrigin(mService.name(), version))
+                : Optional.empty();
     }
 
     /** Binds the request to the upstream whose event is about to be sent first. */
@@ -84,6 +112,13 @@
         }
     }
 
+    /** Returns the id of the request that this one states to continue, for logs. */
+    String continuedRequestId() {
+        return mRequest.prompt()
+                .flatMap(RelayRequest.Prompt::continuedRequestId)
+                .orElse("an unnamed request");
+    }
+
     /** Returns the upstreams that may run the request now. */
     VersionConstraint constraint() {
         return mConstraint;
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -283,6 +283,26 @@
         }
     }
 
+    /**
+     * Returns the only software version of a service, if all its upstreams that are known state the
+     * same one, those that have left included.
+     *
+     * @param service the service
+     * @param stage the stage of the upstreams
+     * @return the version; empty if there are several, or one is not known
+     */
+    Optional<String> onlyVersion(String service, Stage stage) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            Set<Optional<String>> versions =
+                    mUpstreams.ofService(service).stream()
+                            .map(Upstream::registration)
+                            .filter(each -> each.stage() == stage)
+                            .map(Registration::version)
+                            .collect(Collectors.toSet());
+            return versions.size() == 1 ? versions.iterator().next() : Optional.empty();
+        }
+    }
+
     /**
      * Returns the number of requests that the upstreams of a service process concurrently.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/stream/LocalStreamOrigins.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/stream/LocalStreamOrigins.java
@@ -32,4 +32,9 @@
     public Optional<StreamOrigin> find(String requestId) {
         return mStreams.find(StreamKey.of(requestId)).map(StreamRecord::origin);
     }
+
+    @Override
+    public boolean knowsAllUpstreams() {
+        return true;
+    }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/stream/StreamOrigins.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/stream/StreamOrigins.java
@@ -29,4 +29,11 @@
      * @throws InterruptedException if the thread is interrupted
      */
     Optional<StreamOrigin> find(String requestId) throws InterruptedException;
+
+    /**
+     * Returns whether this instance knows all upstreams of the site, as far as it can tell.
+     *
+     * @return false if a registration may have been received elsewhere and not here
+     */
+    boolean knowsAllUpstreams();
 }
