One place defines what counts as a retry

Cause: two rules for one question. Prefiller let the first prefill of a request pass unpaid, accepted or not, and AttemptRule let the first run pass unpaid, whatever prefills had been refused before it. A refused prefill and a run elsewhere were two arrivals, and nothing was charged.

Change: retry.ArrivalHistory defines what counts (every arrival but the first prefill that is accepted; what may have been sent counts), and retry.RequestRetries charges it when it is sent, in both phases, for refusals, resets, uncertain sends and streams that go on. A request that is given up for want of retries ends as REFUSED_RETRY_LIMIT, and its log line says so.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/AvailableMemoryTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/AvailableMemoryTest.java
@@ -50,7 +50,6 @@
             new RelayContext(
                     mUpstreams,
                     null,
-                    null,
                     new ConcurrentHashMap<>(),
                     new UrgentArrivals(mClock, () -> 1),
                     null,
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/EndClassifierTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/EndClassifierTest.java
@@ -74,7 +74,7 @@
             long ageMillis,
             RequestEnd end) {
         pass(Activity.PLACEMENT, ageMillis);
-        AttemptRule.History history = new AttemptRule.History(attempts, attempts, executions);
+        AttemptRule.History history = new AttemptRule.History(attempts, executions);
         assertThat(
                         classify(
                                 last,
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/FullUpstreamsTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/FullUpstreamsTest.java
@@ -41,7 +41,6 @@
                     null,
                     null,
                     null,
-                    null,
                     null);
 
     private void register(String id, String service, Stage stage, State state) {
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/RoomWaitTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/RoomWaitTest.java
@@ -116,7 +116,6 @@
         return new RelayContext(
                 mUpstreams,
                 null,
-                null,
                 new ConcurrentHashMap<>(),
                 null,
                 null,
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamEvidenceUseTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/UpstreamEvidenceUseTest.java
@@ -225,7 +225,6 @@
         return new RelayContext(
                 mDirectory,
                 null,
-                null,
                 new ConcurrentHashMap<>(),
                 null,
                 null,
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
@@ -27,6 +27,8 @@
         GIVEN_UP,
         /** The request was refused because upstreams crash when they run it. */
         QUARANTINED,
+        /** The request was given up because the limit on retries is used up. */
+        RETRIES_EXHAUSTED,
         /** Refused: it continues a stream whose origin is not known here. */
         ORIGIN_UNKNOWN,
         /** Refused: it continues a stream of a version of which no upstream serves. */
@@ -72,6 +74,7 @@
             case SERVED -> served(facts);
             case UPSTREAM_ERROR -> RequestEnd.UPSTREAM_ERROR;
             case GIVEN_UP -> givenUp(facts);
+            case RETRIES_EXHAUSTED -> retriesExhausted(facts);
             case QUARANTINED -> quarantined(facts);
             case ORIGIN_UNKNOWN -> RequestEnd.REFUSED_ORIGIN_UNKNOWN;
             case VERSION_GONE -> RequestEnd.REFUSED_VERSION_GONE;
@@ -90,6 +93,10 @@
                 : RequestEnd.REFUSED_QUARANTINED;
     }
 
+    private static RequestEnd retriesExhausted(Facts facts) {
+        return facts.history().executions() > 0 ? givenUp(facts) : RequestEnd.REFUSED_RETRY_LIMIT;
+    }
+
     /**
      * Returns the time that a request has waited for a placement, including the reservation of
      * memory.
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -14,6 +14,7 @@
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.relay.RequestProgress.Activity;
+import org.orchidmount.retry.RequestRetries;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.EngineSpeed;
 import org.orchidmount.routing.MemoryRule;
@@ -66,6 +67,7 @@
             CancelSignal cancel,
             RequestProgress progress,
             CrashReporter crashReporter,
+            RequestRetries retries,
             StreamBinding binding) {
         mContext = context;
         mBinding = binding;
@@ -102,7 +104,8 @@
                         mTracker,
                         cancel,
                         progress,
-                        crashReporter);
+                        crashReporter,
+                        retries);
         mSearch =
                 new EngineSearch(
                         context,
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Prefiller.java
@@ -22,6 +22,8 @@
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.relay.RequestProgress.Activity;
 import org.orchidmount.relay.UpstreamCall.Phase;
+import org.orchidmount.retry.ArrivalHistory;
+import org.orchidmount.retry.RequestRetries;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.EngineSpeed;
 import org.orchidmount.routing.PrefillRule;
@@ -67,8 +69,8 @@
     private final CancelSignal mCancel;
     private final RequestProgress mProgress;
     private final CrashReporter mCrashReporter;
+    private final RequestRetries mRetries;
     private final long mArrivedNanos;
-    private int mCalls;
     private int mCacheRefusals;
     private Optional<Assignment> mPrefillAssignment = Optional.empty();
     private Optional<KvCacheRef> mUnusedCache = Optional.empty();
@@ -83,7 +85,8 @@
             SequenceTracker tracker,
             CancelSignal cancel,
             RequestProgress progress,
-            CrashReporter crashReporter) {
+            CrashReporter crashReporter,
+            RequestRetries retries) {
         mContext = context;
         mRequest = request;
         mPrompt = prompt;
@@ -92,6 +95,7 @@
         mCancel = cancel;
         mProgress = progress;
         mCrashReporter = crashReporter;
+        mRetries = retries;
         mArrivedNanos = context.clock().nanoTime();
     }
 
@@ -157,10 +161,15 @@
                 break;
             }
             asked.add(assignment.get().incarnation());
-            if (mContext.acquirePermit(assignment.get(), mRequest).isPresent()) {
-                mUnusedCache = prefillAt(assignment.get());
-                discardIfRestarted();
+            if (mContext.acquirePermit(assignment.get(), mRequest).isEmpty()) {
+                continue;
             }
+            if (!mRetries.tryBegin(ArrivalHistory.Phase.PREFILL)) {
+                mContext.upstreams().release(assignment.get());
+                break;
+            }
+            mUnusedCache = prefillAt(assignment.get());
+            discardIfRestarted();
         }
         return mUnusedCache;
     }
@@ -171,16 +180,11 @@
         }
     }
 
-    /** Every call except the first of the request is charged to the retry budget. */
     private boolean mayAsk(int asked) {
-        return !mCancel.isCancelled()
-                && asked < MAX_ENGINES
-                && mCrashReporter.tryBeginRun()
-                && (mCalls == 0 || mContext.retryBudget(mService.name()).tryAcquire());
+        return !mCancel.isCancelled() && asked < MAX_ENGINES && mCrashReporter.tryBeginRun();
     }
 
     private Optional<KvCacheRef> prefillAt(Assignment assignment) {
-        mCalls++;
         int queueTokens = mPrompt.tokens() + mContext.loads().prefillBacklogTokens(assignment.id());
         InFlightSequence unplaced = InFlightSequence.ofPrefill(mRequest.id(), mPrompt.tokens());
         InFlightSequence sequence = mTracker.begin(unplaced, assignment);
@@ -218,6 +222,7 @@
         HttpHead head = protocol.head(mRequest, prefill);
         mProgress.startWaiting(Activity.PREFILL, assignment.id());
         long sentNanos = mContext.clock().nanoTime();
+        ArrivalHistory.Result result = ArrivalHistory.Result.ARRIVED;
         try (CallCancel cancel = new CallCancel(mCancel, assignment);
                 HttpCall call =
                         mContext.connections()
@@ -231,8 +236,15 @@
             ClientResponse response = call.awaitResponse(responseTimeout(assignment));
             call.limitIdle(protocol.idleTimeout(response));
             mContext.responded(assignment, response, sentNanos);
-            return onResponseHead(assignment, call, response);
+            Optional<KvCacheRef> cache = onResponseHead(assignment, call, response);
+            if (cache.isPresent()) {
+                result = ArrivalHistory.Result.ACCEPTED;
+            }
+            return cache;
         } catch (CallFailedException e) {
+            if (!e.failure().mayHaveRun()) {
+                result = ArrivalHistory.Result.NOT_SENT;
+            }
             mContext.callFailed(assignment, e.failure(), mCancel);
             mCrashReporter.failed(assignment, e.failure(), 0, 0);
         } catch (IOException e) {
@@ -240,6 +252,8 @@
                     "%s: cannot parse the prefill response of %s: %s",
                     mRequest.id(), assignment.id(), e.getMessage());
             mContext.upstreams().failed(assignment);
+        } finally {
+            mRetries.ended(ArrivalHistory.Phase.PREFILL, result);
         }
         return Optional.empty();
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -13,11 +13,11 @@
 import java.util.function.IntSupplier;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.http.HttpConnections;
-import org.orchidmount.limits.WindowRetryBudget;
 import org.orchidmount.load.EngineLoads;
 import org.orchidmount.load.SequenceAnnouncer;
 import org.orchidmount.pacing.UpstreamThrottle;
 import org.orchidmount.quarantine.CrashReports;
+import org.orchidmount.retry.RetryBudgets;
 import org.orchidmount.routes.Route;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.ClientRetryDetector;
@@ -36,8 +36,8 @@
      * Creates a relay.
      *
      * @param upstreams the upstreams known to this instance
-     * @param retryLimit the limit on the retries of all instances together
-     * @param instances the number of instances that currently share the limit
+     * @param retries the retries of all services
+     * @param instances the number of instances
      * @param loads the sequences in flight at engines
      * @param announcer announces sequences to the other instances
      * @param crashReports the reports of requests that crash upstreams
@@ -50,7 +50,7 @@
      */
     public Relay(
             UpstreamDirectory upstreams,
-            WindowRetryBudget.Limit retryLimit,
+            RetryBudgets retries,
             IntSupplier instances,
             EngineLoads loads,
             SequenceAnnouncer announcer,
@@ -64,8 +64,7 @@
         mContext =
                 new RelayContext(
                         upstreams,
-                        new ConcurrentHashMap<>(),
-                        () -> new WindowRetryBudget(retryLimit, instances, clock),
+                        retries,
                         new ConcurrentHashMap<>(),
                         new UrgentArrivals(clock, instances),
                         new OutputLengthEstimator(),
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RelayContext.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentMap;
-import java.util.function.Supplier;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
@@ -21,7 +20,6 @@
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.http.HttpHead;
 import org.orchidmount.internal.log.PartLog;
-import org.orchidmount.limits.RetryBudget;
 import org.orchidmount.load.EngineLoads;
 import org.orchidmount.load.SequenceAnnouncer;
 import org.orchidmount.membership.Incarnation;
@@ -31,6 +29,7 @@
 import org.orchidmount.pacing.UpstreamStatement;
 import org.orchidmount.pacing.UpstreamThrottle;
 import org.orchidmount.quarantine.CrashReports;
+import org.orchidmount.retry.RetryBudgets;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.ClientRetryDetector;
 import org.orchidmount.routing.EngineSpeed;
@@ -45,8 +44,7 @@
  * State and services shared by all requests. Every component is thread-safe.
  *
  * @param upstreams the upstreams known to this instance
- * @param retryBudgets the retry budgets by service
- * @param newRetryBudget creates the budget of a service that has none yet
+ * @param retries the retries of all services
  * @param speedEstimators the estimators of engine speed by service
  * @param urgentArrivals the arrivals by rank of urgency
  * @param outputLengths the estimator of output lengths
@@ -63,8 +61,7 @@
  */
 record RelayContext(
         UpstreamDirectory upstreams,
-        ConcurrentMap<String, RetryBudget> retryBudgets,
-        Supplier<RetryBudget> newRetryBudget,
+        RetryBudgets retries,
         ConcurrentMap<String, EngineSpeedEstimator> speedEstimators,
         UrgentArrivals urgentArrivals,
         OutputLengthEstimator outputLengths,
@@ -86,11 +83,6 @@
     /** Timeout of a release call; short, because its response is not needed. */
     private static final Duration RELEASE_TIMEOUT = Duration.ofMillis(500);
 
-    /** Returns the retry budget of a service, created on first use. */
-    RetryBudget retryBudget(String service) {
-        return retryBudgets.computeIfAbsent(service, name -> newRetryBudget.get());
-    }
-
     /** Returns the estimator of the speed of a service's engines, created on first use. */
     EngineSpeedEstimator speedEstimator(String service) {
         return speedEstimators.computeIfAbsent(service, name -> new EngineSpeedEstimator());
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -16,13 +16,14 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import org.orchidmount.internal.log.PartLog;
-import org.orchidmount.limits.RetryBudget;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration.Stage;
 import org.orchidmount.pacing.SendPermit;
 import org.orchidmount.relay.AttemptRunner.FallbackResponse;
 import org.orchidmount.relay.EndClassifier.End;
 import org.orchidmount.relay.RequestProgress.Activity;
+import org.orchidmount.retry.ArrivalHistory;
+import org.orchidmount.retry.RequestRetries;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.AttemptOutcome;
 import org.orchidmount.routing.AttemptRule;
@@ -39,8 +40,9 @@
  * <p>Applies {@link AttemptRule}, {@link FinalOutcome} and {@link RetryAfter}. Invariants: a
  * request that must not run twice is sent to another upstream only after each previous one has
  * stated that it has not run it, or was never reached; the caller is told "not run" only if that
- * holds for all; a quarantined request is sent to no upstream, whatever its attempts are. Retries
- * on this path are made here and in no layer below. Confined to one virtual thread.
+ * holds for all; a quarantined request is sent to no upstream, whatever its attempts are; what
+ * counts as a retry is sent only with a permit of {@link RequestRetries}. Retries on this path are
+ * made here and in no layer below. Confined to one virtual thread.
  */
 final class RequestRelay {
     private static final PartLog LOG = PartLog.of("relay");
@@ -50,7 +52,7 @@
     private final RelayContext mContext;
     private final RelayRequest mRequest;
     private final Service mService;
-    private final RetryBudget mBudget;
+    private final RequestRetries mRetries;
     private final CallerResponse mCaller;
     private final CancelSignal mCancel;
     private final BooleanSupplier mIsStillAllowed;
@@ -81,7 +83,7 @@
         mContext = context;
         mRequest = request;
         mService = service;
-        mBudget = context.retryBudget(service.name());
+        mRetries = new RequestRetries(context.retries().of(service.name()), context.clock());
         mCaller = caller;
         mCancel = cancel;
         mIsStillAllowed = isStillAllowed;
@@ -108,6 +110,7 @@
                                                 cancel,
                                                 mProgress,
                                                 mCrashReporter,
+                                                mRetries,
                                                 mBinding));
         mAttempts =
                 new AttemptRunner(
@@ -146,7 +149,7 @@
     }
 
     private End serve() throws IOException, TimeoutException, InterruptedException {
-        mBudget.recordRequest();
+        mContext.retries().of(mService.name()).recordRequest();
         mBinding.bindContinuation();
         if (!hasUpstream()) {
             return refuseContinuation();
@@ -154,7 +157,6 @@
         while (mayTry()) {
             Optional<Placement> placement = place();
             if (placement.isEmpty()) {
-                refundRetry();
                 break;
             }
             AttemptOutcome outcome = attemptAt(placement.get());
@@ -171,15 +173,8 @@
         return !mCancel.isCancelled()
                 && mIsStillAllowed.getAsBoolean()
                 && AttemptRule.mayTry(mHistory, mRequest.route().attemptLimits(), timeLeft())
-                && mCrashReporter.tryBeginRun()
-                && (!AttemptRule.takesFromBudget(mHistory) || mBudget.tryAcquire());
-    }
-
-    /** Returns the retry to the budget: nothing was sent, so nothing was repeated. */
-    private void refundRetry() {
-        if (AttemptRule.takesFromBudget(mHistory)) {
-            mBudget.refund();
-        }
+                && !mRetries.isExhausted()
+                && mCrashReporter.tryBeginRun();
     }
 
     private Duration timeLeft() {
@@ -255,8 +250,10 @@
             // During the wait for a placement and the prefill, the table may have changed, or the
             // same request may have crashed upstreams elsewhere.
             AttemptOutcome outcome =
-                    mIsStillAllowed.getAsBoolean() && mCrashReporter.tryBeginRun()
-                            ? mAttempts.run(placement, cache, mHistory)
+                    mIsStillAllowed.getAsBoolean()
+                                    && mCrashReporter.tryBeginRun()
+                                    && mRetries.tryBegin(ArrivalHistory.Phase.RUN)
+                            ? run(placement, cache)
                             : AttemptOutcome.NOT_REACHED;
             boolean isAnswered =
                     outcome == AttemptOutcome.ENDED || outcome == AttemptOutcome.MAY_HAVE_RUN;
@@ -273,6 +270,20 @@
         }
     }
 
+    private AttemptOutcome run(Placement placement, Optional<KvCacheRef> cache)
+            throws IOException, TimeoutException, InterruptedException {
+        ArrivalHistory.Result result = ArrivalHistory.Result.ARRIVED;
+        try {
+            AttemptOutcome outcome = mAttempts.run(placement, cache, mHistory);
+            if (outcome == AttemptOutcome.NOT_REACHED) {
+                result = ArrivalHistory.Result.NOT_SENT;
+            }
+            return outcome;
+        } finally {
+            mRetries.ended(ArrivalHistory.Phase.RUN, result);
+        }
+    }
+
     private Optional<KvCacheRef> prefill(Placement placement) throws InterruptedException {
         if (placement.isUnsplit() || mEngines.isEmpty()) {
             return Optional.empty();
@@ -324,7 +335,7 @@
             return End.QUARANTINED;
         }
         refuse();
-        return End.GIVEN_UP;
+        return mRetries.isExhausted() ? End.RETRIES_EXHAUSTED : End.GIVEN_UP;
     }
 
     /** Returns whether an upstream is registered that may run the request. */
@@ -379,18 +390,24 @@
         mIsThrottled = isThrottled();
         FinalOutcome outcome = FinalOutcome.of(mHistory, !timeLeft().isPositive());
         LOG.info(
-                "%s: %s after %d attempts: %s",
+                "%s: %s after %d attempts: %s%s",
                 mRequest.id(),
                 outcome,
                 mHistory.attempts(),
-                mIsThrottled
-                        ? "every upstream is at its stated limit or has asked for a pause"
-                        : mAttempts.lastFailure());
+                mAttempts.lastFailure(),
+                refusalCause());
         Duration retryAfter = retryAfter();
         mReporter.refused(retryAfter, mContext.connections().isCutOff());
         mCaller.refuse(outcome, retryAfter);
     }
 
+    private String refusalCause() {
+        if (mIsThrottled) {
+            return "; every upstream is at its stated limit or has asked for a pause";
+        }
+        return mRetries.isExhausted() ? "; not tried again, the limit on retries is used up" : "";
+    }
+
     /**
      * Returns the time after which the caller may retry; where upstreams state when they accept
      * work, it is based on that.
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
@@ -39,6 +39,11 @@
     REFUSED_CUT_OFF,
     /** Refused: every upstream that was tried refused the request. */
     REFUSED_BY_UPSTREAMS,
+    /**
+     * Refused: an upstream refused the request, and it was not tried again because the limit on the
+     * retries of all instances is used up.
+     */
+    REFUSED_RETRY_LIMIT,
     /** Refused: every eligible upstream has reached the request rate that it announced. */
     REFUSED_UPSTREAM_LIMIT,
     /** Refused: the client account has used up its limit. */
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/AttemptRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/AttemptRule.java
@@ -11,10 +11,9 @@
  * Decides whether a request is tried again, and how long one attempt may remain unanswered. Pure.
  *
  * <p>A request that is not idempotent is tried again only while no attempt may have run it. An
- * idempotent request is tried again up to the execution limit of its route. Every attempt after one
- * that reached an upstream takes from the retry budget ({@code limits.RetryBudget}), so that
- * retries cannot amplify a failure. The caller of this class asks the budget last, because asking
- * takes from it.
+ * idempotent request is tried again up to the execution limit of its route. What is charged to the
+ * limit on retries, so that they cannot amplify a failure, is decided by {@code
+ * retry.ArrivalHistory}.
  */
 public final class AttemptRule {
     /** Maximum number of attempts, including those that ran nothing. */
@@ -32,12 +31,11 @@
      * Counts of the attempts of a request so far. Immutable.
      *
      * @param attempts all attempts
-     * @param reached attempts that reached an upstream
      * @param executions attempts that may have run the request
      */
-    public record History(int attempts, int reached, int executions) {
+    public record History(int attempts, int executions) {
         /** History before the first attempt. */
-        public static final History NONE = new History(0, 0, 0);
+        public static final History NONE = new History(0, 0);
 
         /**
          * Adds an attempt.
@@ -47,9 +45,7 @@
          */
         public History after(AttemptOutcome outcome) {
             return new History(
-                    attempts + 1,
-                    reached + (outcome == AttemptOutcome.NOT_REACHED ? 0 : 1),
-                    executions + (outcome == AttemptOutcome.MAY_HAVE_RUN ? 1 : 0));
+                    attempts + 1, executions + (outcome == AttemptOutcome.MAY_HAVE_RUN ? 1 : 0));
         }
     }
 
@@ -76,16 +72,6 @@
         return mayRun && history.attempts() < MAX_ATTEMPTS && remaining.isPositive();
     }
 
-    /**
-     * Returns whether the next attempt takes from the retry budget.
-     *
-     * @param history the attempts so far
-     * @return false while no upstream has been reached
-     */
-    public static boolean takesFromBudget(History history) {
-        return history.reached() > 0;
-    }
-
     /**
      * Returns whether the next attempt may be followed by another one if it may have run the
      * request.
