The leading voter grants the retries of all entries

Cause: a bound on what all instances do was kept by each alone, from what it remembered and whom it saw at the moment. A process that started again had spent nothing, while what its earlier life had sent was still in the window; and the slack was divided by the entries linked now, so that survivors took over the part of those that were lost, and a new entry counted itself alone.

Change: package retry. A request earns a fraction of a retry that expires within 750 ms, so that the retries of a window are covered by the requests of that window, whichever instances come and go, and no state has to survive them. Entries report requests to the leading voter, only while some entry asks for retries, and ask it for each retry just before it is sent; a permit lasts 250 ms. The slack is granted by a leader that has held its lease for longer than a window, or is the first of the site. An entry that gets no answer covers retries by its own unreported requests, without slack. GET /retries at the leading voter tells how much is used; it logs so once a second while retries are refused.

Ruled out: shares that grow only after a window (one entry can use only its part of the limit); grants kept by a majority of the voters (a round trip more for each retry).

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/ClusterCodecTest.java
@@ -37,6 +37,9 @@
 import org.orchidmount.quota.QuotaAnswer;
 import org.orchidmount.quota.QuotaLimit;
 import org.orchidmount.quota.QuotaRequest;
+import org.orchidmount.retry.RetryAnswer;
+import org.orchidmount.retry.RetryLimit;
+import org.orchidmount.retry.RetryRequest;
 import org.orchidmount.stream.StreamKey;
 import org.orchidmount.stream.StreamOrigin;
 import org.orchidmount.stream.StreamRecord;
@@ -73,9 +76,20 @@
                                 engine("i-1").withVersion(Optional.of("v1.1")),
                                 startedEngine("i-2"))));
         messages.addAll(streamMessages());
+        messages.addAll(retryMessages());
         return messages;
     }
 
+    private static List<ClusterMessage> retryMessages() {
+        RetryLimit limit = new RetryLimit(0.2, Duration.ofSeconds(10), 56);
+        return List.of(
+                new ClusterMessage.RetryRequestMessage(7, new RetryRequest("s", limit, 12, 2)),
+                new ClusterMessage.RetryRequestMessage(0, new RetryRequest("s", limit, 3, 0)),
+                new ClusterMessage.RetryReply(7, RetryAnswer.GRANTED, "10.0.0.1:1"),
+                new ClusterMessage.RetryReply(8, RetryAnswer.exhausted(Duration.ofMillis(20)), ""),
+                new ClusterMessage.RetryDemand(List.of("s", "t")));
+    }
+
     private static List<ClusterMessage> streamMessages() {
         StreamRecord stream =
                 new StreamRecord(
--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/EarlierFramesTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/EarlierFramesTest.java
@@ -30,7 +30,8 @@
         "7373056, 24",
         "6bbd7d4, 26",
         "14ed39d, 30",
-        "673a8f9, 33"
+        "673a8f9, 33",
+        "e892dd9, 38"
     })
     void areReadAsWhatTheyAre(String landing, int count) throws Exception {
         List<String> frames = Pin.read("earlier/cluster-frames-" + landing + ".hex");
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/Capability.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/Capability.java
@@ -44,7 +44,14 @@
      * As a voter, holds the origins of streams and tells them to entries. An entry that is linked
      * to no voter with it continues only streams that began there.
      */
-    STREAM_ORIGINS(16);
+    STREAM_ORIGINS(16),
+
+    /**
+     * As a voter, grants the retries of all entries while it leads; as an entry, reports requests
+     * and asks for retries. While an instance without it leads, and at entries without it, each
+     * entry keeps to an equal share of the limit.
+     */
+    RETRY_LIMIT(32);
 
     private final int mBit;
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterCodec.java
@@ -33,6 +33,9 @@
 import org.orchidmount.cluster.ClusterMessage.Registrations;
 import org.orchidmount.cluster.ClusterMessage.RegistrationsAck;
 import org.orchidmount.cluster.ClusterMessage.Replication;
+import org.orchidmount.cluster.ClusterMessage.RetryDemand;
+import org.orchidmount.cluster.ClusterMessage.RetryReply;
+import org.orchidmount.cluster.ClusterMessage.RetryRequestMessage;
 import org.orchidmount.cluster.ClusterMessage.StreamRecords;
 import org.orchidmount.cluster.ClusterMessage.StreamReply;
 import org.orchidmount.cluster.ClusterMessage.StreamRequest;
@@ -114,6 +117,12 @@
     private static final int STREAM_REQUEST = 26;
     private static final int STREAM_REPLY = 27;
 
+    /** Type numbers of frames of retries, part of the protocol. */
+    private static final int RETRY_REQUEST = 28;
+
+    private static final int RETRY_REPLY = 29;
+    private static final int RETRY_DEMAND = 30;
+
     private ClusterCodec() {}
 
     static byte[] encode(ClusterMessage message) {
@@ -178,6 +187,15 @@
             RegistrationCodec.writeList(out, registrations.registrations());
         } else if (message instanceof RegistrationsAck held) {
             out.packInt(REGISTRATIONS_ACK).packLong(held.number());
+        } else if (message instanceof RetryRequestMessage request) {
+            out.packInt(RETRY_REQUEST);
+            RetryCodec.write(out, request);
+        } else if (message instanceof RetryReply reply) {
+            out.packInt(RETRY_REPLY);
+            RetryCodec.write(out, reply);
+        } else if (message instanceof RetryDemand demand) {
+            out.packInt(RETRY_DEMAND);
+            RetryCodec.write(out, demand);
         } else if (message instanceof QuotaReturn units) {
             out.packInt(QUOTA_RETURN).packString(units.key()).packLong(units.units());
         } else if (message instanceof CrashRecords crashes) {
@@ -333,6 +351,9 @@
                     new StreamRequest(in.unpackLong(), new StreamKey(in.unpackLong()));
             case STREAM_REPLY ->
                     new StreamReply(in.unpackLong(), StreamRecordCodec.readOptional(in));
+            case RETRY_REQUEST -> RetryCodec.readRequest(in);
+            case RETRY_REPLY -> RetryCodec.readReply(in);
+            case RETRY_DEMAND -> RetryCodec.readDemand(in);
             case QUOTA_REQUEST -> readQuotaRequest(in);
             case QUOTA_REPLY -> readQuotaReply(in);
             case QUOTA_RETURN -> new QuotaReturn(in.unpackString(), readCount(in));
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/ClusterMessage.java
@@ -20,6 +20,8 @@
 import org.orchidmount.quarantine.CrashRecord;
 import org.orchidmount.quota.QuotaAnswer;
 import org.orchidmount.quota.QuotaRequest;
+import org.orchidmount.retry.RetryAnswer;
+import org.orchidmount.retry.RetryRequest;
 import org.orchidmount.stream.StreamKey;
 import org.orchidmount.stream.StreamRecord;
 import org.orchidmount.waiting.WaitingRequest;
@@ -167,6 +169,34 @@
      */
     record StreamReply(long number, Optional<StreamRecord> stream) implements ClusterMessage {}
 
+    /**
+     * Requests retries from the leading voter, and reports requests to it.
+     *
+     * @param number identifier echoed by the reply; 0 for a report, which has none
+     * @param request the requests and the retries
+     */
+    record RetryRequestMessage(long number, RetryRequest request) implements ClusterMessage {}
+
+    /**
+     * Reply to a {@link RetryRequestMessage}.
+     *
+     * @param number the number of the request
+     * @param answer the outcome
+     * @param owner the leader's cluster address as known to the sender; empty if unknown
+     */
+    record RetryReply(long number, RetryAnswer answer, String owner) implements ClusterMessage {}
+
+    /**
+     * Asks an entry to report its requests for some time.
+     *
+     * @param services names of the services
+     */
+    record RetryDemand(List<String> services) implements ClusterMessage {
+        public RetryDemand {
+            services = List.copyOf(services);
+        }
+    }
+
     /** Keep-alive, sent on an otherwise idle link. */
     record KeepAlive() implements ClusterMessage {}
 
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryNode.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import org.orchidmount.clock.MonotonicClock;
@@ -48,6 +49,8 @@
 import org.orchidmount.quota.QuotaAnswer;
 import org.orchidmount.quota.QuotaOwnerClient;
 import org.orchidmount.quota.QuotaRequest;
+import org.orchidmount.retry.RetryOwnerClient;
+import org.orchidmount.retry.RetryRequest;
 import org.orchidmount.routes.RouteTable;
 import org.orchidmount.routes.RouteTableParser;
 import org.orchidmount.stream.StreamOrigins;
@@ -129,6 +132,7 @@
     private final EntrySharedState mSharedState;
     private final EntryTunnels mTunnels;
     private final EntryStreams mStreams;
+    private final EntryRetries mRetries;
     private final CountDownLatch mFirstTable = new CountDownLatch(1);
     private final long mStartNanos;
     private long mTableRequestedNanos;
@@ -213,6 +217,7 @@
         mRecords = new EntryRecords(node, clock);
         mSharedState = new EntrySharedState(zone, this::sendSharedState, mTasks, clock);
         mStreams = new EntryStreams(node, zone, mTasks, this::timeSinceConfirmation, clock);
+        mRetries = new EntryRetries(mTasks, clock);
         mStartNanos = clock.nanoTime();
         mTableRequestedNanos = mStartNanos - TABLE_REQUEST_INTERVAL.toNanos();
         mLastUnlinkedNanos = mStartNanos;
@@ -486,35 +491,30 @@
     }
 
     /**
-     * Returns a client of the owner that counts the requests sent to upstreams. While a voter of an
-     * earlier build is linked, which may not support these requests and might become leader, the
-     * client answers that there is no owner.
+     * Returns a client of the owner that counts the requests sent to upstreams.
      *
      * @return the client
      */
     public QuotaOwnerClient upstreamQuotaClient() {
-        return new UpstreamQuotaClient();
-    }
-
-    private final class UpstreamQuotaClient implements QuotaOwnerClient {
-        @Override
-        public CompletableFuture<QuotaAnswer> requestUnits(QuotaRequest request) {
-            CompletableFuture<QuotaAnswer> answer = new CompletableFuture<>();
-            mTasks.post(
-                    () -> {
-                        if (mRecords.allVotersSupport(Capability.UPSTREAM_LIMITS)) {
-                            mQuotaRequests.ask(request, answer);
-                        } else {
-                            answer.complete(QuotaAnswer.NO_OWNER);
-                        }
-                    });
-            return answer;
-        }
+        return new UpstreamQuotaClient(mTasks, mRecords, mQuotaRequests);
+    }
 
-        @Override
-        public void refund(String key, long units) {
-            EntryNode.this.refund(key, units);
-        }
+    /**
+     * Returns a client of the voter that grants retries.
+     *
+     * @return the client
+     */
+    public RetryOwnerClient retryOwner() {
+        return mRetries;
+    }
+
+    /**
+     * Reports requests to the voter that grants retries while it asks for them. Called once.
+     *
+     * @param reporter returns a report of the requests for a service since the previous one
+     */
+    public void reportRequests(Function<String, RetryRequest> reporter) {
+        mTasks.post(() -> mRetries.reportFrom(reporter));
     }
 
     /**
@@ -545,7 +545,8 @@
             voters.members().forEach(this::addVoter);
         } else if (message instanceof Greeting greeting) {
             onGreeting(link, greeting);
-        } else if (!mStreams.received(link, message)
+        } else if (!mRetries.received(link, message)
+                && !mStreams.received(link, message)
                 && !mTunnels.received(mLinks.get(link), message)
                 && !mSharedState.received(mLinks.get(link), message)) {
             mRecords.received(message);
@@ -598,6 +599,7 @@
         resendDepartures(link);
         mTunnels.linked(link, greeting);
         mStreams.linked(link, greeting);
+        mRetries.linked(link, greeting);
         addVoter(greeting.voter());
         LOG.info("connected to voter %s", greeting.node());
     }
@@ -680,6 +682,7 @@
         mGreetings.remove(link);
         mRecords.lost(link);
         mStreams.lost(link);
+        mRetries.lost(link);
         HostPort voter = mLinks.remove(link);
         if (voter != null) {
             mQuotaRequests.onVoterLost(voter, link);
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterLinks.java
@@ -114,6 +114,16 @@
         return (int) mEntryLinks.values().stream().map(EntryPeer::node).distinct().count();
     }
 
+    /** Returns the number of linked entries that support a capability. */
+    int entriesSupporting(Capability capability) {
+        return (int)
+                mEntryLinks.values().stream()
+                        .filter(entry -> entry.capabilities().contains(capability))
+                        .map(EntryPeer::node)
+                        .distinct()
+                        .count();
+    }
+
     void send(Member to, ClusterMessage message) {
         HostPort address = HostPort.parse(to.address());
         for (Map.Entry<Link, VoterPeer> link : mVoterLinks.entrySet()) {
@@ -150,6 +160,13 @@
         }
     }
 
+    /** Sends a message to all entries that support a capability. */
+    void sendToEntriesSupporting(Capability capability, ClusterMessage message) {
+        Frame frame = new Frame(message);
+        mEntryLinks.forEach(
+                (link, entry) -> sendIf(entry.capabilities().contains(capability), link, frame));
+    }
+
     void sendToEntries(ClusterMessage message) {
         Frame frame = new Frame(message);
         mEntryLinks.keySet().forEach(link -> link.send(frame));
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterNode.java
@@ -44,6 +44,7 @@
 import org.orchidmount.pacing.UpstreamPauses;
 import org.orchidmount.quarantine.CrashRecord;
 import org.orchidmount.quarantine.RequestFingerprint;
+import org.orchidmount.retry.RetryUse;
 import org.orchidmount.routes.RouteTable;
 import org.orchidmount.routes.RouteTableParser;
 
@@ -82,6 +83,7 @@
     private final Registry mRegistry = new Registry(DEPARTURE_RETENTION_NANOS);
     private final PendingDepartures mDepartures = new PendingDepartures();
     private final VoterQuota mQuota;
+    private final VoterRetries mRetries;
     private final VoterRecords mRecords;
     private final VoterSharedState mSharedState;
     private final VoterTunnels mTunnels = new VoterTunnels(mTasks);
@@ -140,6 +142,7 @@
                         mTasks,
                         clock);
         mQuota = new VoterQuota(mReplica, mSelf, config.firstStart(), clock.nanoTime());
+        mRetries = new VoterRetries(mReplica, mLinks, mQuota, config.firstStart(), clock);
         mTasks.every(TICK_MILLIS, this::tick);
         mTasks.every(NOTICE_INTERVAL_MILLIS, this::runMaintenance);
         LOG.info(
@@ -279,6 +282,15 @@
         return query(() -> mRecords.limits().limitsWithUse(mQuota));
     }
 
+    /**
+     * Returns how much of the limits on retries is used.
+     *
+     * @return the use by service; empty if this voter does not lead; may never complete
+     */
+    public CompletableFuture<List<RetryUse>> retryUses() {
+        return query(mRetries::uses);
+    }
+
     /**
      * Returns the registrations of the upstreams that have not left.
      *
@@ -399,7 +411,7 @@
                 registration.isLeaving()
                         ? mRegistry.mergeDeparture(registration, nowNanos)
                         : mRegistry.merge(registration, nowNanos);
-        changed.ifPresent(VoterNode::logChange);
+        changed.ifPresent(RegistrationLog::changed);
         queueForVoters(registration);
         return changed;
     }
@@ -438,7 +450,7 @@
                         mGate.remove(id);
                     }
                     Registration gone = mRegistry.markDeparted(id, mClock.nanoTime());
-                    logChange(gone);
+                    RegistrationLog.changed(gone);
                     replicateDeparture(gone, done);
                 });
         return done;
@@ -470,18 +482,6 @@
         mLinks.sendToEntries(message);
     }
 
-    private static void logChange(Registration changed) {
-        LOG.info(
-                "upstream %s of service %s at %s is %s, stage %s, version %s, sequence %d",
-                changed.id(),
-                changed.service(),
-                changed.address(),
-                changed.state(),
-                changed.stage(),
-                changed.version().orElse("unknown"),
-                changed.sequence());
-    }
-
     // ---- Links
 
     private void onMessage(Link link, ClusterMessage message) {
@@ -507,7 +507,8 @@
             link.send(new TableDocument(mCommitted.tableVersion(), mCommitted.tableDocument()));
         } else if (message instanceof Voters voters) {
             voters.members().forEach(this::learn);
-        } else if (!mStreams.received(link, message)
+        } else if (!mRetries.received(link, message)
+                && !mStreams.received(link, message)
                 && !mTunnels.received(link, message)
                 && !mSharedState.received(link, message)) {
             mRecords.received(message);
@@ -638,6 +639,7 @@
         mRecords.forgetEnded(mRegistry);
         mStreams.removeExpired();
         mQuota.logUses();
+        mRetries.runMaintenance();
         mLinks.sendToEntries(notice());
         if (!mUnsent.isEmpty()) {
             mLinks.sendToVoters(new Registrations(0, List.copyOf(mUnsent.values())));
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterQuota.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterQuota.java
@@ -80,7 +80,7 @@
     }
 
     /** Returns the leader's cluster address; empty if unknown. */
-    private String leaderAddress() {
+    String leaderAddress() {
         return mReplica.hasQuorumContact() ? mReplica.leader().map(Member::address).orElse("") : "";
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/retry/RequestRetries.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/retry/RequestRetries.java
@@ -44,8 +44,9 @@
      *
      * @param phase what is to be sent
      * @return false if it may not be sent, because the limit on retries is used up
+     * @throws InterruptedException if the thread is interrupted
      */
-    public boolean tryBegin(Phase phase) {
+    public boolean tryBegin(Phase phase) throws InterruptedException {
         removeExpired();
         int missing = mHistory.permitsBefore(phase) - mPermitNanos.size();
         if (missing <= 0) {
--- a/org.orchidmount/src/main/java/org/orchidmount/retry/RetryBudgets.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/retry/RetryBudgets.java
@@ -14,7 +14,8 @@
 /** The retries of all services at one entry. Thread-safe. */
 public final class RetryBudgets {
     private final ConcurrentMap<String, ServiceRetries> mByService = new ConcurrentHashMap<>();
-    private final WindowRetryBudget.Limit mLimit;
+    private final RetryLimit mLimit;
+    private final RetryOwnerClient mOwner;
     private final IntSupplier mInstances;
     private final MonotonicClock mClock;
 
@@ -22,12 +23,15 @@
      * Creates budgets without requests.
      *
      * @param limit limit of all instances, the same for each service
-     * @param instances number of instances that share the limit now, at least 1
+     * @param owner client of the owner
+     * @param instances number of instances that divide the limit while the owner is of an earlier
+     *     build, at least 1
      * @param clock monotonic clock
      */
     public RetryBudgets(
-            WindowRetryBudget.Limit limit, IntSupplier instances, MonotonicClock clock) {
+            RetryLimit limit, RetryOwnerClient owner, IntSupplier instances, MonotonicClock clock) {
         mLimit = limit;
+        mOwner = owner;
         mInstances = instances;
         mClock = clock;
     }
@@ -39,8 +43,31 @@
      * @return its retries
      */
     public ServiceRetries of(String service) {
-        return mByService.computeIfAbsent(
-                service,
-                _ -> new ServiceRetries(new WindowRetryBudget(mLimit, mInstances, mClock), mClock));
+        return mByService.computeIfAbsent(service, this::create);
+    }
+
+    private ServiceRetries create(String service) {
+        WindowRetryBudget share =
+                new WindowRetryBudget(
+                        new WindowRetryBudget.Limit(
+                                mLimit.ratio(), mLimit.window(), mLimit.slack()),
+                        mInstances,
+                        mClock);
+        return new ServiceRetries(service, mLimit, mOwner, share, mClock);
+    }
+
+    /**
+     * Returns a report of the requests for a service since the previous one.
+     *
+     * @param service name of the service
+     * @return a request to the owner for no retries
+     */
+    public RetryRequest report(String service) {
+        return of(service).report(0);
+    }
+
+    @Override
+    public String toString() {
+        return mByService.values().toString();
     }
 }
