A debt of credit does not keep the slack back

A leader after another one forfeits the credit of four retries. RetryLedger took the negative credit for a number of retries, so that it was paid from the slack; found by RetryOwnerTest, which failed (36 of 40 granted after the window). The slack is granted whole once the window has passed.

--- a/org.orchidmount/src/main/java/org/orchidmount/retry/RetryCredit.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/retry/RetryCredit.java
@@ -83,6 +83,9 @@
 
     /** Takes credit for some retries, the oldest first; returns false if there is too little. */
     boolean tryTake(int retries, long nowNanos) {
+        if (retries == 0) {
+            return true;
+        }
         if (available(nowNanos) < retries) {
             return false;
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/retry/RetryLedger.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/retry/RetryLedger.java
@@ -73,7 +73,7 @@
     boolean tryGrant(RetryLimit limit, int retries, double slackShare, long nowNanos) {
         mLimit = mLimit.stricter(limit);
         mAskedNanos = nowNanos;
-        int fromCredit = (int) Math.min(retries, mCredit.available(nowNanos));
+        int fromCredit = (int) Math.clamp(mCredit.available(nowNanos), 0, retries);
         int fromSlack = retries - fromCredit;
         boolean isWithinSlack =
                 fromSlack == 0
