No retries while upstreams refuse everything

A request that was refused was tried at up to three more upstreams, though all of them had refused every run for seconds: load for them, and a wait for its caller.

Change: RefusalStreak counts the runs of a service that were refused in a row. After 32 over a second or more a refused request is not tried again; it is refused at once with a time to return that is as long as the outage has lasted, 0.3 to 2 s and up to 0.7 more, as for an entry that reaches no upstream. First attempts go on, and the first run that is accepted ends the streak.

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -174,6 +174,7 @@
                 && mIsStillAllowed.getAsBoolean()
                 && AttemptRule.mayTry(mHistory, mRequest.route().attemptLimits(), timeLeft())
                 && !mRetries.isExhausted()
+                && !(mLastRefused && mRetries.uselessFor().isPositive())
                 && mCrashReporter.tryBeginRun();
     }
 
@@ -275,15 +276,25 @@
         ArrivalHistory.Result result = ArrivalHistory.Result.ARRIVED;
         try {
             AttemptOutcome outcome = mAttempts.run(placement, cache, mHistory);
-            if (outcome == AttemptOutcome.NOT_REACHED) {
-                result = ArrivalHistory.Result.NOT_SENT;
-            }
+            result = arrival(outcome);
             return outcome;
         } finally {
             mRetries.ended(ArrivalHistory.Phase.RUN, result);
         }
     }
 
+    private ArrivalHistory.Result arrival(AttemptOutcome outcome) {
+        return switch (outcome) {
+            case NOT_REACHED -> ArrivalHistory.Result.NOT_SENT;
+            case NOT_RUN -> ArrivalHistory.Result.REFUSED;
+            case ENDED -> ArrivalHistory.Result.ACCEPTED;
+            case MAY_HAVE_RUN ->
+                    mAttempts.hasResponse()
+                            ? ArrivalHistory.Result.ACCEPTED
+                            : ArrivalHistory.Result.ARRIVED;
+        };
+    }
+
     private Optional<KvCacheRef> prefill(Placement placement) throws InterruptedException {
         if (placement.isUnsplit() || mEngines.isEmpty()) {
             return Optional.empty();
@@ -405,7 +416,14 @@
         if (mIsThrottled) {
             return "; every upstream is at its stated limit or has asked for a pause";
         }
-        return mRetries.isExhausted() ? "; not tried again, the limit on retries is used up" : "";
+        if (mRetries.isExhausted()) {
+            return "; not tried again, the limit on retries is used up";
+        }
+        Duration refusing = mRetries.uselessFor();
+        return refusing.isPositive()
+                ? "; not tried again, upstreams have refused all for %d ms"
+                        .formatted(refusing.toMillis())
+                : "";
     }
 
     /**
@@ -426,9 +444,12 @@
             return RetryAfter.limit(delay, ThreadLocalRandom.current());
         }
         if (mContext.connections().isCutOff()) {
-            return RetryAfter.cutOff(
+            return RetryAfter.outage(
                     mContext.connections().sincePathChange(), ThreadLocalRandom.current());
         }
+        if (mLastRefused && mRetries.uselessFor().isPositive()) {
+            return RetryAfter.outage(mRetries.uselessFor(), ThreadLocalRandom.current());
+        }
         if (mEngines.isEmpty()) {
             return RetryAfter.plainService();
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/retry/ArrivalHistory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/retry/ArrivalHistory.java
@@ -31,7 +31,9 @@
     public enum Result {
         /** Nothing was sent. */
         NOT_SENT,
-        /** The upstream refused or failed it, or it is not known whether it arrived. */
+        /** The upstream stated that it refuses it. */
+        REFUSED,
+        /** The upstream failed it, or it is not known whether it arrived. */
         ARRIVED,
         /** The upstream accepted it. */
         ACCEPTED
--- a/org.orchidmount/src/main/java/org/orchidmount/retry/RequestRetries.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/retry/RequestRetries.java
@@ -5,6 +5,7 @@
  */
 package org.orchidmount.retry;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.OptionalLong;
@@ -77,6 +78,18 @@
             mPermitNanos.pollFirst();
         }
         mHistory = after;
+        if (phase == Phase.RUN) {
+            mService.runEnded(result);
+        }
+    }
+
+    /**
+     * Returns how long the upstreams of the service have refused all runs.
+     *
+     * @return the duration if a further retry is useless, zero otherwise
+     */
+    public Duration uselessFor() {
+        return mService.uselessFor();
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/retry/ServiceRetries.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/retry/ServiceRetries.java
@@ -35,6 +35,7 @@
     private final MonotonicClock mClock;
     private final OrderedLock mLock = new OrderedLock(LockRank.LIMITS);
     private final RetryCredit mUnreported = new RetryCredit(RetryLimit.MAX_CREDIT_AGE, 0, 0);
+    private final RefusalStreak mRefusals;
     private final LongAdder mGranted = new LongAdder();
     private final LongAdder mGrantedHere = new LongAdder();
     private final LongAdder mRefused = new LongAdder();
@@ -62,6 +63,7 @@
         mOwner = owner;
         mShareWithoutOwner = shareWithoutOwner;
         mClock = clock;
+        mRefusals = new RefusalStreak(clock);
         mExhaustedUntilNanos = clock.nanoTime();
         mOwnerSilentUntilNanos = clock.nanoTime();
     }
@@ -139,6 +141,20 @@
         }
     }
 
+    /** Records what became of a run. */
+    void runEnded(ArrivalHistory.Result result) {
+        if (result == ArrivalHistory.Result.REFUSED) {
+            mRefusals.refused();
+        } else if (result == ArrivalHistory.Result.ACCEPTED) {
+            mRefusals.accepted();
+        }
+    }
+
+    /** Returns how long upstreams have refused all runs; zero while retries may be of use. */
+    Duration uselessFor() {
+        return mRefusals.uselessFor();
+    }
+
     /** Returns a request to the owner that reports the requests since the previous one. */
     RetryRequest report(int retries) {
         try (OrderedLock.Held _ = mLock.hold()) {
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
@@ -60,23 +60,23 @@
      */
     private static final Duration NO_LIMIT_OWNER = Duration.ofMillis(1_400);
 
-    /** Bounds of the time to return while no upstream can be reached. */
-    private static final Duration MIN_CUT_OFF = Duration.ofMillis(300);
+    /** Bounds of the time to return during an outage. */
+    private static final Duration MIN_OUTAGE = Duration.ofMillis(300);
 
-    private static final Duration MAX_CUT_OFF = Duration.ofSeconds(2);
+    private static final Duration MAX_OUTAGE = Duration.ofSeconds(2);
 
     private RetryAfter() {}
 
     /**
-     * Returns the retry time for a request that no upstream can be reached for. An outage that has
-     * lasted for some time is expected to last as long again.
+     * Returns the retry time for a request while no upstream can be reached, or all refuse their
+     * work. An outage that has lasted for some time is expected to last as long again.
      *
-     * @param outage how long no upstream could be reached so far
+     * @param outage how long the outage has lasted so far
      * @param random random source for spreading retries
      * @return time after which the caller should retry
      */
-    public static Duration cutOff(Duration outage, RandomGenerator random) {
-        long millis = Math.clamp(outage.toMillis(), MIN_CUT_OFF.toMillis(), MAX_CUT_OFF.toMillis());
+    public static Duration outage(Duration outage, RandomGenerator random) {
+        long millis = Math.clamp(outage.toMillis(), MIN_OUTAGE.toMillis(), MAX_OUTAGE.toMillis());
         return Duration.ofMillis((long) (millis * (1 + SPREAD_SHARE * random.nextDouble())));
     }
 
