Reports of requests: one series at a time, and no demand by a report

Found by reading: an entry that was asked again between the end of the demand and its next report began a second series of reports, and a report for a service that is no longer asked for had the leader announce its demand to all entries again.

--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryRetries.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryRetries.java
@@ -46,6 +46,7 @@
 
     private List<String> mDemanded = List.of();
     private long mDemandedUntilNanos;
+    private boolean mIsReporting;
 
     /** A request that awaits a voter's reply. */
     private record Pending(
@@ -146,17 +147,17 @@
 
     private void onDemand(Link voter, RetryDemand demand) {
         mOwner = voter;
-        boolean isReporting = mClock.nanoTime() - mDemandedUntilNanos < 0;
         mDemanded = demand.services();
         mDemandedUntilNanos = mClock.nanoTime() + DEMAND_LIFETIME.toNanos();
-        if (!isReporting) {
+        if (!mIsReporting) {
+            mIsReporting = true;
             report();
         }
     }
 
     private void report() {
         if (mOwner == null || mReporter == null || mClock.nanoTime() - mDemandedUntilNanos >= 0) {
-            mDemandedUntilNanos = mClock.nanoTime();
+            mIsReporting = false;
             return;
         }
         for (String service : mDemanded) {
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterRetries.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/VoterRetries.java
@@ -69,7 +69,8 @@
         if (mReplica.holdsQuorum()) {
             hold(nowNanos);
             answer = mOwner.ask(request.request(), entries(), nowNanos);
-            if (!mDemanded.contains(request.request().service())) {
+            boolean isReport = request.request().retries() == 0;
+            if (!isReport && !mDemanded.contains(request.request().service())) {
                 announceDemand();
             }
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/limits/WindowRetryBudget.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/limits/WindowRetryBudget.java
@@ -14,7 +14,8 @@
 
 /**
  * Limits the retries of this instance to its part of a limit on the upstreams of one service that
- * all instances share.
+ * all instances share. Used while the instance that leads is of a build that does not grant retries
+ * (see {@code retry.ServiceRetries}); over restarts of instances, they may together pass the limit.
  *
  * <p>Invariant: within any window, the retries stay below a fraction of the requests seen here plus
  * this instance's part of the shared slack. Thread-safe.
--- a/org.orchidmount/src/main/java/org/orchidmount/retry/RetryLimit.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/retry/RetryLimit.java
@@ -15,13 +15,6 @@
  * @param slack retries allowed in each window in addition to the ratio, at least 0
  */
 public record RetryLimit(double ratio, Duration window, int slack) {
-    /**
-     * Time between the arrival of a request at an entry and the last arrival of a retry that it
-     * covers: the times until it is reported, for which its credit lasts, and for which a permit is
-     * valid.
-     */
-    public static final Duration MAX_CREDIT_AGE = Duration.ofMillis(750);
-
     /** Age from which an entry no longer reports a request. */
     static final Duration MAX_REPORT_AGE = Duration.ofMillis(250);
 
@@ -31,6 +24,10 @@
     /** Time within which a permit is used, counted from the request for it. */
     public static final Duration PERMIT_LIFETIME = Duration.ofMillis(250);
 
+    /** Time between a request and the last arrival of a retry that it covers. */
+    static final Duration MAX_CREDIT_AGE =
+            MAX_REPORT_AGE.plus(CREDIT_LIFETIME).plus(PERMIT_LIFETIME);
+
     /**
      * Creates a limit.
      *
