--- a/org.orchidmount.test/src/test/java/org/orchidmount/retry/RetryOwnerTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/retry/RetryOwnerTest.java
@@ -9,10 +9,13 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.orchidmount.junit.ManualClock;
+import org.orchidmount.retry.ArrivalHistory.Phase;
+import org.orchidmount.retry.ArrivalHistory.Result;
 
 /** Tests {@link RetryOwner} and its client, {@link ServiceRetries}. */
 final class RetryOwnerTest {
@@ -81,6 +84,36 @@
         assertThat(budgets.report("s").requests()).isEqualTo(0);
     }
 
+    /** Guards against permits that are lost with requests which do not need them. */
+    @Test
+    void anUnusedPermitServesAnotherRequestUntilItExpires() throws InterruptedException {
+        AtomicInteger asked = new AtomicInteger();
+        ServiceRetries service =
+                new RetryBudgets(
+                                LIMIT,
+                                _ ->
+                                        CompletableFuture.completedFuture(
+                                                asked.getAndIncrement() == 0
+                                                        ? RetryAnswer.GRANTED
+                                                        : RetryAnswer.NO_OWNER),
+                                () -> 1,
+                                mClock)
+                        .of("s");
+        try (RequestRetries first = new RequestRetries(service, mClock)) {
+            first.ended(Phase.RUN, Result.REFUSED);
+            assertThat(first.tryBegin(Phase.RUN)).isTrue();
+        }
+        try (RequestRetries second = new RequestRetries(service, mClock)) {
+            second.ended(Phase.RUN, Result.REFUSED);
+            assertThat(second.tryBegin(Phase.RUN)).isTrue();
+        }
+        mClock.advance(RetryLimit.PERMIT_LIFETIME);
+        try (RequestRetries third = new RequestRetries(service, mClock)) {
+            third.ended(Phase.RUN, Result.REFUSED);
+            assertThat(third.tryBegin(Phase.RUN)).isFalse();
+        }
+    }
+
     /** Guards against an entry out of touch that sends retries no request covers. */
     @Test
     void anEntryWithoutOwnerSendsWhatItsRequestsCover() throws InterruptedException {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -134,6 +134,7 @@
     /** Relays the request until it has ended; returns whether an upstream may have run it. */
     Execution run() throws IOException, TimeoutException, InterruptedException {
         try (mCrashReporter;
+                mRetries;
                 CancelSignal.Registration _ = mCancel.onCancel(mProgress::callerLeft)) {
             End end = serve();
             mReporter.ended(end, mHistory, mIsThrottled, mAttempts, mEngines, mBinding.cause());
--- a/org.orchidmount/src/main/java/org/orchidmount/retry/RequestRetries.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/retry/RequestRetries.java
@@ -17,9 +17,10 @@
  * Charges the retries of one request when they are sent.
  *
  * <p>Invariant: a retry is sent only with a permit that is still valid. Permits that were not
- * needed serve what the request sends next, until they expire. Confined to one thread.
+ * needed serve what the request sends next, or other requests, until they expire. Confined to one
+ * thread.
  */
-public final class RequestRetries {
+public final class RequestRetries implements AutoCloseable {
     private final ServiceRetries mService;
     private final MonotonicClock mClock;
 
@@ -83,6 +84,13 @@
         }
     }
 
+    /** Gives the permits back that were not needed. */
+    @Override
+    public void close() {
+        mPermitNanos.forEach(mService::giveBack);
+        mPermitNanos.clear();
+    }
+
     /**
      * Returns how long the upstreams of the service have refused all runs.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/retry/ServiceRetries.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/retry/ServiceRetries.java
@@ -6,6 +6,8 @@
 package org.orchidmount.retry;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -36,6 +38,10 @@
     private final OrderedLock mLock = new OrderedLock(LockRank.LIMITS);
     private final RetryCredit mUnreported = new RetryCredit(RetryLimit.MAX_CREDIT_AGE, 0, 0);
     private final RefusalStreak mRefusals;
+
+    /** Times at which the permits expire that requests have acquired and not needed. */
+    private final Deque<Long> mUnusedPermitNanos = new ArrayDeque<>();
+
     private final LongAdder mGranted = new LongAdder();
     private final LongAdder mGrantedHere = new LongAdder();
     private final LongAdder mRefused = new LongAdder();
@@ -85,6 +91,10 @@
      */
     OptionalLong tryAcquire(int retries) throws InterruptedException {
         long nowNanos = mClock.nanoTime();
+        OptionalLong unused = takeUnused(retries, nowNanos);
+        if (unused.isPresent()) {
+            return unused;
+        }
         long untilNanos = nowNanos + RetryLimit.PERMIT_LIFETIME.toNanos();
         boolean isGranted =
                 nowNanos - mExhaustedUntilNanos >= 0
@@ -95,6 +105,27 @@
         return isGranted ? OptionalLong.of(untilNanos) : OptionalLong.empty();
     }
 
+    private OptionalLong takeUnused(int retries, long nowNanos) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            mUnusedPermitNanos.removeIf(untilNanos -> nowNanos - untilNanos >= 0);
+            if (mUnusedPermitNanos.size() < retries) {
+                return OptionalLong.empty();
+            }
+            long untilNanos = mUnusedPermitNanos.getFirst();
+            for (int i = 0; i < retries; i++) {
+                untilNanos = Math.min(untilNanos, mUnusedPermitNanos.removeFirst());
+            }
+            return OptionalLong.of(untilNanos);
+        }
+    }
+
+    /** Keeps a permit that a request does not need, for other requests until it expires. */
+    void giveBack(long untilNanos) {
+        try (OrderedLock.Held _ = mLock.hold()) {
+            mUnusedPermitNanos.addLast(untilNanos);
+        }
+    }
+
     private boolean tryAcquireFromOwner(int retries) throws InterruptedException {
         RetryAnswer answer = await(mOwner.request(report(retries)));
         return switch (answer.outcome()) {
