An entry asks other voters for retries after one without a leader

One that is cut off from the others answers that there is no owner and names none, or does not answer, and was asked first again the next time; the leader granted 0 retries in the 8 s of the cut.

Change: a voter that is not known to lead, or whose reply does not come within the lifetime of a permit, is asked after the others; up to five are asked.

--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryRetries.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryRetries.java
@@ -26,8 +26,8 @@
  * voter asks for them. Confined to the entry's thread, except for {@link #request}.
  */
 final class EntryRetries implements RetryOwnerClient {
-    /** Maximum number of voters asked: any one, the leader that it names, and a new leader. */
-    private static final int MAX_ATTEMPTS = 3;
+    /** Maximum number of voters asked: some without a leader, one that names it, and the leader. */
+    private static final int MAX_ATTEMPTS = 5;
 
     /** Time for which requests are reported once a voter has asked for it. */
     private static final Duration DEMAND_LIFETIME = Duration.ofMillis(2_500);
@@ -73,9 +73,9 @@
     }
 
     private void send(RetryRequest request, CompletableFuture<RetryAnswer> answer, int attempts) {
-        mPending.values().removeIf(pending -> pending.answer().isDone());
+        demoteSilent();
         Link asked = mOwner != null ? mOwner : anyVoter();
-        if (asked == null || attempts >= MAX_ATTEMPTS) {
+        if (asked == null || attempts >= MAX_ATTEMPTS || answer.isDone()) {
             boolean isUnsupported = asked == null && !mVoters.isEmpty();
             answer.complete(isUnsupported ? RetryAnswer.UNSUPPORTED : RetryAnswer.NO_OWNER);
             return;
@@ -85,7 +85,26 @@
         asked.send(new RetryRequestMessage(number, request));
     }
 
-    /** Returns a linked voter that supports these requests; null if there is none. */
+    /** Asks the voters last whose replies have not come in time. */
+    private void demoteSilent() {
+        List<Pending> abandoned =
+                mPending.values().stream().filter(pending -> pending.answer().isDone()).toList();
+        mPending.values().removeAll(abandoned);
+        abandoned.forEach(pending -> demote(pending.asked()));
+    }
+
+    /** Asks a voter that is not known to lead after the others. */
+    private void demote(Link voter) {
+        if (voter.equals(mOwner)) {
+            mOwner = null;
+        }
+        Greeting greeting = mVoters.remove(voter);
+        if (greeting != null) {
+            mVoters.put(voter, greeting);
+        }
+    }
+
+    /** Returns the first linked voter that supports these requests; null if there is none. */
     private Link anyVoter() {
         return mVoters.entrySet().stream()
                 .filter(voter -> voter.getKey().isOpen())
@@ -116,18 +135,17 @@
             }
             return;
         }
-        if (voter.equals(mOwner)) {
-            mOwner = null;
-        }
+        demote(voter);
         if (pending != null) {
-            askNamedOwner(voter, reply.owner(), pending);
+            askAnotherVoter(voter, reply.owner(), pending);
         }
     }
 
-    private void askNamedOwner(Link voter, String owner, Pending pending) {
+    /** Asks the leader that a voter has named, or else the next voter. */
+    private void askAnotherVoter(Link voter, String owner, Pending pending) {
         Link named = linkTo(owner);
         if (named == null || named.equals(voter)) {
-            pending.answer().complete(RetryAnswer.NO_OWNER);
+            send(pending.request(), pending.answer(), pending.attempts());
         } else if (!mVoters.get(named).supports(Capability.RETRY_LIMIT)) {
             pending.answer().complete(RetryAnswer.UNSUPPORTED);
         } else {
--- a/org.orchidmount/src/main/java/org/orchidmount/retry/ServiceRetries.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/retry/ServiceRetries.java
@@ -166,6 +166,7 @@
         try {
             return answer.get(RetryLimit.PERMIT_LIFETIME.toNanos(), TimeUnit.NANOSECONDS);
         } catch (TimeoutException e) {
+            answer.complete(RetryAnswer.NO_OWNER);
             return RetryAnswer.NO_OWNER;
         } catch (ExecutionException e) {
             throw new IllegalStateException("request to the owner of retries failed", e);
