A lost voter is not taken for one of an earlier build

Found by reading the change once more: an entry whose links to voters had closed, and were not yet removed, went by its equal share with its part of the slack, as before a leader of an earlier build, though other entries may be granted the same slack. It does so only while a voter is linked that does not support these requests; otherwise its own requests cover its retries.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/cluster/EntryRetriesTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/cluster/EntryRetriesTest.java
@@ -5,6 +5,8 @@
  */
 package org.orchidmount.cluster;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -16,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.orchidmount.clock.SystemMonotonicClock;
@@ -87,17 +90,23 @@
         return answer.join().outcome();
     }
 
-    /** Guards against an entry that keeps asking a voter which reaches no leader. */
-    @ParameterizedTest
-    @ValueSource(booleans = {false, true})
-    void anotherVoterIsAskedAfterOneWithoutALeader(boolean isSilent) throws IOException {
-        AtomicInteger asked = new AtomicInteger();
-        HostPort cutOff = voter(isSilent ? null : RetryAnswer.NO_OWNER, asked);
+    /** Guards against an entry that takes a lost voter for one of an earlier build. */
+    @Test
+    void aLostVoterIsNotTakenForAnEarlierBuild() throws IOException {
+        start(voter(RetryAnswer.GRANTED, new AtomicInteger()));
+        Await.until("granted", LONGEST, () -> ask() == RetryAnswer.Outcome.GRANTED);
+        mServers.forEach(LinkServer::close);
+        for (int i = 0; i < 2_000; i++) {
+            assertThat(ask()).isNotEqualTo(RetryAnswer.Outcome.UNSUPPORTED);
+        }
+    }
+
+    private void start(HostPort voter) {
         mEntry =
                 new EntryNode(
                         "entry",
                         "zone",
-                        List.of(cutOff),
+                        List.of(voter),
                         document -> null,
                         new EntryNode.Listener() {
                             @Override
@@ -107,6 +116,15 @@
                             public void onSequence(InFlightSequence sequence) {}
                         },
                         new SystemMonotonicClock());
+    }
+
+    /** Guards against an entry that keeps asking a voter which reaches no leader. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anotherVoterIsAskedAfterOneWithoutALeader(boolean isSilent) throws IOException {
+        AtomicInteger asked = new AtomicInteger();
+        HostPort cutOff = voter(isSilent ? null : RetryAnswer.NO_OWNER, asked);
+        start(cutOff);
         Await.until(
                 "linked",
                 LONGEST,
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryRetries.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/EntryRetries.java
@@ -76,8 +76,10 @@
         demoteSilent();
         Link asked = mOwner != null ? mOwner : anyVoter();
         if (asked == null || attempts >= MAX_ATTEMPTS || answer.isDone()) {
-            boolean isUnsupported = asked == null && !mVoters.isEmpty();
-            answer.complete(isUnsupported ? RetryAnswer.UNSUPPORTED : RetryAnswer.NO_OWNER);
+            answer.complete(
+                    asked == null && isEarlierBuildLinked()
+                            ? RetryAnswer.UNSUPPORTED
+                            : RetryAnswer.NO_OWNER);
             return;
         }
         long number = ++mLastNumber;
@@ -85,6 +87,13 @@
         asked.send(new RetryRequestMessage(number, request));
     }
 
+    /** Returns whether a voter is linked that does not support these requests. */
+    private boolean isEarlierBuildLinked() {
+        return mVoters.entrySet().stream()
+                .filter(voter -> voter.getKey().isOpen())
+                .anyMatch(voter -> !voter.getValue().supports(Capability.RETRY_LIMIT));
+    }
+
     /** Asks the voters last whose replies have not come in time. */
     private void demoteSilent() {
         List<Pending> abandoned =
