--- a/review/lab.py
+++ b/review/lab.py
@@ -219,6 +219,9 @@
         self.handler = handler
         self.sequence = 0
         self.stopped = threading.Event()
+        self.dark = threading.Event()
+        self.leaving = threading.Event()
+        self.fillers = []
         self.socket = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.port = self.socket.getsockname()[1]
         lab.runners.append(self)
@@ -236,7 +239,10 @@
 
     def beats(self):
         while not self.stopped.wait(1.2):
-            self.beat()
+            if self.leaving.is_set():
+                return
+            if not self.dark.is_set():
+                self.beat()
 
     def beat(self, state="ready"):
         self.sequence += 1
@@ -255,12 +261,35 @@
         except OSError:
             pass
 
+    def go_dark(self):
+        """From now on it says nothing: kept connections are silent, new ones hang."""
+        self.dark.set()
+        time.sleep(0.2)  # the accepting thread has seen it
+        self.socket.listen(0)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self.fillers.append(filler)
+
+    def go_light(self):
+        [filler.close() for filler in self.fillers]
+        self.socket.listen(256)
+        self.dark.clear()
+
     def accept(self):
+        self.socket.settimeout(0.1)
         while not self.stopped.is_set():
+            if self.dark.is_set():
+                time.sleep(0.05)
+                continue
             try:
                 connection, _ = self.socket.accept()
+            except TimeoutError:
+                continue
             except OSError:
                 return
+            connection.settimeout(None)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
@@ -269,7 +298,9 @@
         try:
             while True:
                 request = read_request(reader)
-                if request is None or self.handler(self, request, connection) is False:
+                if request is None or self.silent():
+                    return
+                if self.handler(self, request, connection) is False or self.silent():
                     return
         except OSError:
             pass
@@ -278,6 +309,14 @@
             connection.close()
 
 
+    def silent(self):
+        """Waits until a server that is dark is back; its connections have then ended."""
+        was_dark = self.dark.is_set()
+        while self.dark.is_set() and not self.stopped.wait(0.05):
+            pass
+        return was_dark
+
+
 class Request:
     def __init__(self, method, path, headers, body):
         self.method, self.path, self.headers, self.body = method, path, headers, body
