--- a/review/lab.py
+++ b/review/lab.py
@@ -12,6 +12,7 @@
 import threading
 import time
 import tomllib
+import traceback
 import http.client
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -379,5 +380,8 @@
     except CannotRun as error:
         print(f"cannot run: {error}", file=sys.stderr)
         sys.exit(2)
+    except Exception:
+        traceback.print_exc()
+        sys.exit(2)
     sys.stdout.flush()
     sys.exit(1 if broken else 0)
