Each response that is given up leaves a line and a count

Nothing told which responses an instance gives up, how their callers learn where the body ends, or why they were given up; a stop that cut responses said only how many.

One line names the request, cause, framing, bytes, parts and how the connection ended; the listener counts by cause and framing. What a listener still serves when it closes is given up with the cause INSTANCE_STOPS. The response half of ServerExchange is a class of its own. No change of behaviour towards callers.

UnreadResponseTest, AnswerEndTest, AttemptsPinTest and SlowCallersTest pass.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CallerFront.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CallerFront.java
@@ -70,6 +70,7 @@
                         + mParts.incarnation()
                         + "-"
                         + mCounter.incrementAndGet();
+        exchange.identify(id);
         try {
             switch (exchange.path()) {
                 case EngineProtocol.COMPLETIONS, EngineProtocol.CHAT_COMPLETIONS ->
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionHandler.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionHandler.java
@@ -13,6 +13,7 @@
 import org.orchidmount.blackboard.RequestBoard.RequestView;
 import org.orchidmount.errors.Attempt;
 import org.orchidmount.errors.Failure;
+import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.internal.http.BodyTooLargeException;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.http.ServerExchange;
@@ -22,6 +23,8 @@
 
 /** Serves completions, chat completions and resumes. Thread-safe. */
 final class CompletionHandler {
+    private static final String SLOW_CALLER = "the caller reads too slowly";
+
     private final Parts mParts;
     private final Duration mWriteTimeout;
 
@@ -54,7 +57,7 @@
                             : new WholeAnswer(exchange, id, request, mWriteTimeout);
             new CompletionRun(mParts, request, id, writer, cancel, arrivedNanos).run();
             if (cancel.reason() == CancelSignal.Reason.CALLER_GONE) {
-                exchange.abort();
+                exchange.abort(AbortCause.CALLER_TOO_SLOW, SLOW_CALLER);
             }
         } finally {
             mParts.requests().remove(id);
@@ -92,7 +95,7 @@
             }
             mParts.cleaner().clean(engine, source.engineRequestId());
             if (cancel.reason() == CancelSignal.Reason.CALLER_GONE) {
-                exchange.abort();
+                exchange.abort(AbortCause.CALLER_TOO_SLOW, SLOW_CALLER);
             } else {
                 writer.fail(Refusal.failed(Messages.RESUME_FAILED.formatted(failure.describe())));
             }
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainForwarder.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainForwarder.java
@@ -25,6 +25,7 @@
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
+import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.internal.http.EndToEndHeaders;
 import org.orchidmount.internal.http.HttpCall;
 import org.orchidmount.internal.http.HttpHead;
@@ -129,7 +130,7 @@
     private void finishOrAbort(ServerExchange exchange, Failure failure) {
         count(failure == null ? Outcome.COMPLETED : Outcome.UNKNOWN);
         if (failure != null) {
-            exchange.abort();
+            exchange.abort(AbortCause.UPSTREAM_FAILED, failure.describe());
         }
     }
 
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakeEngine.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakeEngine.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
+import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.internal.http.HttpLimits;
 import org.orchidmount.internal.http.HttpServer;
 import org.orchidmount.internal.http.ServerExchange;
@@ -167,7 +168,7 @@
                     exchange.write(event.getBytes(StandardCharsets.UTF_8), TIMEOUT);
                 }
                 if (message.cut()) {
-                    exchange.abort();
+                    exchange.abort(AbortCause.UPSTREAM_FAILED, "a fault of the stand-in");
                     return;
                 }
                 if (message.last()) {
@@ -178,7 +179,7 @@
                 next++;
             }
         } catch (IOException | TimeoutException e) {
-            exchange.abort();
+            exchange.abort(AbortCause.UPSTREAM_FAILED, "a fault of the stand-in");
         } finally {
             mService.detach(id, reader);
         }
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakePlainService.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakePlainService.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.internal.http.HttpLimits;
 import org.orchidmount.internal.http.HttpServer;
 import org.orchidmount.internal.http.ServerExchange;
@@ -107,7 +108,7 @@
             return;
         }
         if (happens(faults.dropPercent())) {
-            exchange.abort();
+            exchange.abort(AbortCause.UPSTREAM_FAILED, "a fault of the stand-in");
             return;
         }
         ObjectNode json = Json.object();
--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/UnreadResponseTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/UnreadResponseTest.java
@@ -76,7 +76,7 @@
                 case "/whole" -> exchange.answer(200, new HeaderMap(), body(mParts), TIMEOUT);
                 case "/cut" -> {
                     stream(exchange);
-                    exchange.abort();
+                    exchange.abort(AbortCause.UPSTREAM_FAILED, "a fault of the stand-in");
                 }
                 default -> {
                     stream(exchange);
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/BufferingWriter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/BufferingWriter.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.Lock;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -52,7 +53,7 @@
     private final XnioIoThread mIoThread;
     private final StreamSinkChannel mChannel;
     private final UnreadBytes mUnread;
-    private final Runnable mReset;
+    private final Consumer<IOException> mDisconnect;
     private final long mCheckMillis;
     private volatile CompletableFuture<Void> mPending;
 
@@ -83,7 +84,8 @@
      * @param channel the body of the response
      * @param opener opens the account of what is held
      * @param stallTime how long a caller may read nothing while bytes are held
-     * @param reset closes the connection in a way that the caller cannot take for the end; must not
+     * @param disconnect closes the connection in a way that the caller cannot take for the end; is
+     *     given the reason, a {@link SlowCallerException} or the failure of a write; must not
      *     block, and may be called on any thread and more than once
      */
     BufferingWriter(
@@ -91,10 +93,10 @@
             StreamSinkChannel channel,
             UnreadBytes.Opener opener,
             Duration stallTime,
-            Runnable reset) {
+            Consumer<IOException> disconnect) {
         mIoThread = ioThread;
         mChannel = channel;
-        mReset = reset;
+        mDisconnect = disconnect;
         mCheckMillis = Math.max(1, stallTime.toMillis() / STALLED_CHECKS);
         mUnread = opener.open(this::disconnect);
     }
@@ -185,12 +187,12 @@
     }
 
     private void disconnect() {
-        breakOff(new IOException("the caller reads too slowly"));
+        breakOff(new SlowCallerException());
     }
 
     /** The caller counts as gone before a write fails, so that the failure is not logged as one. */
     private void breakOff(IOException error) {
-        mReset.run();
+        mDisconnect.accept(error);
         fail(error);
     }
 
@@ -239,7 +241,7 @@
     /** Holds a part; returns whether the I/O thread was behind already. */
     private boolean enqueue(ByteBuffer part, boolean isComplete) throws IOException {
         if (!mUnread.add(heldBytes(part), isComplete)) {
-            IOException error = new IOException("the caller reads too slowly");
+            IOException error = new SlowCallerException();
             breakOff(error);
             throw error;
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.TimeoutException;
 import org.orchidmount.internal.log.PartLog;
 import org.xnio.IoUtils;
 import org.xnio.Options;
@@ -44,7 +44,8 @@
     private final ExecutorService mThreads = Executors.newVirtualThreadPerTaskExecutor();
     private final Undertow mUndertow;
     private final RequestHandler mHandler;
-    private final AtomicInteger mActive = new AtomicInteger();
+    private final Set<ServerExchange> mActive = ConcurrentHashMap.newKeySet();
+    private final AbortedResponses mAbortedResponses = new AbortedResponses();
     private final Set<ServerConnection> mIdle = ConcurrentHashMap.newKeySet();
     private volatile boolean mDraining;
 
@@ -102,8 +103,8 @@
                     }
                     next.proceed();
                 });
-        mActive.incrementAndGet();
-        ServerExchange request = new ServerExchange(exchange, () -> mDraining);
+        ServerExchange request = new ServerExchange(exchange, () -> mDraining, mAbortedResponses);
+        mActive.add(request);
         exchange.dispatch(mThreads, () -> serve(request));
     }
 
@@ -113,14 +114,16 @@
             mHandler.handle(request);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            request.abort();
+            request.abort(AbortCause.INSTANCE_STOPS, "the request was interrupted");
+        } catch (TimeoutException e) {
+            request.abort(AbortCause.CALLER_TOO_SLOW, String.valueOf(e.getMessage()));
         } catch (Exception e) {
             if (!request.isGone()) {
                 LOG.error("request " + request.method() + " " + request.path() + " failed", e);
             }
-            request.abort();
+            request.abort(AbortCause.INTERNAL_ERROR, e.toString());
         } finally {
-            request.whenDelivered(mActive::decrementAndGet);
+            request.whenDelivered(() -> mActive.remove(request));
         }
     }
 
@@ -152,7 +155,16 @@
      * @return requests whose head was read and whose answer has not ended
      */
     public int active() {
-        return mActive.get();
+        return mActive.size();
+    }
+
+    /**
+     * Returns the responses that were given up.
+     *
+     * @return their counts
+     */
+    public AbortedResponses abortedResponses() {
+        return mAbortedResponses;
     }
 
     /**
@@ -164,9 +176,12 @@
         return ((InetSocketAddress) mUndertow.getListenerInfo().getFirst().getAddress()).getPort();
     }
 
-    /** Stops listening and closes all connections. */
+    /** Stops listening, gives up the responses under way and closes all connections. */
     @Override
     public void close() {
+        for (ServerExchange request : mActive) {
+            request.abort(AbortCause.INSTANCE_STOPS, "the time for the stop is over");
+        }
         mUndertow.stop();
         mThreads.shutdownNow();
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
@@ -6,25 +6,17 @@
 package org.orchidmount.internal.http;
 
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.protocol.http.HttpAttachments;
 import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import io.undertow.util.Protocols;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import org.orchidmount.internal.log.PartLog;
-import org.xnio.IoUtils;
-import org.xnio.Options;
 import org.xnio.XnioIoThread;
-import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -32,34 +24,29 @@
  *
  * <p>Invariants: the exchange is touched on its I/O thread only once {@link #startReading} has been
  * called; a caller that closes its connection is noticed at any time after its request has been
- * read, even while nothing is being written to it. Used by one thread, except {@link #onGone} and
- * {@link #isGone}, which are thread-safe.
+ * read, even while nothing is being written to it. Used by one thread, except {@link #onGone},
+ * {@link #isGone} and {@link #abort}, which are thread-safe.
  */
 public final class ServerExchange {
-    private static final PartLog LOG = PartLog.of("http");
-
     private final HttpServerExchange mExchange;
-    private final BooleanSupplier mClosing;
     private final XnioIoThread mIoThread;
     private final ByteQueue mBody = new ByteQueue(this::resumeReading);
     private final List<Runnable> mGoneActions = new ArrayList<>();
+    private final ServerResponse mResponse;
     private volatile ChannelPump mPump;
-    private volatile ResponseWriter mWriter;
-    private volatile UnreadBytes.Opener mUnread;
-    private volatile Duration mStallTime;
     private boolean mGone;
-    private volatile boolean mStarted;
 
     /**
      * Wraps an exchange on its I/O thread, before it is dispatched.
      *
      * @param exchange the exchange
      * @param closing tells, when the answer begins, whether its connection is to be closed after it
+     * @param aborted records an answer that is given up
      */
-    public ServerExchange(HttpServerExchange exchange, BooleanSupplier closing) {
-        mClosing = closing;
+    ServerExchange(HttpServerExchange exchange, BooleanSupplier closing, AbortedResponses aborted) {
         mExchange = exchange;
         mIoThread = exchange.getIoThread();
+        mResponse = new ServerResponse(exchange, closing, this::isGone, this::markGone, aborted);
         CurrentExchange.of(exchange.getConnection()).set(this);
     }
 
@@ -213,10 +200,7 @@
             actions = List.copyOf(mGoneActions);
         }
         mBody.fail(new IOException("caller has gone"));
-        ResponseWriter writer = mWriter;
-        if (writer != null) {
-            writer.fail(new IOException("caller has gone"));
-        }
+        mResponse.fail(new IOException("caller has gone"));
         actions.forEach(Runnable::run);
     }
 
@@ -246,13 +230,22 @@
         }
     }
 
+    /**
+     * Names the request in the log.
+     *
+     * @param requestId its id; null if it has none
+     */
+    public void identify(String requestId) {
+        mResponse.identify(requestId);
+    }
+
     /**
      * Tells whether the head of the answer has been sent.
      *
      * @return true once {@link #start} has been called
      */
     public boolean isStarted() {
-        return mStarted;
+        return mResponse.isStarted();
     }
 
     /**
@@ -262,39 +255,34 @@
      * @param headers the answer's header fields
      */
     public void start(int status, HeaderMap headers) {
-        mStarted = true;
-        mIoThread.execute(
-                () -> {
-                    if (!mExchange.isComplete()) {
-                        begin(status, headers);
-                    }
-                });
+        mResponse.start(status, headers);
     }
 
     /**
-     * Writes a part of the answer's body and waits for the socket to take it.
+     * Writes a part of the answer's body, an event if it is a stream, and waits for the socket to
+     * take it.
      *
      * @param bytes the part
      * @param timeout the longest wait
-     * @throws IOException if the caller has gone
+     * @throws IOException if the caller has gone, or the answer was given up
      * @throws TimeoutException if the caller reads too slowly
      * @throws InterruptedException if the thread is interrupted
      */
     public void write(byte[] bytes, Duration timeout)
             throws IOException, TimeoutException, InterruptedException {
-        writer().write(bytes, timeout);
+        mResponse.write(bytes, timeout);
     }
 
     /**
      * Ends the answer.
      *
      * @param timeout the longest wait
-     * @throws IOException if the caller has gone
+     * @throws IOException if the caller has gone, or the answer was given up
      * @throws TimeoutException if the caller reads too slowly
      * @throws InterruptedException if the thread is interrupted
      */
     public void end(Duration timeout) throws IOException, TimeoutException, InterruptedException {
-        writer().end(timeout, mExchange::endExchange);
+        mResponse.end(timeout);
     }
 
     /**
@@ -310,33 +298,7 @@
      */
     public void answer(int status, HeaderMap headers, byte[] body, Duration timeout)
             throws IOException, TimeoutException, InterruptedException {
-        headers.put(Headers.CONTENT_LENGTH, body.length);
-        mStarted = true;
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        mIoThread.execute(
-                () -> {
-                    if (mExchange.isComplete() || isGone()) {
-                        done.completeExceptionally(new IOException("caller has gone"));
-                        return;
-                    }
-                    begin(status, headers);
-                    mWriter.writeAndEnd(body, done, mExchange::endExchange);
-                });
-        ChannelWriter.await(done, timeout);
-    }
-
-    /** Sets the head of the answer; on the I/O thread. */
-    private void begin(int status, HeaderMap headers) {
-        if (mClosing.getAsBoolean()) {
-            mExchange.setPersistent(false);
-        }
-        mExchange.setStatusCode(status);
-        mExchange.getResponseHeaders().putAll(headers);
-        StreamSinkChannel channel = mExchange.getResponseChannel();
-        mWriter =
-                mUnread == null
-                        ? new ChannelWriter(mIoThread, channel)
-                        : new BufferingWriter(mIoThread, channel, mUnread, mStallTime, this::reset);
+        mResponse.answer(status, headers, body, timeout);
     }
 
     /**
@@ -347,48 +309,19 @@
      * @param value gives the value when the body has ended
      */
     public void trailer(HttpString name, Supplier<String> value) {
-        mIoThread.execute(
-                () -> {
-                    if (!mExchange.getProtocol().equals(Protocols.HTTP_1_1)) {
-                        return;
-                    }
-                    mExchange.getResponseHeaders().put(Headers.TRAILER, name.toString());
-                    mExchange.putAttachment(
-                            HttpAttachments.RESPONSE_TRAILER_SUPPLIER,
-                            () -> new HeaderMap().put(name, value.get()));
-                });
+        mResponse.trailer(name, value);
     }
 
     /**
-     * Closes the connection without ending the answer, so that the caller sees it is cut. What is
-     * held of the answer is sent before that.
+     * Gives the answer up: ends the connection without ending the answer, so that the caller sees
+     * it is cut. What is held of the answer is sent before that. Has no effect on an answer that
+     * has ended. Thread-safe.
+     *
+     * @param cause why it is given up
+     * @param detail what is known beside the cause, for the log
      */
-    public void abort() {
-        Runnable close =
-                () -> mIoThread.execute(() -> IoUtils.safeClose(mExchange.getConnection()));
-        ResponseWriter writer = mWriter;
-        if (writer == null) {
-            close.run();
-        } else {
-            writer.abort(close);
-        }
-    }
-
-    /**
-     * Leaves the caller, which is from now on treated as one that has gone. The connection is
-     * reset, because an orderly end would make an answer without length look complete.
-     */
-    private void reset() {
-        markGone();
-        mIoThread.execute(
-                () -> {
-                    try {
-                        mExchange.getConnection().setOption(Options.CLOSE_ABORT, true);
-                    } catch (IOException | IllegalArgumentException e) {
-                        LOG.debug("a connection cannot be reset: %s", e);
-                    }
-                    IoUtils.safeClose(mExchange.getConnection());
-                });
+    public void abort(AbortCause cause, String detail) {
+        mResponse.abort(cause, detail);
     }
 
     /**
@@ -400,30 +333,11 @@
      * @param stallTime after which time a caller that reads nothing is disconnected
      */
     public void holdUnread(UnreadBytes.Opener opener, Duration stallTime) {
-        mStallTime = stallTime;
-        mUnread = opener;
+        mResponse.holdUnread(opener, stallTime);
     }
 
     /** Runs an action as soon as nothing of the answer is held; it must not block. */
     void whenDelivered(Runnable action) {
-        ResponseWriter writer = mWriter;
-        if (writer == null) {
-            action.run();
-        } else {
-            writer.whenDelivered(action);
-        }
-    }
-
-    /** Waits for the I/O thread to have made the writer. */
-    private ResponseWriter writer() throws IOException, TimeoutException, InterruptedException {
-        if (mWriter == null) {
-            CompletableFuture<Void> turn = new CompletableFuture<>();
-            mIoThread.execute(() -> turn.complete(null));
-            turn.join();
-        }
-        if (mWriter == null || isGone()) {
-            throw new IOException("caller has gone");
-        }
-        return mWriter;
+        mResponse.whenDelivered(action);
     }
 }
--- /dev/null
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
@@ -0,0 +1,240 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.internal.http;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpAttachments;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Protocols;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.orchidmount.internal.log.PartLog;
+import org.xnio.IoUtils;
+import org.xnio.Options;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * The response to a request that this process serves.
+ *
+ * <p>Invariants: the exchange is touched on its I/O thread only; a response ends either by {@link
+ * #end} or {@link #answer}, or by {@link #abort}, which is recorded once. Used by one thread,
+ * except {@link #abort} and {@link #fail}, which are thread-safe.
+ */
+final class ServerResponse {
+    private static final PartLog LOG = PartLog.of("http");
+
+    private static final String NO_REQUEST_ID = "-";
+
+    private final HttpServerExchange mExchange;
+    private final XnioIoThread mIoThread;
+    private final BooleanSupplier mClosing;
+    private final BooleanSupplier mIsGone;
+    private final Runnable mMarkGone;
+    private final AbortedResponses mAbortedResponses;
+    private final AtomicBoolean mIsAborted = new AtomicBoolean();
+    private final AtomicLong mBytes = new AtomicLong();
+    private final AtomicLong mParts = new AtomicLong();
+    private volatile String mRequestId = NO_REQUEST_ID;
+    private volatile ResponseFraming mFraming = ResponseFraming.NONE;
+    private volatile ResponseWriter mWriter;
+    private volatile UnreadBytes.Opener mUnread;
+    private volatile Duration mStallTime;
+    private volatile boolean mStarted;
+
+    /**
+     * Creates a response that has not begun.
+     *
+     * @param exchange the exchange
+     * @param closing tells, when the response begins, whether its connection is to be closed after
+     *     it
+     * @param isGone tells whether the caller has gone
+     * @param markGone records that the caller has gone, or is treated so
+     * @param aborted records the response if it is given up
+     */
+    ServerResponse(
+            HttpServerExchange exchange,
+            BooleanSupplier closing,
+            BooleanSupplier isGone,
+            Runnable markGone,
+            AbortedResponses aborted) {
+        mExchange = exchange;
+        mIoThread = exchange.getIoThread();
+        mClosing = closing;
+        mIsGone = isGone;
+        mMarkGone = markGone;
+        mAbortedResponses = aborted;
+    }
+
+    void identify(String requestId) {
+        mRequestId = requestId == null ? NO_REQUEST_ID : requestId;
+    }
+
+    void holdUnread(UnreadBytes.Opener opener, Duration stallTime) {
+        mStallTime = stallTime;
+        mUnread = opener;
+    }
+
+    boolean isStarted() {
+        return mStarted;
+    }
+
+    void start(int status, HeaderMap headers) {
+        mStarted = true;
+        mIoThread.execute(
+                () -> {
+                    if (!mExchange.isComplete()) {
+                        begin(status, headers);
+                    }
+                });
+    }
+
+    void write(byte[] bytes, Duration timeout)
+            throws IOException, TimeoutException, InterruptedException {
+        writer().write(bytes, timeout);
+        mBytes.addAndGet(bytes.length);
+        mParts.incrementAndGet();
+    }
+
+    void end(Duration timeout) throws IOException, TimeoutException, InterruptedException {
+        writer().end(timeout, mExchange::endExchange);
+    }
+
+    void answer(int status, HeaderMap headers, byte[] body, Duration timeout)
+            throws IOException, TimeoutException, InterruptedException {
+        headers.put(Headers.CONTENT_LENGTH, body.length);
+        mStarted = true;
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        mIoThread.execute(
+                () -> {
+                    if (mExchange.isComplete() || mIsGone.getAsBoolean()) {
+                        done.completeExceptionally(new IOException("caller has gone"));
+                        return;
+                    }
+                    begin(status, headers);
+                    mWriter.writeAndEnd(body, done, mExchange::endExchange);
+                });
+        ChannelWriter.await(done, timeout);
+    }
+
+    /** Sets the head of the response; on the I/O thread. */
+    private void begin(int status, HeaderMap headers) {
+        if (mClosing.getAsBoolean()) {
+            mExchange.setPersistent(false);
+        }
+        mExchange.setStatusCode(status);
+        mExchange.getResponseHeaders().putAll(headers);
+        mFraming = ResponseFraming.of(mExchange);
+        StreamSinkChannel channel = mExchange.getResponseChannel();
+        mWriter =
+                mUnread == null
+                        ? new ChannelWriter(mIoThread, channel)
+                        : new BufferingWriter(mIoThread, channel, mUnread, mStallTime, this::reset);
+    }
+
+    void trailer(HttpString name, Supplier<String> value) {
+        mIoThread.execute(
+                () -> {
+                    if (!mExchange.getProtocol().equals(Protocols.HTTP_1_1)) {
+                        return;
+                    }
+                    mExchange.getResponseHeaders().put(Headers.TRAILER, name.toString());
+                    mExchange.putAttachment(
+                            HttpAttachments.RESPONSE_TRAILER_SUPPLIER,
+                            () -> new HeaderMap().put(name, value.get()));
+                });
+    }
+
+    void abort(AbortCause cause, String detail) {
+        if (mExchange.isResponseComplete()) {
+            return;
+        }
+        if (!mIsGone.getAsBoolean()) {
+            record(cause, detail);
+        }
+        Runnable close =
+                () -> mIoThread.execute(() -> IoUtils.safeClose(mExchange.getConnection()));
+        ResponseWriter writer = mWriter;
+        if (writer == null) {
+            close.run();
+        } else {
+            writer.abort(close);
+        }
+    }
+
+    private void record(AbortCause cause, String detail) {
+        if (!mIsAborted.compareAndSet(false, true)) {
+            return;
+        }
+        mAbortedResponses.add(
+                new AbortedResponse(
+                        mRequestId,
+                        mFraming,
+                        mBytes.get(),
+                        mParts.get(),
+                        cause,
+                        cause == AbortCause.CALLER_TOO_SLOW,
+                        detail));
+    }
+
+    /**
+     * Leaves the caller, which is from now on treated as one that has gone. The connection is
+     * reset, because an orderly end would make an answer without length look complete.
+     */
+    private void reset(IOException reason) {
+        if (reason instanceof SlowCallerException) {
+            record(AbortCause.CALLER_TOO_SLOW, reason.getMessage());
+        }
+        mMarkGone.run();
+        mIoThread.execute(
+                () -> {
+                    try {
+                        mExchange.getConnection().setOption(Options.CLOSE_ABORT, true);
+                    } catch (IOException | IllegalArgumentException e) {
+                        LOG.debug("a connection cannot be reset: %s", e);
+                    }
+                    IoUtils.safeClose(mExchange.getConnection());
+                });
+    }
+
+    void whenDelivered(Runnable action) {
+        ResponseWriter writer = mWriter;
+        if (writer == null) {
+            action.run();
+        } else {
+            writer.whenDelivered(action);
+        }
+    }
+
+    /** Fails a write that is under way, because the caller has gone. */
+    void fail(IOException error) {
+        ResponseWriter writer = mWriter;
+        if (writer != null) {
+            writer.fail(error);
+        }
+    }
+
+    /** Waits for the I/O thread to have made the writer. */
+    private ResponseWriter writer() throws IOException, TimeoutException, InterruptedException {
+        if (mWriter == null) {
+            CompletableFuture<Void> turn = new CompletableFuture<>();
+            mIoThread.execute(() -> turn.complete(null));
+            turn.join();
+        }
+        if (mWriter == null || mIsGone.getAsBoolean()) {
+            throw new IOException("caller has gone");
+        }
+        return mWriter;
+    }
+}
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/CallerResponse.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/CallerResponse.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
+import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.routing.FinalOutcome;
 
 /** The response to the caller of a request. Confined to one thread. */
@@ -53,8 +54,13 @@
      */
     void endStream() throws IOException, TimeoutException, InterruptedException;
 
-    /** Aborts a response that has begun, so that the caller can tell that it is incomplete. */
-    void abort();
+    /**
+     * Aborts a response that has begun, so that the caller can tell that it is incomplete.
+     *
+     * @param cause why it is not completed
+     * @param detail what is known beside the cause, for the log
+     */
+    void abort(AbortCause cause, String detail);
 
     /**
      * Sends an error response to a request that no upstream has answered.
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.membership.Registration.Stage;
@@ -339,7 +340,9 @@
             LOG.info(
                     "%s: stream aborted after event %d: %s",
                     mRequest.id(), lastEventId, mAttempts.lastFailure());
-            mCaller.abort();
+            AbortCause cause =
+                    timeLeft().isPositive() ? AbortCause.UPSTREAM_FAILED : AbortCause.TIMED_OUT;
+            mCaller.abort(cause, mAttempts.lastFailure());
             return End.CUT;
         }
         if (mAttempts.fallback().isPresent()) {
