A stand-in for callers that judge responses by their framing

The soaks and tests play kept HTTP/1.1 connections only and leave the framing to a client library, so that none could see a cut response that looks whole. FramingCaller plays HTTP/1.1 and HTTP/1.0 with kept and closed connections, and tells from the framing alone whether a response is whole (RFC 9112, section 8).

--- /dev/null
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FramingCaller.java
@@ -0,0 +1,225 @@
+/*
+ * Copyright (C) 2026, the Orchidmount authors
+ *
+ * SPDX-License-Identifier: Apache-2.0
+ */
+package org.orchidmount.junit;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import org.orchidmount.junit.FramedResponse.End;
+import org.orchidmount.junit.FramedResponse.Framing;
+
+/**
+ * A caller of each {@link CallerKind} that tells whole responses from cut ones by their framing, as
+ * RFC 9112 has it, and by nothing in their bodies. Used by one thread, except {@link #bodyBytes()}.
+ */
+public final class FramingCaller implements AutoCloseable {
+    private static final int HEX = 16;
+
+    private final CallerKind mKind;
+    private final Socket mSocket;
+    private final InputStream mIn;
+    private volatile int mBodyBytes;
+
+    /**
+     * Connects.
+     *
+     * @param kind the kind of the caller
+     * @param host the address
+     * @param port the port
+     * @param timeout the longest wait for a part of a response
+     * @throws IOException if that fails
+     */
+    public FramingCaller(CallerKind kind, String host, int port, Duration timeout)
+            throws IOException {
+        this(kind, host, port, timeout, 0);
+    }
+
+    /**
+     * Connects with a receive buffer of a given size, so that little is on its way to a caller that
+     * does not read.
+     *
+     * @param kind the kind of the caller
+     * @param host the address
+     * @param port the port
+     * @param timeout the longest wait for a part of a response
+     * @param receiveBufferBytes the size asked for; 0 for the system's own
+     * @throws IOException if that fails
+     */
+    public FramingCaller(
+            CallerKind kind, String host, int port, Duration timeout, int receiveBufferBytes)
+            throws IOException {
+        mKind = kind;
+        mSocket = new Socket();
+        if (receiveBufferBytes > 0) {
+            mSocket.setReceiveBufferSize(receiveBufferBytes);
+        }
+        mSocket.connect(
+                new InetSocketAddress(InetAddress.getByName(host), port), (int) timeout.toMillis());
+        mSocket.setSoTimeout((int) timeout.toMillis());
+        mSocket.setTcpNoDelay(true);
+        mIn = new BufferedInputStream(mSocket.getInputStream());
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param method the method
+     * @param path the path
+     * @param fields header fields, a line each with its end
+     * @param body the body
+     * @throws IOException if the connection has ended
+     */
+    public void send(String method, String path, String fields, String body) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        String head =
+                "%s %s %s\r\n%s%sContent-Length: %d\r\n\r\n"
+                        .formatted(
+                                method,
+                                path,
+                                mKind.version(),
+                                mKind.connectionField(),
+                                fields,
+                                bytes.length);
+        ByteArrayOutputStream request = new ByteArrayOutputStream();
+        request.writeBytes(head.getBytes(StandardCharsets.UTF_8));
+        request.writeBytes(bytes);
+        mSocket.getOutputStream().write(request.toByteArray());
+        mSocket.getOutputStream().flush();
+    }
+
+    /**
+     * Returns how much has come of the body of the response that is being read. Thread-safe.
+     *
+     * @return bytes
+     */
+    public int bodyBytes() {
+        return mBodyBytes;
+    }
+
+    /**
+     * Reads a response until it is whole or cannot become so.
+     *
+     * @return the response
+     */
+    public FramedResponse read() {
+        return new Reading().read();
+    }
+
+    @Override
+    public void close() throws IOException {
+        mSocket.close();
+    }
+
+    /** One response that is being read. */
+    private final class Reading {
+        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private final Map<String, String> mHeaders = new HashMap<>();
+        private Framing mFraming = Framing.NONE;
+        private int mStatus = -1;
+
+        FramedResponse read() {
+            mBodyBytes = 0;
+            try {
+                readHead();
+                readBody();
+                boolean isToClose = mFraming == Framing.CLOSE;
+                return ended(isToClose ? End.CLOSED : End.LAST_BYTE, true);
+            } catch (EOFException e) {
+                return ended(End.CLOSED, false);
+            } catch (SocketTimeoutException e) {
+                return ended(End.TIMED_OUT, false);
+            } catch (IOException e) {
+                return ended(End.RESET, false);
+            }
+        }
+
+        private FramedResponse ended(End end, boolean isComplete) {
+            String body = mBody.toString(StandardCharsets.UTF_8);
+            return new FramedResponse(mStatus, mHeaders, mFraming, body, end, isComplete);
+        }
+
+        private void readHead() throws IOException {
+            String[] words = readLine().split(" ");
+            for (String line = readLine(); !line.isEmpty(); line = readLine()) {
+                int colon = line.indexOf(':');
+                mHeaders.put(
+                        line.substring(0, colon).toLowerCase(Locale.ROOT),
+                        line.substring(colon + 1).strip());
+            }
+            mStatus = Integer.parseInt(words[1]);
+        }
+
+        private void readBody() throws IOException {
+            if ("chunked".equalsIgnoreCase(mHeaders.get("transfer-encoding"))) {
+                mFraming = Framing.CHUNKED;
+                readChunks();
+            } else if (mHeaders.containsKey("content-length")) {
+                mFraming = Framing.LENGTH;
+                readPart(Integer.parseInt(mHeaders.get("content-length")));
+            } else {
+                mFraming = Framing.CLOSE;
+                for (int next = mIn.read(); next >= 0; next = mIn.read()) {
+                    add(next);
+                }
+            }
+        }
+
+        private void readChunks() throws IOException {
+            while (true) {
+                int size = Integer.parseInt(readLine().split(";")[0].strip(), HEX);
+                if (size == 0) {
+                    break;
+                }
+                readPart(size);
+                readLine();
+            }
+            for (String line = readLine(); !line.isEmpty(); line = readLine()) {
+                // A field behind the body is none of the framing.
+                mHeaders.putIfAbsent("trailer: " + line, "");
+            }
+        }
+
+        private void readPart(int size) throws IOException {
+            for (int i = 0; i < size; i++) {
+                add(readByte());
+            }
+        }
+
+        private String readLine() throws IOException {
+            ByteArrayOutputStream line = new ByteArrayOutputStream();
+            for (int next = readByte(); next != '\n'; next = readByte()) {
+                if (next != '\r') {
+                    line.write(next);
+                }
+            }
+            return line.toString(StandardCharsets.US_ASCII);
+        }
+
+        private int readByte() throws IOException {
+            int next = mIn.read();
+            if (next < 0) {
+                throw new EOFException("the connection ended inside the response");
+            }
+            return next;
+        }
+
+        private void add(int next) {
+            mBody.write(next);
+            mBodyBytes = mBody.size();
+        }
+    }
+}
