A refused connection is named in the product's own words

What was seen: on a virtual machine of version 25.0.4 the command-line tool said "Connection refused (connect failed)" where its pinned text says "Connection refused": HelpPinTest.helpStaysAsItWas failed at line 206.

Cause: the message of the exception of a failed connect, whose wording differs between virtual machines, was passed on to callers, logs and the tool.

Change: ConnectionOpener, where the failure of each connect is described, names a refusal itself. Other failures keep their message. The pin is unchanged.

HelpPinTest on that virtual machine: red before, green after.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionOpener.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionOpener.java
@@ -13,6 +13,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.HttpString;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
@@ -40,6 +41,8 @@
 final class ConnectionOpener {
     static final String CANCELLED = "cancelled before anything was sent";
 
+    private static final String REFUSED = "Connection refused";
+
     /** Bytes read at a time. */
     private static final int BUFFER_BYTES = 16 * 1024;
 
@@ -241,10 +244,17 @@
                 cancel.onCancel(() -> attempt.completeExceptionally(new IOException(CANCELLED)))) {
             return attempt.get(timeout.toNanos(), TimeUnit.NANOSECONDS);
         } catch (ExecutionException e) {
-            throw new IOException(String.valueOf(e.getCause().getMessage()), e.getCause());
+            throw new IOException(describe(e.getCause()), e.getCause());
         }
     }
 
+    /** Some virtual machines add the name of their own step to a refusal. */
+    private static String describe(Throwable error) {
+        String message = String.valueOf(error.getMessage());
+        boolean isRefusal = error instanceof ConnectException && message.startsWith(REFUSED);
+        return isRefusal ? REFUSED : message;
+    }
+
     private static void abandon(CompletableFuture<ClientConnection> attempt, Exception reason) {
         attempt.completeExceptionally(reason);
         attempt.thenAccept(PooledConnection::closeLater);
