Whatever ends the reading of a body is told to its reader

What callers saw: nothing more until their deadline, then a timeout, when an error (no memory for a chunk) or a fault of the library was thrown while an upstream's body was read on the I/O thread.

Cause: ChannelPump told the queue of an IOException only; the library logs what else a listener throws, and goes on. The reader of the queue waited for its deadline.

Change: every Throwable ends the queue by an error, and is logged.

ChannelPumpTest, before: 2 of 3 cases fail (OutOfMemoryError and IllegalStateException: "expected: <java.io.IOException> but was: <java.util.concurrent.TimeoutException>"). After: 3 of 3 hold.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelPump.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelPump.java
@@ -9,14 +9,20 @@
 import io.undertow.connector.PooledByteBuffer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.orchidmount.internal.log.PartLog;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
  * Moves bytes from a channel to a {@link ByteQueue}.
  *
+ * <p>Invariant: whatever ends the reading ends the queue, in order only if the body has ended so;
+ * the library would log an error and tell nobody.
+ *
  * <p>Confined to the I/O thread of the channel: every method must be called there.
  */
 final class ChannelPump {
+    private static final PartLog LOG = PartLog.of("connections");
+
     private final StreamSourceChannel mChannel;
     private final ByteBufferPool mPool;
     private final ByteQueue mQueue;
@@ -64,6 +70,9 @@
             }
         } catch (IOException e) {
             mQueue.fail(e);
+        } catch (Throwable e) {
+            mQueue.fail(new IOException("reading failed: " + e, e));
+            LOG.error("reading from a connection failed", e);
         }
     }
 }
