HTTP/1.1 responses without length are sent in chunks on each connection

Callers that ask to close their connection, and all while the instance stops, got streams that are framed by the end of the connection.

The HTTP library frames a response without length by the end of its connection if the connection is not kept. The chunked coding is independent of that, so it is now chosen for every HTTP/1.1 response that has a body without a length: what ends early lacks the last chunk, whoever closes the connection, the system of a killed process included.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ResponseFraming.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ResponseFraming.java
@@ -24,7 +24,11 @@
 
     private static final int FIRST_FINAL_STATUS = 200;
 
-    /** Returns the framing of a response whose status and header fields are set. */
+    /**
+     * Chooses the framing of a response whose status and header fields are set. Chunks are used
+     * wherever the caller knows them, also if the connection is closed behind the response: an end
+     * of the connection does not tell a whole response from one whose process has died.
+     */
     static ResponseFraming of(HttpServerExchange exchange) {
         if (exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH)) {
             return LENGTH;
@@ -32,9 +36,7 @@
         if (!hasBody(exchange)) {
             return NONE;
         }
-        boolean isChunked =
-                exchange.getProtocol().equals(Protocols.HTTP_1_1) && exchange.isPersistent();
-        return isChunked ? CHUNKED : CLOSE;
+        return exchange.getProtocol().equals(Protocols.HTTP_1_1) ? CHUNKED : CLOSE;
     }
 
     private static boolean hasBody(HttpServerExchange exchange) {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
@@ -36,6 +36,7 @@
     private static final PartLog LOG = PartLog.of("http");
 
     private static final String NO_REQUEST_ID = "-";
+    private static final String CHUNKED = "chunked";
 
     private final HttpServerExchange mExchange;
     private final XnioIoThread mIoThread;
@@ -136,6 +137,9 @@
         mExchange.setStatusCode(status);
         mExchange.getResponseHeaders().putAll(headers);
         mFraming = ResponseFraming.of(mExchange);
+        if (mFraming == ResponseFraming.CHUNKED) {
+            mExchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, CHUNKED);
+        }
         StreamSinkChannel channel = mExchange.getResponseChannel();
         mWriter =
                 mUnread == null
