HTTP/1.0 responses without length end by a reset unless they are whole

HTTP/1.0 knows no chunks: the end of such a response is the orderly end of its connection, and everything that breaks off ends its connections in order, the system of a killed process too.

The socket is told to reset when it closes (SO_LINGER 0) before the head is sent, and told otherwise once all bytes of the body have been handed to the system, before the end. From then on an orderly end is true, whatever becomes of the process, and the bytes are delivered also to a caller that reads late.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/BufferingWriter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/BufferingWriter.java
@@ -53,6 +53,7 @@
     private final XnioIoThread mIoThread;
     private final StreamSinkChannel mChannel;
     private final UnreadBytes mUnread;
+    private final Runnable mBeforeEnd;
     private final Consumer<IOException> mDisconnect;
     private final long mCheckMillis;
     private volatile CompletableFuture<Void> mPending;
@@ -84,6 +85,7 @@
      * @param channel the body of the response
      * @param opener opens the account of what is held
      * @param stallTime how long a caller may read nothing while bytes are held
+     * @param beforeEnd run on the I/O thread before the end is written, once all bytes have left
      * @param disconnect closes the connection in a way that the caller cannot take for the end; is
      *     given the reason, a {@link SlowCallerException} or the failure of a write; must not
      *     block, and may be called on any thread and more than once
@@ -93,9 +95,11 @@
             StreamSinkChannel channel,
             UnreadBytes.Opener opener,
             Duration stallTime,
+            Runnable beforeEnd,
             Consumer<IOException> disconnect) {
         mIoThread = ioThread;
         mChannel = channel;
+        mBeforeEnd = beforeEnd;
         mDisconnect = disconnect;
         mCheckMillis = Math.max(1, stallTime.toMillis() / STALLED_CHECKS);
         mUnread = opener.open(this::disconnect);
@@ -323,6 +327,7 @@
                     catchUp();
                 } else if (!mIsShutDown && !mIsAborting) {
                     mIsShutDown = true;
+                    mBeforeEnd.run();
                     mChannel.shutdownWrites();
                 } else {
                     finish();
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelWriter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelWriter.java
@@ -28,11 +28,24 @@
 
     private final XnioIoThread mIoThread;
     private final StreamSinkChannel mChannel;
+    private final Runnable mBeforeEnd;
     private volatile CompletableFuture<Void> mPending;
 
     ChannelWriter(XnioIoThread ioThread, StreamSinkChannel channel) {
+        this(ioThread, channel, () -> {});
+    }
+
+    /**
+     * Creates a writer.
+     *
+     * @param ioThread the thread of the channel
+     * @param channel the body
+     * @param beforeEnd run on the I/O thread before the end is written, once all bytes have left
+     */
+    ChannelWriter(XnioIoThread ioThread, StreamSinkChannel channel, Runnable beforeEnd) {
         mIoThread = ioThread;
         mChannel = channel;
+        mBeforeEnd = beforeEnd;
     }
 
     /** Writes all bytes and waits for the socket to take them. */
@@ -74,6 +87,7 @@
 
     private void shutDown(CompletableFuture<Void> done) {
         try {
+            mBeforeEnd.run();
             mChannel.shutdownWrites();
             flush(done);
         } catch (IOException e) {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
@@ -28,9 +28,11 @@
 /**
  * The response to a request that this process serves.
  *
- * <p>Invariants: the exchange is touched on its I/O thread only; a response ends either by {@link
- * #end} or {@link #answer}, or by {@link #abort}, which is recorded once. Used by one thread,
- * except {@link #abort} and {@link #fail}, which are thread-safe.
+ * <p>Invariants: the exchange is touched on its I/O thread only; the end of the connection is in
+ * order only if the framing of the response tells without it that the response has not ended, or if
+ * the response is whole; a response ends either by {@link #end} or {@link #answer}, or by {@link
+ * #abort}, which is recorded once. Used by one thread, except {@link #abort} and {@link #fail},
+ * which are thread-safe.
  */
 final class ServerResponse {
     private static final PartLog LOG = PartLog.of("http");
@@ -139,12 +141,36 @@
         mFraming = ResponseFraming.of(mExchange);
         if (mFraming == ResponseFraming.CHUNKED) {
             mExchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, CHUNKED);
+        } else if (mFraming == ResponseFraming.CLOSE) {
+            // Whatever ends the process or the connection early then does not end it in order.
+            setResetOnClose(true);
         }
         StreamSinkChannel channel = mExchange.getResponseChannel();
         mWriter =
                 mUnread == null
-                        ? new ChannelWriter(mIoThread, channel)
-                        : new BufferingWriter(mIoThread, channel, mUnread, mStallTime, this::reset);
+                        ? new ChannelWriter(mIoThread, channel, this::beforeEnd)
+                        : new BufferingWriter(
+                                mIoThread,
+                                channel,
+                                mUnread,
+                                mStallTime,
+                                this::beforeEnd,
+                                this::reset);
+    }
+
+    /** All bytes have been handed to the system, so that an orderly end tells the truth. */
+    private void beforeEnd() {
+        if (mFraming == ResponseFraming.CLOSE) {
+            setResetOnClose(false);
+        }
+    }
+
+    private void setResetOnClose(boolean isReset) {
+        try {
+            mExchange.getConnection().setOption(Options.CLOSE_ABORT, isReset);
+        } catch (IOException | IllegalArgumentException e) {
+            LOG.warn("%s: cannot set how the connection closes: %s", mRequestId, e);
+        }
     }
 
     void trailer(HttpString name, Supplier<String> value) {
@@ -188,13 +214,13 @@
                         mBytes.get(),
                         mParts.get(),
                         cause,
-                        cause == AbortCause.CALLER_TOO_SLOW,
+                        mFraming == ResponseFraming.CLOSE || cause == AbortCause.CALLER_TOO_SLOW,
                         detail));
     }
 
     /**
      * Leaves the caller, which is from now on treated as one that has gone. The connection is
-     * reset, because an orderly end would make an answer without length look complete.
+     * reset, so that the system does not keep what the caller has not read.
      */
     private void reset(IOException reason) {
         if (reason instanceof SlowCallerException) {
@@ -203,11 +229,7 @@
         mMarkGone.run();
         mIoThread.execute(
                 () -> {
-                    try {
-                        mExchange.getConnection().setOption(Options.CLOSE_ABORT, true);
-                    } catch (IOException | IllegalArgumentException e) {
-                        LOG.debug("a connection cannot be reset: %s", e);
-                    }
+                    setResetOnClose(true);
                     IoUtils.safeClose(mExchange.getConnection());
                 });
     }
