An error of the virtual machine gives a response up as well

HttpServer caught exceptions only: an Error on a request's thread left its caller with a connection that neither went on nor ended. Each Throwable now ends the response in the one way there is, with a line. A response that was given up takes no more parts and no end, so that what is counted as given up is not completed afterwards.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -108,25 +108,31 @@
         exchange.dispatch(mThreads, () -> serve(request));
     }
 
+    /** An error of the virtual machine ends the response as well, so that its caller learns it. */
     private void serve(ServerExchange request) {
-        request.startReading();
         try {
+            request.startReading();
             mHandler.handle(request);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             request.abort(AbortCause.INSTANCE_STOPS, "the request was interrupted");
         } catch (TimeoutException e) {
             request.abort(AbortCause.CALLER_TOO_SLOW, String.valueOf(e.getMessage()));
-        } catch (Exception e) {
-            if (!request.isGone()) {
-                LOG.error("request " + request.method() + " " + request.path() + " failed", e);
-            }
-            request.abort(AbortCause.INTERNAL_ERROR, e.toString());
+        } catch (Throwable e) {
+            fail(request, e);
         } finally {
             request.whenDelivered(() -> mActive.remove(request));
         }
     }
 
+    private static void fail(ServerExchange request, Throwable error) {
+        boolean isExpected = request.isGone() || request.isAborted();
+        request.abort(AbortCause.INTERNAL_ERROR, error.toString());
+        if (!isExpected) {
+            LOG.error("request " + request.method() + " " + request.path() + " failed", error);
+        }
+    }
+
     /**
      * Closes the kept connections on which no request is being served. A request that arrives at
      * the same moment is not taken.
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
@@ -248,6 +248,15 @@
         return mResponse.isStarted();
     }
 
+    /**
+     * Tells whether the answer was given up.
+     *
+     * @return true once {@link #abort} has given it up
+     */
+    boolean isAborted() {
+        return mResponse.isAborted();
+    }
+
     /**
      * Begins the answer.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
@@ -89,6 +89,10 @@
         mUnread = opener;
     }
 
+    boolean isAborted() {
+        return mIsAborted.get();
+    }
+
     boolean isStarted() {
         return mStarted;
     }
@@ -258,6 +262,9 @@
             mIoThread.execute(() -> turn.complete(null));
             turn.join();
         }
+        if (mIsAborted.get()) {
+            throw new IOException("the response was given up");
+        }
         if (mWriter == null || mIsGone.getAsBoolean()) {
             throw new IOException("caller has gone");
         }
