An upload that only its connection ends is refused

What callers saw: a PUT of a configuration, or any upload, with "Transfer-Encoding: identity" and no length was read to the close of its connection. Cut anywhere by an orderly end, it was taken for whole, and applied where its bytes made sense.

Cause: the library reads such a body to the end of the connection, as that of a response. RFC 9112, section 6.3: a request whose last transfer coding is not "chunked" has no end that can be told, and is refused.

Change: ServerExchange fails the body of such a request before a byte of it is read, as that of one that is cut, at each listener.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
@@ -52,6 +52,10 @@
 
     /** Begins to read the body and then to watch the caller. Must run first. */
     public void startReading() {
+        if (RequestFraming.endsByConnection(mExchange.getRequestHeaders())) {
+            mBody.fail(new IOException("the end of the request's body cannot be told"));
+            return;
+        }
         mIoThread.execute(
                 () -> {
                     StreamSourceChannel channel = mExchange.getRequestChannel();
