A CSV file of rows that ends inside a line is not imported

What operators saw: "table import" of a CSV file that was cut inside its last line applied a shortened last value (50 in place of 500) without a word.

Cause: the end of the file was taken for the end of the row.

Change: a file whose last line has no line break is refused, with the remedy for one that is whole. Exported files end in one. A file that ends between two lines still cannot be told from a whole one.

CutRowsTest, before: 4 of 9 cases fail ("Expected org.orchidmount.pgm.internal.CliException to be thrown, but nothing was thrown", CSV cut by 1, 2, 3 and 5 bytes); JSON was refused already. After: 9 of 9, with the 51 others of the command-line tool.

--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/CliText.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/CliText.java
@@ -30,5 +30,9 @@
     /** A file cannot be read as rows. */
     public static final String BAD_ROW_IN_FILE = "%s, row %d: %s";
 
+    /** The last value of a file may be cut. */
+    public static final String CUT_FILE =
+            "%s ends inside its last line and may be cut; if it is whole, add a line break";
+
     private CliText() {}
 }
--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/RowFiles.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/RowFiles.java
@@ -124,8 +124,12 @@
     private static List<Edit.Put> readCsv(Path file) throws IOException {
         List<Edit.Put> puts = new ArrayList<>();
         CsvSchema schema = CsvSchema.emptySchema().withHeader();
+        String content = Files.readString(file);
+        if (!content.isEmpty() && !content.endsWith("\n")) {
+            throw new CliException(ExitCode.USAGE, CliText.CUT_FILE.formatted(file));
+        }
         try (MappingIterator<Map<String, String>> lines =
-                CSV.readerForMapOf(String.class).with(schema).readValues(Files.readString(file))) {
+                CSV.readerForMapOf(String.class).with(schema).readValues(content)) {
             while (lines.hasNext()) {
                 Map<String, String> cells = lines.next();
                 ObjectNode head = Json.object();
