A caller that reads too slowly is reset before its request's thread is woken

The reset of such a caller's connection raced with an orderly close by the thread that serves it: UnreadResponseTest.theGreedyCallerAloneIsDisconnected failed once beside a load of 20, as the caller saw an orderly end. What wakes that thread now comes after the reset.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
@@ -230,12 +230,13 @@
         if (reason instanceof SlowCallerException) {
             record(AbortCause.CALLER_TOO_SLOW, reason.getMessage());
         }
-        mMarkGone.run();
         mIoThread.execute(
                 () -> {
                     setResetOnClose(true);
                     IoUtils.safeClose(mExchange.getConnection());
                 });
+        // Last, as it wakes the request's thread, which then closes the connection as well.
+        mMarkGone.run();
     }
 
     void whenDelivered(Runnable action) {
