Daemon: a stream that fails is cut, not ended

A stream that failed after its first token got an error event and then its last chunk and its trailer: by its framing the answer was whole, on kept HTTP/1.1 connections too, and a caller that doesn't read the event took a part for the answer (read in StreamAnswer.fail).

The event is still sent, then the response is given up with its cause: the upstream, a timeout, the stop, a caller that is too slow, or, new, that another instance has taken the stream up. The refusals of the admission move from CompletionRun to Refusal.

PlannedStopTest, ResumeTest and ForgottenStreamTest asked for the error event alone. They ask for it still, and now also that the response is cut; PlannedStopTest for its line with cause and framing as well.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/AnswerWriter.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/AnswerWriter.java
@@ -7,6 +7,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.TimeoutException;
+import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.upstream.TokenChunk;
 
 /**
@@ -29,6 +30,12 @@
     /** Ends an answer that is whole. */
     void complete() throws IOException, TimeoutException, InterruptedException;
 
-    /** Ends an answer that cannot be completed. */
-    void fail(Refusal refusal) throws IOException, TimeoutException, InterruptedException;
+    /**
+     * Refuses an answer that has not begun, and gives one up that has.
+     *
+     * @param refusal what the caller is told
+     * @param cause why the answer is given up, if it has begun
+     */
+    void fail(Refusal refusal, AbortCause cause)
+            throws IOException, TimeoutException, InterruptedException;
 }
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionHandler.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionHandler.java
@@ -97,7 +97,9 @@
             if (cancel.reason() == CancelSignal.Reason.CALLER_GONE) {
                 exchange.abort(AbortCause.CALLER_TOO_SLOW, SLOW_CALLER);
             } else {
-                writer.fail(Refusal.failed(Messages.RESUME_FAILED.formatted(failure.describe())));
+                writer.fail(
+                        Refusal.failed(Messages.RESUME_FAILED.formatted(failure.describe())),
+                        AbortCauses.of(failure, cancel));
             }
         } finally {
             mParts.requests().remove(id);
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionRun.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionRun.java
@@ -11,7 +11,6 @@
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -22,6 +21,7 @@
 import org.orchidmount.blackboard.Ticket.Verdict;
 import org.orchidmount.errors.Attempt;
 import org.orchidmount.errors.Failure;
+import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.json.Json;
 import org.orchidmount.internal.log.PartLog;
@@ -101,7 +101,7 @@
         mParts.retries().recordRequest();
         while (true) {
             if (!mGuard.tryBeginRun()) {
-                finish(mayNotRun());
+                finish(mayNotRun(), AbortCause.UPSTREAM_FAILED);
                 return;
             }
             Ticket ticket = ticket();
@@ -111,7 +111,7 @@
                     return;
                 }
                 case Verdict.Refused(Decision.Refuse refuse) -> {
-                    finish(refusal(refuse));
+                    finish(refuse);
                     return;
                 }
                 case Verdict.Placed(Decision.Place _, Reservation reservation) -> {
@@ -167,7 +167,7 @@
             mExcluded.add(failure.peer());
             return false;
         }
-        finish(refusal(failure));
+        finish(refusal(failure), AbortCauses.of(failure));
         return true;
     }
 
@@ -177,10 +177,7 @@
             count("gone");
             return;
         }
-        finish(
-                refusal(
-                        new Decision.Refuse(
-                                Decision.RefuseReason.STOPPING, RetryAfter.TABLE_MILLIS)));
+        finish(new Decision.Refuse(Decision.RefuseReason.STOPPING, RetryAfter.TABLE_MILLIS));
     }
 
     private boolean mayRetry() {
@@ -376,32 +373,17 @@
         return Refusal.failed(message);
     }
 
-    private Refusal refusal(Decision.Refuse refuse) {
-        String message =
-                switch (refuse.reason()) {
-                    case TOO_LATE -> Messages.TOO_LATE;
-                    case WAITED_TOO_LONG -> Messages.WAITED_TOO_LONG;
-                    case QUEUE_FULL -> Messages.QUEUE_FULL;
-                    case RATE_LIMIT -> Messages.RATE_LIMIT;
-                    case TOO_LARGE -> Messages.TOO_LARGE;
-                    case STOPPING -> Messages.STOPPING;
-                };
-        int status =
-                switch (refuse.reason()) {
-                    case RATE_LIMIT, QUEUE_FULL -> StatusCodes.TOO_MANY_REQUESTS;
-                    case TOO_LARGE -> StatusCodes.REQUEST_ENTITY_TOO_LARGE;
-                    default -> StatusCodes.SERVICE_UNAVAILABLE;
-                };
+    private void finish(Decision.Refuse refuse)
+            throws IOException, TimeoutException, InterruptedException {
         Outcome outcome = mMayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-        String code = refuse.reason().name().toLowerCase(Locale.ROOT);
-        return new Refusal(status, code, message, outcome, refuse.retryAfterMillis());
+        finish(Refusal.of(refuse, outcome), AbortCauses.of(refuse.reason()));
     }
 
-    private void finish(Refusal refusal)
+    private void finish(Refusal refusal, AbortCause cause)
             throws IOException, TimeoutException, InterruptedException {
         count(refusal.outcome().label());
         LOG.info("%s: %s, %s", mId, refusal.outcome().label(), refusal.message());
-        mWriter.fail(refusal);
+        mWriter.fail(refusal, cause);
     }
 
     private void phase(String phase, Reservation reservation) {
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/Refusal.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/Refusal.java
@@ -6,6 +6,8 @@
 package org.orchidmount.daemon.internal;
 
 import io.undertow.util.StatusCodes;
+import java.util.Locale;
+import org.orchidmount.routing.Decision;
 
 /**
  * An answer other than the one asked for. Immutable.
@@ -31,4 +33,25 @@
     static Refusal failed(String message) {
         return new Refusal(StatusCodes.BAD_GATEWAY, "upstream_failed", message, Outcome.UNKNOWN, 0);
     }
+
+    /** A request that was admitted by no engine. */
+    static Refusal of(Decision.Refuse refuse, Outcome outcome) {
+        String message =
+                switch (refuse.reason()) {
+                    case TOO_LATE -> Messages.TOO_LATE;
+                    case WAITED_TOO_LONG -> Messages.WAITED_TOO_LONG;
+                    case QUEUE_FULL -> Messages.QUEUE_FULL;
+                    case RATE_LIMIT -> Messages.RATE_LIMIT;
+                    case TOO_LARGE -> Messages.TOO_LARGE;
+                    case STOPPING -> Messages.STOPPING;
+                };
+        int status =
+                switch (refuse.reason()) {
+                    case RATE_LIMIT, QUEUE_FULL -> StatusCodes.TOO_MANY_REQUESTS;
+                    case TOO_LARGE -> StatusCodes.REQUEST_ENTITY_TOO_LARGE;
+                    default -> StatusCodes.SERVICE_UNAVAILABLE;
+                };
+        String code = refuse.reason().name().toLowerCase(Locale.ROOT);
+        return new Refusal(status, code, message, outcome, refuse.retryAfterMillis());
+    }
 }
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/StreamAnswer.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/StreamAnswer.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
+import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.internal.http.ServerExchange;
 import org.orchidmount.internal.json.Json;
 import org.orchidmount.internal.upstream.EngineProtocol;
@@ -23,9 +24,15 @@
  *
  * <p>Each event carries its offset as its id. The outcome follows the body as a trailer and, for
  * callers that read no trailers, as a comment before the last event. When the answer moves to
- * another engine, a comment brings the new resume token. Used by one thread.
+ * another engine, a comment brings the new resume token.
+ *
+ * <p>Invariant: the response is ended only if the answer is whole. One that fails after its first
+ * token tells why in a last event and is then given up, so that it is cut by its framing. Used by
+ * one thread.
  */
 final class StreamAnswer implements AnswerWriter {
+    private static final String SLOW_CALLER = "the caller reads too slowly";
+
     private final ServerExchange mExchange;
     private final String mId;
     private final ResumeTokens mTokens;
@@ -66,14 +73,18 @@
     }
 
     @Override
-    public void fail(Refusal refusal) throws IOException, TimeoutException, InterruptedException {
+    public void fail(Refusal refusal, AbortCause cause)
+            throws IOException, TimeoutException, InterruptedException {
         if (mSource == null) {
             Answers.refuse(mExchange, mId, refusal, mTimeout);
             return;
         }
         String body = Json.text(Answers.body(refusal, mId));
-        write(new StringBuilder("data: ").append(body).append("\n\n"));
-        mExchange.end(mTimeout);
+        try {
+            send(new StringBuilder("data: ").append(body).append("\n\n"));
+        } finally {
+            mExchange.abort(cause, refusal.message());
+        }
     }
 
     private void start(ResumeTokens.Resumable source) {
@@ -87,6 +98,16 @@
 
     private void write(StringBuilder event)
             throws IOException, TimeoutException, InterruptedException {
+        try {
+            send(event);
+        } catch (TimeoutException e) {
+            mExchange.abort(AbortCause.CALLER_TOO_SLOW, SLOW_CALLER);
+            throw e;
+        }
+    }
+
+    private void send(StringBuilder event)
+            throws IOException, TimeoutException, InterruptedException {
         mExchange.write(event.toString().getBytes(StandardCharsets.UTF_8), mTimeout);
     }
 }
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/WholeAnswer.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/WholeAnswer.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
+import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.internal.http.ServerExchange;
 import org.orchidmount.internal.json.Json;
 import org.orchidmount.upstream.TokenChunk;
@@ -64,7 +65,8 @@
     }
 
     @Override
-    public void fail(Refusal refusal) throws IOException, TimeoutException, InterruptedException {
+    public void fail(Refusal refusal, AbortCause cause)
+            throws IOException, TimeoutException, InterruptedException {
         Answers.refuse(mExchange, mId, refusal, mTimeout);
     }
 }
--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/Caller.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/Caller.java
@@ -110,39 +110,14 @@
             JsonNode json = Json.parse(body.readAllBytes());
             String text = json.path("choices").path(0).path("text").asText("");
             String outcome = header(response, "Orchidmount-Outcome");
-            return new Answer(
-                    response.statusCode(), outcome, text, json.path("error"), -1, "", response);
+            JsonNode error = json.path("error");
+            return new Answer(response.statusCode(), outcome, text, error, -1, "", true, response);
         }
     }
 
     private static Answer stream(HttpResponse<?> response, InputStream body, IntConsumer onToken)
             throws IOException {
-        StringBuilder text = new StringBuilder();
-        String outcome = "unknown";
-        JsonNode error = Json.object();
-        int last = -1;
-        BufferedReader lines =
-                new BufferedReader(new InputStreamReader(body, StandardCharsets.UTF_8));
-        String resume = header(response, "Orchidmount-Resume");
-        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-            if (line.startsWith(": outcome ")) {
-                outcome = line.substring(": outcome ".length());
-            } else if (line.startsWith(": resume ")) {
-                resume = line.substring(": resume ".length());
-            } else if (line.startsWith("data: {")) {
-                byte[] data = line.substring("data: ".length()).getBytes(StandardCharsets.UTF_8);
-                JsonNode json = Json.parse(data);
-                if (json.has("error")) {
-                    error = json.path("error");
-                    continue;
-                }
-                text.append(json.path("choices").path(0).path("text").asText());
-                last = json.path("offset").asInt();
-                onToken.accept(last);
-            }
-        }
-        return new Answer(
-                response.statusCode(), outcome, text.toString(), error, last, resume, response);
+        return new Stream(response, onToken).read(body);
     }
 
     /**
@@ -226,6 +201,7 @@
      * @param error the explanation of a refusal, or a missing node
      * @param lastOffset the last offset received, -1 for none
      * @param resumeToken the resume token last received
+     * @param isComplete false for a stream that was cut after an event that tells why
      * @param response the answer's head
      */
     public record Answer(
@@ -235,6 +211,7 @@
             JsonNode error,
             int lastOffset,
             String resumeToken,
+            boolean isComplete,
             HttpResponse<?> response) {
         /**
          * Returns the id under which the router knows the request.
@@ -245,4 +222,67 @@
             return header(response, "Orchidmount-Request-Id");
         }
     }
+
+    /** A stream that is being read. */
+    private static final class Stream {
+        private final HttpResponse<?> mResponse;
+        private final IntConsumer mOnToken;
+        private final StringBuilder mText = new StringBuilder();
+        private String mOutcome = "unknown";
+        private JsonNode mError = Json.object();
+        private int mLast = -1;
+        private String mResume;
+
+        Stream(HttpResponse<?> response, IntConsumer onToken) {
+            mResponse = response;
+            mOnToken = onToken;
+            mResume = header(response, "Orchidmount-Resume");
+        }
+
+        Answer read(InputStream body) throws IOException {
+            BufferedReader lines =
+                    new BufferedReader(new InputStreamReader(body, StandardCharsets.UTF_8));
+            try {
+                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                    add(line);
+                }
+                return answer(true);
+            } catch (IOException e) {
+                if (mError.isEmpty()) {
+                    throw e;
+                }
+                return answer(false);
+            }
+        }
+
+        private Answer answer(boolean isComplete) {
+            return new Answer(
+                    mResponse.statusCode(),
+                    mOutcome,
+                    mText.toString(),
+                    mError,
+                    mLast,
+                    mResume,
+                    isComplete,
+                    mResponse);
+        }
+
+        private void add(String line) throws IOException {
+            if (line.startsWith(": outcome ")) {
+                mOutcome = line.substring(": outcome ".length());
+            } else if (line.startsWith(": resume ")) {
+                mResume = line.substring(": resume ".length());
+            } else if (line.startsWith("data: {")) {
+                byte[] data = line.substring("data: ".length()).getBytes(StandardCharsets.UTF_8);
+                JsonNode json = Json.parse(data);
+                if (json.has("error")) {
+                    mError = json.path("error");
+                    return;
+                }
+                mText.append(json.path("choices").path(0).path("text").asText());
+                mLast = json.path("offset").asInt();
+                mOnToken.accept(mLast);
+            }
+        }
+    }
 }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/daemon/ForgottenStreamTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/daemon/ForgottenStreamTest.java
@@ -103,6 +103,7 @@
     void furtherAttemptsTakeFromTheRetryBudget() throws Exception {
         Caller.Answer answer = complete(0);
         assertThat(answer.error().path("code").asText()).isEqualTo("upstream_failed");
+        assertThat(answer.isComplete()).isFalse();
         assertThat(mDecoded.get()).isEqualTo(MAX_FRUITLESS_ATTEMPTS);
     }
 
--- a/org.orchidmount.test/src/test/java/org/orchidmount/test/PlannedStopTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/test/PlannedStopTest.java
@@ -84,7 +84,10 @@
             Caller.Answer cut = answer.get();
             assertThat(cut.outcome()).isEqualTo("unknown");
             assertThat(cut.error().path("outcome").asText()).isEqualTo("unknown");
+            assertThat(cut.error().path("code").asText()).isEqualTo("stopping");
+            assertThat(cut.isComplete()).isFalse();
             assertThat(cluster.entry(0).awaitExit(60)).isEqualTo(1);
+            assertThat(cluster.entry(0).log()).contains(" INSTANCE_STOPS framing=CHUNKED ");
             cluster.awaitMemoryFree();
         }
     }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/test/ResumeTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/test/ResumeTest.java
@@ -92,6 +92,7 @@
                     threads.submit(() -> cluster.caller(1, Cluster.FERRY_KEY).resume(token, -1));
             String rest = caller.readUntil("\"outcome\":\"unknown\"");
             assertThat(rest).contains("taken the stream over");
+            assertThat(caller.readAll()).doesNotContain("\r\n0\r\n");
             assertThat(other.get().text()).isEqualTo(FakeModel.answer(PROMPT, TOKENS));
         }
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/AbortCause.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/AbortCause.java
@@ -9,6 +9,8 @@
 public enum AbortCause {
     /** The upstream failed, or ended its response early, and no other one continues it. */
     UPSTREAM_FAILED,
+    /** Another instance has taken the stream up, at the caller's request. */
+    TAKEN_OVER,
     /** The caller takes the response too slowly. */
     CALLER_TOO_SLOW,
     /** The time for the request is over. */
