Daemon: HTTP/1.0 callers keep the length of a large body

The length that a service states was dropped for a trailer that HTTP/1.0 doesn't have, so that the body ended with its connection. It is kept for them.

A call that the stop cancels is given up as INSTANCE_STOPS, not as a failure of its upstream; one whose response hasn't begun is refused, instead of closed without an answer, and doesn't count against the upstream. A timeout of the upstream is TIMED_OUT.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainForwarder.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/PlainForwarder.java
@@ -25,7 +25,6 @@
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
-import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.internal.http.EndToEndHeaders;
 import org.orchidmount.internal.http.HttpCall;
 import org.orchidmount.internal.http.HttpHead;
@@ -111,13 +110,17 @@
             } finally {
                 mParts.board().releasePlain(peer);
             }
-            if (last == null || cancel.isCancelled() || exchange.isStarted()) {
-                finishOrAbort(exchange, last);
+            boolean hasCallerLeft = cancel.reason() == CancelSignal.Reason.CALLER_GONE;
+            if (last == null || hasCallerLeft || exchange.isStarted()) {
+                finishOrAbort(exchange, last, cancel);
                 return;
             }
             LOG.info("%s: %s", id, last.describe());
-            mParts.board().failed(peer.name());
             mayHaveRun |= last.mayHaveRun();
+            if (cancel.isCancelled()) {
+                break;
+            }
+            mParts.board().failed(peer.name());
             failed.add(peer.name());
             boolean resendable = TableAttemptRule.mayResendPlain(held, last);
             if (!resendable || !mParts.retries().tryAcquire()) {
@@ -127,10 +130,10 @@
         refuse(exchange, id, route, last, mayHaveRun);
     }
 
-    private void finishOrAbort(ServerExchange exchange, Failure failure) {
+    private void finishOrAbort(ServerExchange exchange, Failure failure, CancelSignal cancel) {
         count(failure == null ? Outcome.COMPLETED : Outcome.UNKNOWN);
         if (failure != null) {
-            exchange.abort(AbortCause.UPSTREAM_FAILED, failure.describe());
+            exchange.abort(AbortCauses.of(failure, cancel), failure.describe());
         }
     }
 
@@ -247,7 +250,9 @@
             exchange.answer(status, headers, start.toByteArray(), mWriteTimeout);
             return;
         }
-        headers.remove(Headers.CONTENT_LENGTH);
+        if (exchange.takesTrailers() || !statesLength(response)) {
+            headers.remove(Headers.CONTENT_LENGTH);
+        }
         exchange.trailer(HeaderNames.OUTCOME, Outcome.COMPLETED::label);
         exchange.start(status, headers);
         exchange.write(start.toByteArray(), mWriteTimeout);
@@ -258,6 +263,13 @@
         exchange.end(mWriteTimeout);
     }
 
+    /** Tells whether the length counts; the coding in chunks overrides it. */
+    private static boolean statesLength(ClientResponse response) {
+        HeaderMap headers = response.getResponseHeaders();
+        return headers.contains(Headers.CONTENT_LENGTH)
+                && !headers.contains(Headers.TRANSFER_ENCODING);
+    }
+
     private static HeaderMap endToEnd(HeaderMap received) {
         HeaderMap headers = EndToEndHeaders.of(received, SET_ANEW);
         headers.remove(EngineProtocol.REQUEST_ID);
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
@@ -8,6 +8,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
+import io.undertow.util.Protocols;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
@@ -301,6 +302,15 @@
         mResponse.answer(status, headers, body, timeout);
     }
 
+    /**
+     * Tells whether the protocol version of the caller knows fields behind the body.
+     *
+     * @return false if {@link #trailer} has no effect
+     */
+    public boolean takesTrailers() {
+        return mExchange.getProtocol().equals(Protocols.HTTP_1_1);
+    }
+
     /**
      * Sets a field that follows the body of an answer sent in chunks. Must be called before {@link
      * #start}, which announces it.
