Daemon: counts of the responses given up, by cause and framing

An operator could count the responses that were given up in the log only. Each listener has a figure for each cause and framing. A planned stop counts what is broken off by what the listener serves: a request whose body is still read was in no count, and the exit code said that nothing was broken off.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CallerFront.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CallerFront.java
@@ -47,6 +47,7 @@
                         settings.idleTimeout());
         mServer =
                 new HttpServer(settings.host(), settings.port(), limits, IO_THREADS, this::handle);
+        AbortMetrics.register(parts.metrics(), "response", mServer.abortedResponses());
     }
 
     int port() {
@@ -60,7 +61,12 @@
 
     /** Tells whether no request is being served. */
     boolean isIdle() {
-        return mServer.active() == 0;
+        return active() == 0;
+    }
+
+    /** Returns how many requests are being served. */
+    int active() {
+        return mServer.active();
     }
 
     private void handle(ServerExchange exchange) throws Exception {
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/OperatorFront.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/OperatorFront.java
@@ -91,6 +91,7 @@
                         HttpLimits.defaults(),
                         IO_THREADS,
                         this::handle);
+        AbortMetrics.register(metrics, "operator.response", mServer.abortedResponses());
     }
 
     int port() {
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
@@ -286,7 +286,7 @@
         waitFor(mSettings.drain().notice(), () -> mHurry.get());
         mParts.admission().stop();
         waitFor(mSettings.drain().limit(), () -> mHurry.get() || mCallers.isIdle());
-        int left = mParts.requests().size();
+        int left = mCallers.active();
         if (left > 0) {
             LOG.warn("%d requests are broken off", left);
             mBrokenOff.set(true);
