--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakePlainService.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FakePlainService.java
@@ -31,8 +31,10 @@
  * A stand-in for a plain service. It counts every execution by the caller's key and by request id,
  * and the callers that left while it worked for them, which ends that work.
  *
- * <p>{@code GET /big?bytes=N} sends a large body; other calls answer with what they received. The
- * paths under {@code /test} are for tests. Thread-safe.
+ * <p>{@code GET /big?bytes=N} sends a large body with its length, or in chunks with {@code
+ * length=no}; {@code cut=M} gives it up after M bytes, and {@code stall=M} sends no more than M
+ * until the caller leaves. Other calls answer with what they received. The paths under {@code
+ * /test} are for tests. Thread-safe.
  */
 public final class FakePlainService implements AutoCloseable {
     private static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
@@ -79,7 +81,7 @@
                 mFaults = Json.MAPPER.readValue(body, PlainFaults.class);
                 answer(exchange, Json.object(), null);
             }
-            case "/big" -> big(exchange, Long.parseLong(exchange.query("bytes")));
+            case "/big" -> big(exchange);
             default -> call(exchange);
         }
     }
@@ -141,15 +143,38 @@
         return mRandom.nextInt(100) < percent;
     }
 
-    private static void big(ServerExchange exchange, long bytes) throws Exception {
-        exchange.start(StatusCodes.OK, new HeaderMap().put(Headers.CONTENT_LENGTH, bytes));
+    private static void big(ServerExchange exchange) throws Exception {
+        long bytes = number(exchange, "bytes", 0);
+        HeaderMap headers = new HeaderMap();
+        if (exchange.query("length") == null) {
+            headers.put(Headers.CONTENT_LENGTH, bytes);
+        }
+        exchange.start(StatusCodes.OK, headers);
+        long cut = number(exchange, "cut", bytes);
+        long stall = number(exchange, "stall", bytes);
+        send(exchange, Math.min(cut, stall));
+        if (cut < bytes) {
+            exchange.abort(AbortCause.UPSTREAM_FAILED, "a fault of the stand-in");
+            return;
+        }
+        if (stall < bytes && callerLeaves(exchange, TIMEOUT.toMillis())) {
+            return;
+        }
+        exchange.end(TIMEOUT);
+    }
+
+    private static long number(ServerExchange exchange, String name, long defaultNumber) {
+        String text = exchange.query(name);
+        return text == null ? defaultNumber : Long.parseLong(text);
+    }
+
+    private static void send(ServerExchange exchange, long bytes) throws Exception {
         long left = bytes;
         while (left > 0) {
             byte[] part = new byte[(int) Math.min(left, PART_BYTES)];
             exchange.write(part, TIMEOUT);
             left -= part.length;
         }
-        exchange.end(TIMEOUT);
     }
 
     private static void answer(ServerExchange exchange, ObjectNode json, String id)
