A stream that a stopping entry would cut is refused at once

Cause: an entry served everything during the first 35% of its time for a stop, whatever it took.

Nothing is refused before an output has been measured, nor requests without a prompt. The caller gets 503, the request has not run, and the time until the balancer has taken notice (at least 50 ms). The request line ends with REFUSED_INSTANCE_STOPS, also for refusals late in a stop, which had no line.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/EntryLife.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/EntryLife.java
@@ -6,19 +6,21 @@
 package org.orchidmount.daemon.internal;
 
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.http.HttpServer;
 import org.orchidmount.internal.log.PartLog;
+import org.orchidmount.routing.RetryAfter;
 
 /**
  * The life of an instance that serves callers: when it calls itself ready, and its planned stop.
  *
  * <p>Invariant: a planned stop first calls the instance not ready and closes connections after
- * their answers; it goes on serving while the balancer takes notice; then it closes idle
- * connections and refuses what still comes, and ends only when nothing is being served or the time
- * is over. Thread-safe.
+ * their answers; it goes on serving what can end in time while the balancer takes notice; then it
+ * closes idle connections and refuses what still comes, and ends only when nothing is being served
+ * or the time is over. Thread-safe.
  */
 public final class EntryLife {
     private static final PartLog LOG = PartLog.of("stop");
@@ -35,7 +37,10 @@
     private final BooleanSupplier mKnowsTable;
     private final MonotonicClock mClock;
     private final Duration mLongest;
-    private final AtomicBoolean mStopping = new AtomicBoolean();
+
+    /** When the stop began; null before. */
+    private final AtomicReference<Long> mStopNanos = new AtomicReference<>();
+
     private volatile boolean mRefusing;
 
     /**
@@ -57,7 +62,7 @@
      * @return true if it does
      */
     public boolean isReady() {
-        return !mStopping.get() && mKnowsTable.getAsBoolean();
+        return mStopNanos.get() == null && mKnowsTable.getAsBoolean();
     }
 
     /**
@@ -69,6 +74,37 @@
         return mRefusing;
     }
 
+    /**
+     * Returns the time until requests that still run are cut off.
+     *
+     * @return the time, not positive once it is over; empty unless the instance is stopping
+     */
+    public Optional<Duration> untilCut() {
+        return untilShare(LIMIT_SHARE);
+    }
+
+    /**
+     * Returns the time after which a refused caller is expected to reach another instance: the
+     * balancer has taken notice by then.
+     *
+     * @return the time, at least {@link RetryAfter#INSTANCE_STOPS}
+     */
+    public Duration retryAfter() {
+        return untilShare(NOTICE_SHARE)
+                .filter(time -> time.compareTo(RetryAfter.INSTANCE_STOPS) > 0)
+                .orElse(RetryAfter.INSTANCE_STOPS);
+    }
+
+    private Optional<Duration> untilShare(double share) {
+        Long startNanos = mStopNanos.get();
+        return startNanos == null
+                ? Optional.empty()
+                : Optional.of(
+                        Duration.ofNanos(
+                                (long) (mLongest.toNanos() * share)
+                                        - (mClock.nanoTime() - startNanos)));
+    }
+
     /**
      * Stops in order; returns when nothing is being served any more, or the time is over.
      *
@@ -77,26 +113,26 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public boolean stop(HttpServer server) throws InterruptedException {
-        if (mStopping.getAndSet(true)) {
+        if (!mStopNanos.compareAndSet(null, mClock.nanoTime())) {
             return false;
         }
         LOG.info("planned stop begins with %d requests", server.active());
-        long startNanos = mClock.nanoTime();
         server.drain();
-        long noticeNanos = (long) (mLongest.toNanos() * NOTICE_SHARE);
-        long limitNanos = (long) (mLongest.toNanos() * LIMIT_SHARE);
         while (true) {
-            long tookNanos = mClock.nanoTime() - startNanos;
-            if (tookNanos > noticeNanos && !mRefusing) {
+            if (isOver(NOTICE_SHARE) && !mRefusing) {
                 mRefusing = true;
                 server.closeIdle();
             }
             boolean idle = mRefusing && server.active() == 0;
-            if (idle || tookNanos > limitNanos) {
+            if (idle || isOver(LIMIT_SHARE)) {
                 LOG.info("stopped with %d requests", server.active());
                 return true;
             }
             Thread.sleep(POLL);
         }
     }
+
+    private boolean isOver(double share) {
+        return untilShare(share).filter(Duration::isNegative).isPresent();
+    }
 }
--- a/org.orchidmount.test/src/test/java/org/orchidmount/daemon/internal/EntryLifeTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/daemon/internal/EntryLifeTest.java
@@ -23,6 +23,7 @@
 import org.orchidmount.internal.http.HttpServer;
 import org.orchidmount.internal.http.ServerExchange;
 import org.orchidmount.junit.Await;
+import org.orchidmount.routing.RetryAfter;
 
 /** Tests {@code EntryLife}. */
 final class EntryLifeTest {
@@ -51,6 +52,7 @@
         mKnowsTable.set(true);
         try (Socket idle = new Socket("127.0.0.1", mServer.port());
                 Socket busy = new Socket("127.0.0.1", mServer.port())) {
+            assertThat(mLife.untilCut()).isEmpty();
             ask(idle, "/quick");
             assertThat(readHead(idle)).contains("200 OK");
             ask(busy, "/slow");
@@ -58,9 +60,15 @@
             CompletableFuture<Boolean> stopped = CompletableFuture.supplyAsync(this::stop);
             Await.until("not ready", LONGEST, () -> !mLife.isReady());
             assertThat(mLife.isRefusing()).isFalse();
+            // 0.35 and 0.95 of 6 s, less what has passed.
+            assertThat(mLife.retryAfter()).isGreaterThan(Duration.ofMillis(500));
+            assertThat(mLife.retryAfter()).isAtMost(Duration.ofMillis(2_100));
+            assertThat(mLife.untilCut().orElseThrow()).isGreaterThan(Duration.ofMillis(3_600));
+            assertThat(mLife.untilCut().orElseThrow()).isAtMost(Duration.ofMillis(5_700));
             idle.setSoTimeout((int) LONGEST.toMillis());
             assertThat(idle.getInputStream().read()).isEqualTo(-1);
             assertThat(mLife.isRefusing()).isTrue();
+            assertThat(mLife.retryAfter()).isEqualTo(RetryAfter.INSTANCE_STOPS);
             assertThat(stopped.isDone()).isFalse();
             mMayAnswer.countDown();
             assertThat(readHead(busy)).contains("Connection: close");
--- a/org.orchidmount.test/src/test/java/org/orchidmount/relay/EndClassifierTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/relay/EndClassifierTest.java
@@ -61,6 +61,8 @@
         "GIVEN_UP, 2, 0, false, false, 500, REFUSED_BY_UPSTREAMS",
         "GIVEN_UP, 2, 1, false, false, 500, FAILED",
         "GIVEN_UP, 2, 1, false, false, 14000, TIMED_OUT",
+        "INSTANCE_STOPS, 0, 0, false, false, 500, REFUSED_INSTANCE_STOPS",
+        "INSTANCE_STOPS, 2, 0, true, false, 500, REFUSED_INSTANCE_STOPS",
         "CUT, 1, 1, false, false, 500, CUT",
         "UPSTREAM_ERROR, 1, 1, false, false, 500, UPSTREAM_ERROR",
         "CALLER_LEFT, 0, 0, false, false, 500, CALLER_LEFT"
--- a/org.orchidmount.test/src/test/java/org/orchidmount/routing/EngineSpeedEstimatorTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/routing/EngineSpeedEstimatorTest.java
@@ -53,6 +53,17 @@
         assertThat(mEstimator.speed().outputMillis()).isWithin(400).of(9_000);
     }
 
+    /** Guards against a decision that rests on the prior. */
+    @Test
+    void theSpeedIsMeasuredOnceAnOutputWas() {
+        mEstimator.observePrefill(1_000, 20);
+        mEstimator.observeFirstToken(90);
+        mEstimator.observeOutput(0, 3_000);
+        assertThat(mEstimator.measuredSpeed()).isEmpty();
+        mEstimator.observeOutput(600, 3_000);
+        assertThat(mEstimator.measuredSpeed()).hasValue(mEstimator.speed());
+    }
+
     @Test
     void whatCannotBeMeasuredIsLeftOut() {
         EngineSpeed before = mEstimator.speed();
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EndClassifier.java
@@ -33,6 +33,8 @@
         ORIGIN_UNKNOWN,
         /** Refused: it continues a stream of a version of which no upstream serves. */
         VERSION_GONE,
+        /** Refused: it is not expected to end before this instance does. */
+        INSTANCE_STOPS,
         /** A stream was aborted of which the caller had received a part. */
         CUT,
         /** The caller disconnected. */
@@ -78,6 +80,7 @@
             case QUARANTINED -> quarantined(facts);
             case ORIGIN_UNKNOWN -> RequestEnd.REFUSED_ORIGIN_UNKNOWN;
             case VERSION_GONE -> RequestEnd.REFUSED_VERSION_GONE;
+            case INSTANCE_STOPS -> RequestEnd.REFUSED_INSTANCE_STOPS;
             case CUT -> RequestEnd.CUT;
             case CALLER_LEFT -> RequestEnd.CALLER_LEFT;
         };
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -132,6 +132,11 @@
         return mTracker;
     }
 
+    /** Returns the expected length of the output. */
+    int expectedOutputTokens() {
+        return mOutput.expectedTokens();
+    }
+
     AvailableMemory availableMemory() {
         return mAvailableMemory;
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
-import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.internal.http.HttpConnections;
@@ -122,8 +121,7 @@
      * @param service the service chosen for the request, one of those of its route
      * @param caller the response to the caller
      * @param cancel the signal that is cancelled when the caller disconnects
-     * @param isStillAllowed checked before each attempt; false once the table in force no longer
-     *     allows the request, in which case the attempt is not made
+     * @param terms checked before each attempt, which is made only if they permit it
      * @return whether an upstream may have run it
      * @throws IOException if the caller has disconnected
      * @throws TimeoutException if the caller reads too slowly
@@ -134,8 +132,8 @@
             Service service,
             CallerResponse caller,
             CancelSignal cancel,
-            BooleanSupplier isStillAllowed)
+            ServingTerms terms)
             throws IOException, TimeoutException, InterruptedException {
-        return new RequestRelay(mContext, request, service, caller, cancel, isStillAllowed).run();
+        return new RequestRelay(mContext, request, service, caller, cancel, terms).run();
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -14,7 +14,6 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeoutException;
-import java.util.function.BooleanSupplier;
 import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.membership.Incarnation;
@@ -56,7 +55,8 @@
     private final RequestRetries mRetries;
     private final CallerResponse mCaller;
     private final CancelSignal mCancel;
-    private final BooleanSupplier mIsStillAllowed;
+    private final ServingTerms mTerms;
+    private final StopCheck mStopCheck;
     private final RequestProgress mProgress;
     private final Optional<EnginePlacer> mEngines;
     private final AttemptRunner mAttempts;
@@ -80,14 +80,15 @@
             Service service,
             CallerResponse caller,
             CancelSignal cancel,
-            BooleanSupplier isStillAllowed) {
+            ServingTerms terms) {
         mContext = context;
         mRequest = request;
         mService = service;
         mRetries = new RequestRetries(context.retries().of(service.name()), context.clock());
         mCaller = caller;
         mCancel = cancel;
-        mIsStillAllowed = isStillAllowed;
+        mTerms = terms;
+        mStopCheck = new StopCheck(context, request, service, terms);
         mProgress = new RequestProgress(context.clock(), request.id());
         mCrashReporter = new CrashReporter(context, request, service, cancel);
         mBinding =
@@ -177,7 +178,8 @@
      */
     private boolean mayTry() throws InterruptedException {
         return !mCancel.isCancelled()
-                && mIsStillAllowed.getAsBoolean()
+                && mTerms.isStillAllowed()
+                && (mHistory.executions() > 0 || mStopCheck.canEnd(mEngines))
                 && AttemptRule.mayTry(mHistory, mRequest.route().attemptLimits(), timeLeft())
                 && !mRetries.isExhausted()
                 && !(mLastRefused && mRetries.uselessFor().isPositive())
@@ -256,9 +258,11 @@
         try {
             Optional<KvCacheRef> cache = prefill(placement);
             // During the wait for a placement and the prefill, the table may have changed, or the
-            // same request may have crashed upstreams elsewhere.
+            // same request may have crashed upstreams elsewhere, or this instance may be stopping.
             AttemptOutcome outcome =
-                    mIsStillAllowed.getAsBoolean()
+                    mTerms.isStillAllowed()
+                                    && (mHistory.executions() > 0
+                                            || mStopCheck.canEndAt(mEngines, placement))
                                     && mCrashReporter.tryBeginRun()
                                     && mRetries.tryBegin(ArrivalHistory.Phase.RUN)
                             ? run(placement, cache)
@@ -354,10 +358,24 @@
             refuseQuarantined();
             return End.QUARANTINED;
         }
+        if (mStopCheck.retryAfter().isPresent()) {
+            refuseStopping(mStopCheck.retryAfter().get());
+            return End.INSTANCE_STOPS;
+        }
         refuse();
         return mRetries.isExhausted() ? End.RETRIES_EXHAUSTED : End.GIVEN_UP;
     }
 
+    /**
+     * Refuses a request that was sent to no upstream and does not end before this instance does.
+     */
+    private void refuseStopping(Duration retryAfter)
+            throws IOException, TimeoutException, InterruptedException {
+        LOG.info("%s: refused, this instance stops: %s", mRequest.id(), mStopCheck.reason());
+        mReporter.refused(retryAfter, false);
+        mCaller.refuse(FinalOutcome.NOT_RUN, retryAfter);
+    }
+
     /** Returns whether an upstream is registered that may run the request. */
     private boolean hasUpstream() {
         return mBinding.cause() == StreamBinding.Cause.NONE
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/SequenceTracker.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/SequenceTracker.java
@@ -65,6 +65,11 @@
         placement.prefill().ifPresent(this::end);
     }
 
+    /** Returns the number of tokens in one event of a stream. */
+    int eventTokens() {
+        return mEventTokens;
+    }
+
     /** Updates the number of tokens generated so far. */
     void generated(long events) {
         mGeneratedTokens.set((int) (events * mEventTokens));
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
@@ -69,6 +69,8 @@
      * it serves.
      */
     REFUSED_VERSION_GONE,
+    /** Refused: the instance is stopping and would not complete the response. */
+    REFUSED_INSTANCE_STOPS,
     /** The time limit of the request expired. */
     TIMED_OUT,
     /** Failed, and an upstream may have executed the request. */
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestReport.java
@@ -71,6 +71,9 @@
     /** Value of {@code backInMillis} if the caller was told no time to retry. */
     public static final long NO_RETRY_MILLIS = -1;
 
+    /** Value of {@code service} if the request was refused before its service was known. */
+    public static final String NO_SERVICE = "-";
+
     /** Value of {@code upstream} if there was no attempt. */
     public static final String NO_UPSTREAM = "-";
 
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/EngineSpeedEstimator.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/EngineSpeedEstimator.java
@@ -5,6 +5,8 @@
  */
 package org.orchidmount.routing;
 
+import java.util.Optional;
+
 /**
  * Estimates the {@link EngineSpeed} of one service from the requests that pass through this
  * instance.
@@ -51,6 +53,7 @@
     private final LogMean mOutputMillis = new LogMean(PRIOR_OUTPUT_MILLIS, 1);
 
     private volatile EngineSpeed mSpeed = learned();
+    private volatile boolean mHasMeasuredOutput;
 
     /**
      * Returns the current estimate.
@@ -61,6 +64,15 @@
         return mSpeed;
     }
 
+    /**
+     * Returns the current estimate if it rests on at least one complete output.
+     *
+     * @return the estimated speed; empty if only the prior of the output speed is known
+     */
+    public Optional<EngineSpeed> measuredSpeed() {
+        return mHasMeasuredOutput ? Optional.of(mSpeed) : Optional.empty();
+    }
+
     private EngineSpeed learned() {
         double prefill = mPrefillMillisPerToken.value();
         double decodePrefill =
@@ -113,6 +125,7 @@
     public synchronized void observeOutput(double tokens, double tookMillis) {
         observe(mOutputTokensPerMilli, tokens, tookMillis);
         observe(mOutputMillis, tookMillis, 1);
+        mHasMeasuredOutput = mOutputTokensPerMilli.isObserved();
     }
 
     private void observe(LogMean mean, double dividend, double divisor) {
