--- a/org.orchidmount.test/src/test/java/org/orchidmount/path/TunnelServerTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/path/TunnelServerTest.java
@@ -16,6 +16,8 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -141,6 +143,31 @@
         assertThat(mServer.toString()).startsWith("0 opened");
     }
 
+    /** Guards against a stream that an instance which stops takes for ended at its first pause. */
+    @Test
+    void aStopWaitsForAStreamWithPauses() throws Exception {
+        CompletableFuture<Void> drained;
+        try (Socket caller = request(mUpstream.getLocalPort());
+                Socket upstream = mUpstream.accept()) {
+            assertThat(head(caller)).startsWith("HTTP/1.1 200 ");
+            drained = CompletableFuture.runAsync(this::drain);
+            for (int i = 0; i < 5; i++) {
+                upstream.getOutputStream().write(i);
+                Thread.sleep(Duration.ofMillis(200));
+                assertThat(drained.isDone()).isFalse();
+            }
+        }
+        drained.get(LONGEST.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void drain() {
+        try {
+            mServer.drain(LONGEST);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/org.orchidmount/src/main/java/org/orchidmount/path/Tunnel.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/Tunnel.java
@@ -104,6 +104,11 @@
         }
     }
 
+    /** Returns whether nothing was carried for a time, in either direction. */
+    boolean isQuietFor(Duration time) {
+        return mClock.nanoTime() - mCarriedNanos >= time.toNanos();
+    }
+
     /** Reads on while the other direction carries something. */
     private int read(InputStream in, byte[] buffer) throws IOException {
         while (true) {
--- a/org.orchidmount/src/main/java/org/orchidmount/path/TunnelServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/path/TunnelServer.java
@@ -49,6 +49,9 @@
     /** Far longer than a round trip within a site. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(150);
 
+    /** The shortest pause of a stream after which its caller gives it up. */
+    private static final Duration QUIET = Duration.ofSeconds(2);
+
     private static final Duration QUIET_POLL = Duration.ofMillis(50);
 
     private final ServerSocket mSocket = new ServerSocket();
@@ -248,7 +251,7 @@
     }
 
     /**
-     * Opens no more tunnels, and waits until those that are open carry nothing any more.
+     * Opens no more tunnels, and waits until those that are open have ended or carry nothing.
      *
      * @param longest the longest wait
      * @throws InterruptedException if the thread is interrupted
@@ -256,15 +259,15 @@
     public void drain(Duration longest) throws InterruptedException {
         stopOpening();
         long untilNanos = mClock.nanoTime() + longest.toNanos();
-        long before = -1;
-        long now = mBytes.get();
-        while (!mTunnels.isEmpty() && now != before && untilNanos - mClock.nanoTime() > 0) {
-            before = now;
+        while (!isQuiet() && untilNanos - mClock.nanoTime() > 0) {
             Thread.sleep(QUIET_POLL);
-            now = mBytes.get();
         }
     }
 
+    private boolean isQuiet() {
+        return mTunnels.stream().allMatch(tunnel -> tunnel.isQuietFor(QUIET));
+    }
+
     /** Opens no more tunnels; those that are open go on. */
     public void stopOpening() {
         mIsDraining = true;
