explain counts responses given up; what each cause means

explain adds a table of the "aborted response" lines by cause and framing, if there are any, and --id names the one of a request.

--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/ExplainPgm.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/ExplainPgm.java
@@ -26,8 +26,8 @@
         description = {
             "Tells from the JSON logs of instances what became of requests, and why. No instance is"
                     + " asked.",
-            "Without --id: requests and tokens by cause and by second, and for whose sake requests"
-                    + " were refused.",
+            "Without --id: requests and tokens by cause and by second, responses given up, and for"
+                    + " whose sake requests were refused.",
             "With --by: outcomes, the share that each group gets, and how long it waits."
         },
         mixinStandardHelpOptions = true)
@@ -79,6 +79,10 @@
         out.print(explanation.causes());
         out.println();
         out.print(explanation.seconds());
+        if (!explanation.aborted().isEmpty()) {
+            out.println();
+            out.print(explanation.aborted().table());
+        }
         UrgentRefusals refusals = explanation.urgentRefusals();
         if (!refusals.isEmpty()) {
             out.println();
--- a/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Explanation.java
+++ b/org.orchidmount.pgm/src/main/java/org/orchidmount/pgm/internal/Explanation.java
@@ -16,15 +16,20 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
+import org.orchidmount.internal.http.AbortedResponse;
 import org.orchidmount.report.RequestEnd;
 import org.orchidmount.report.RequestReport;
 
-/** Sums what the reports in logs say, by cause, second and other properties. Not thread-safe. */
+/**
+ * Sums what reports and lines of responses given up say in logs, by cause, second and other
+ * properties. Not thread-safe.
+ */
 public final class Explanation {
     private final Map<RequestEnd, List<RequestReport>> mByEnd = new EnumMap<>(RequestEnd.class);
     private final Map<Instant, Ends> mBySecond = new TreeMap<>();
     private final List<RequestReport> mReports = new ArrayList<>();
     private final UrgentRefusals mUrgentRefusals = new UrgentRefusals();
+    private final AbortedSums mAborted = new AbortedSums();
 
     /** What reports can be summed by, besides their cause and their second. */
     public enum Group {
@@ -94,11 +99,11 @@
     public static Explanation of(List<LogFiles.Line> lines, PrintWriter errors) {
         Explanation explanation = new Explanation();
         for (LogFiles.Line line : lines) {
-            if (!RequestReport.isReport(line.message())) {
-                continue;
-            }
             try {
-                explanation.add(line.time(), RequestReport.parse(line.message()));
+                AbortedResponse.parse(line.message()).ifPresent(explanation.mAborted::add);
+                if (RequestReport.isReport(line.message())) {
+                    explanation.add(line.time(), RequestReport.parse(line.message()));
+                }
             } catch (IllegalArgumentException e) {
                 String place = line.source() + " at " + line.time();
                 errors.println(place + ": a report is skipped: " + e.getMessage());
@@ -238,6 +243,15 @@
         return mUrgentRefusals;
     }
 
+    /**
+     * Returns the responses that were given up.
+     *
+     * @return their sums
+     */
+    public AbortedSums aborted() {
+        return mAborted;
+    }
+
     private static Columns ends(String... names) {
         List<String> titles = new ArrayList<>(List.of(names));
         titles.addAll(List.of("IN TIME", "LATE", "REFUSED", "FAILED", "LEFT", "WASTED TOKENS"));
--- a/org.orchidmount.test/src/test/java/org/orchidmount/pgm/ExplainTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/pgm/ExplainTest.java
@@ -194,6 +194,60 @@
         assertThat(explain(file).out()).contains("not in these logs");
     }
 
+    /** Guards against responses given up that the tool drops, or sums under another's cause. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "UPSTREAM_FAILED    CHUNKED  2          1300   13     0",
+                "UPSTREAM_FAILED    CLOSE    1          400    4      1",
+                "INSTANCE_STOPS     CHUNKED  1          7300   73     0"
+            })
+    void responsesGivenUpAreSummedByCauseAndFraming(String row) throws IOException {
+        Run run = explain(aborted());
+        assertThat(run.err()).isEmpty();
+        assertThat(run.out().lines().map(String::strip).toList()).contains(row);
+    }
+
+    @Test
+    void theStoryOfARequestNamesTheResponseGivenUp() throws IOException {
+        assertThat(explain("--id", "b2", aborted()).out())
+                .contains("aborted response: b2 UPSTREAM_FAILED framing=CLOSE bytes=400");
+    }
+
+    /** Guards against a table of aborted responses where there are none. */
+    @Test
+    void withoutResponsesGivenUpNothingIsSaidOfThem() {
+        assertThat(explain(mFirst, mSecond).out()).doesNotContain("ABORTED");
+    }
+
+    @Test
+    void anUnknownCauseIsNamedAndSkipped() throws IOException {
+        Path file = mFolder.resolve("unknown.log");
+        Files.write(file, List.of(aborted("a1", "WEATHER", "CHUNKED", 1, "closed")));
+        assertThat(explain(file).err()).contains("a report is skipped: ");
+    }
+
+    private Path aborted() throws IOException {
+        Path file = mFolder.resolve("aborted.log");
+        Files.write(
+                file,
+                List.of(
+                        aborted("a1", "UPSTREAM_FAILED", "CHUNKED", 12, "closed"),
+                        aborted("a2", "UPSTREAM_FAILED", "CHUNKED", 1, "closed"),
+                        aborted("b2", "UPSTREAM_FAILED", "CLOSE", 4, "reset"),
+                        aborted("c3", "INSTANCE_STOPS", "CHUNKED", 73, "closed")));
+        return file;
+    }
+
+    private static String aborted(
+            String id, String cause, String framing, int parts, String connection) {
+        return line(
+                "10:00:04.1",
+                "http: aborted response: %s %s framing=%s bytes=%d parts=%d connection=%s why"
+                        .formatted(id, cause, framing, 100 * parts, parts, connection));
+    }
+
     @Test
     void whatIsNoPropertyIsWrongUsage() {
         assertThat(explain("--by", "weather", mFirst).code()).isEqualTo(2);
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/AbortedResponse.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/AbortedResponse.java
@@ -5,6 +5,10 @@
  */
 package org.orchidmount.internal.http;
 
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
 /**
  * A response that this process began, or had yet to begin, and gave up.
  *
@@ -24,6 +28,36 @@
         AbortCause cause,
         boolean isReset,
         String detail) {
+    private static final Pattern LINE =
+            Pattern.compile(
+                    "http: aborted response: (?<id>\\S+) (?<cause>\\w+) framing=(?<framing>\\w+)"
+                            + " bytes=(?<bytes>\\d+) parts=(?<parts>\\d+)"
+                            + " connection=(?<connection>reset|closed) (?<detail>.*)",
+                    Pattern.DOTALL);
+
+    /**
+     * Parses a line of the log.
+     *
+     * @param message log message with its prefix
+     * @return the response; empty if the message is none of these lines
+     * @throws IllegalArgumentException if the cause or the framing is not known
+     */
+    public static Optional<AbortedResponse> parse(String message) {
+        Matcher line = LINE.matcher(message);
+        if (!line.matches()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new AbortedResponse(
+                        line.group("id"),
+                        ResponseFraming.valueOf(line.group("framing")),
+                        Long.parseLong(line.group("bytes")),
+                        Long.parseLong(line.group("parts")),
+                        AbortCause.valueOf(line.group("cause")),
+                        line.group("connection").equals("reset"),
+                        line.group("detail")));
+    }
+
     /** Returns the line for the log. */
     String toLine() {
         return "aborted response: %s %s framing=%s bytes=%d parts=%d connection=%s %s"
