--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FramingCaller.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FramingCaller.java
@@ -19,6 +19,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.IntConsumer;
 import org.orchidmount.junit.FramedResponse.End;
 import org.orchidmount.junit.FramedResponse.Framing;
 
@@ -116,7 +117,17 @@
      * @return the response
      */
     public FramedResponse read() {
-        return new Reading().read();
+        return read(size -> {});
+    }
+
+    /**
+     * Reads a response until it is whole or cannot become so, as slowly as the caller likes.
+     *
+     * @param onBodyByte is told after each byte of the body how many have come, and may wait
+     * @return the response
+     */
+    public FramedResponse read(IntConsumer onBodyByte) {
+        return new Reading(onBodyByte).read();
     }
 
     @Override
@@ -128,9 +139,14 @@
     private final class Reading {
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
         private final Map<String, String> mHeaders = new HashMap<>();
+        private final IntConsumer mOnBodyByte;
         private Framing mFraming = Framing.NONE;
         private int mStatus = -1;
 
+        Reading(IntConsumer onBodyByte) {
+            mOnBodyByte = onBodyByte;
+        }
+
         FramedResponse read() {
             mBodyBytes = 0;
             try {
@@ -220,6 +236,7 @@
         private void add(int next) {
             mBody.write(next);
             mBodyBytes = mBody.size();
+            mOnBodyByte.accept(mBody.size());
         }
     }
 }
