Requests that arrive while a listener closes are no internal errors

What operators saw: an entry that ended left a line "aborted response: - INTERNAL_ERROR ... Thread is terminating" and a stack trace for each request that arrived while its listener closed.

Cause: the request's thread meets an I/O thread that takes no more tasks, and aborting the response throws for the same reason.

Change: while the listener closes, what fails is given up with the cause INSTANCE_STOPS; a task that the I/O thread refuses is dropped, since the thread closes its connections itself.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -48,6 +48,7 @@
     private final AbortedResponses mAbortedResponses = new AbortedResponses();
     private final Set<ServerConnection> mIdle = ConcurrentHashMap.newKeySet();
     private volatile boolean mDraining;
+    private volatile boolean mIsClosing;
 
     /**
      * Starts to listen.
@@ -125,9 +126,11 @@
         }
     }
 
-    private static void fail(ServerExchange request, Throwable error) {
-        boolean isExpected = request.isGone() || request.isAborted();
-        request.abort(AbortCause.INTERNAL_ERROR, error.toString());
+    /** While the listener closes, requests that have just arrived fail for that reason. */
+    private void fail(ServerExchange request, Throwable error) {
+        boolean isExpected = mIsClosing || request.isGone() || request.isAborted();
+        AbortCause cause = mIsClosing ? AbortCause.INSTANCE_STOPS : AbortCause.INTERNAL_ERROR;
+        request.abort(cause, error.toString());
         if (!isExpected) {
             LOG.error("request " + request.method() + " " + request.path() + " failed", error);
         }
@@ -185,6 +188,7 @@
     /** Stops listening, gives up the responses under way and closes all connections. */
     @Override
     public void close() {
+        mIsClosing = true;
         for (ServerExchange request : mActive) {
             request.abort(AbortCause.INSTANCE_STOPS, "the time for the stop is over");
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
@@ -14,6 +14,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -197,8 +198,7 @@
         if (!mIsGone.getAsBoolean()) {
             record(cause, detail);
         }
-        Runnable close =
-                () -> mIoThread.execute(() -> IoUtils.safeClose(mExchange.getConnection()));
+        Runnable close = () -> execute(() -> IoUtils.safeClose(mExchange.getConnection()));
         ResponseWriter writer = mWriter;
         if (writer == null) {
             close.run();
@@ -207,6 +207,15 @@
         }
     }
 
+    /** A thread that terminates closes its connections itself. */
+    private void execute(Runnable task) {
+        try {
+            mIoThread.execute(task);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("the listener has closed: %s", e);
+        }
+    }
+
     private void record(AbortCause cause, String detail) {
         if (!mIsAborted.compareAndSet(false, true)) {
             return;
