Test of unread responses that a daemon gives up or is killed with

A caller that reads late leaves much of its response in the daemon, which is what a stop or SIGKILL must not make look whole.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/test/DaemonIncompleteResponseTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/test/DaemonIncompleteResponseTest.java
@@ -18,6 +18,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -47,6 +48,8 @@
     /** More than the daemon holds back to send it with its length. */
     private static final int SENT_BYTES = 400_000;
 
+    private static final int SMALL_BUFFER_BYTES = 4 * 1024;
+    private static final Duration LONGEST = Duration.ofSeconds(40);
     private static final String LARGE = "/big?bytes=1000000&";
     private static final String STOPS = "INSTANCE_STOPS";
     private static final String UPSTREAM_FAILED = "UPSTREAM_FAILED";
@@ -56,20 +59,34 @@
 
     private static Cluster sCluster;
 
+    private final CompletableFuture<Void> mCut = new CompletableFuture<>();
+    private final ExecutorService mThreads = Executors.newVirtualThreadPerTaskExecutor();
+
     /** What is asked for, so that its response is under way when it is cut. */
     private enum Target {
         STREAM(""),
         LARGE_BODY(LARGE + "stall=" + SENT_BYTES),
         LARGE_BODY_IN_CHUNKS(LARGE + "length=no&stall=" + SENT_BYTES),
+        UNREAD_BODY("/big?bytes=20000000"),
+        UNREAD_BODY_IN_CHUNKS("/big?bytes=20000000&length=no"),
         FAILING_BODY(LARGE + "cut=" + SENT_BYTES),
         FAILING_BODY_IN_CHUNKS(LARGE + "length=no&cut=" + SENT_BYTES);
 
+        private static final Target[] LASTING = {
+            STREAM, LARGE_BODY, LARGE_BODY_IN_CHUNKS, UNREAD_BODY, UNREAD_BODY_IN_CHUNKS
+        };
+
         private final String mPath;
 
         Target(String path) {
             mPath = path;
         }
 
+        /** Whether the caller reads only after the response has been cut. */
+        boolean isUnread() {
+            return this == UNREAD_BODY || this == UNREAD_BODY_IN_CHUNKS;
+        }
+
         void send(FramingCaller caller, CallerKind kind) throws IOException {
             String account = "Authorization: Bearer " + Cluster.MILL_KEY + "\r\n";
             if (this != STREAM) {
@@ -85,15 +102,14 @@
     /** What ends responses early. */
     private enum Cut {
         SERVICE_FAILS(UPSTREAM_FAILED, Target.FAILING_BODY, Target.FAILING_BODY_IN_CHUNKS),
-        TIME_FOR_STOP_IS_OVER(
-                STOPS, Target.STREAM, Target.LARGE_BODY, Target.LARGE_BODY_IN_CHUNKS) {
+        TIME_FOR_STOP_IS_OVER(STOPS, Target.LASTING) {
             @Override
             void act() {
                 sCluster.entry(0).terminate();
                 assertThat(sCluster.entry(0).awaitExit(30)).isEqualTo(1);
             }
         },
-        DAEMON_IS_KILLED("", Target.STREAM, Target.LARGE_BODY, Target.LARGE_BODY_IN_CHUNKS) {
+        DAEMON_IS_KILLED("", Target.LASTING) {
             @Override
             void act() {
                 sCluster.entry(0).kill();
@@ -135,7 +151,7 @@
             FramingCaller caller,
             CompletableFuture<FramedResponse> response) {
         boolean hasBegun() {
-            return caller.bodyBytes() > 0 || response.isDone();
+            return target.isUnread() || caller.bodyBytes() > 0 || response.isDone();
         }
     }
 
@@ -174,6 +190,7 @@
         List<UnderWay> all = begin(cut);
         try {
             cut.act();
+            mCut.complete(null);
             checkCut(cut, all);
             if (!cut.mCause.isEmpty()) {
                 Await.until(
@@ -189,12 +206,13 @@
             for (UnderWay one : all) {
                 one.caller().close();
             }
+            mThreads.shutdownNow();
             cut.repair();
             sCluster.awaitMemoryFree();
         }
     }
 
-    private static List<UnderWay> begin(Cut cut) throws IOException {
+    private List<UnderWay> begin(Cut cut) throws IOException {
         List<UnderWay> all = new ArrayList<>();
         for (Target target : cut.mTargets) {
             for (CallerKind kind : CallerKind.values()) {
@@ -205,16 +223,15 @@
         return all;
     }
 
-    private static UnderWay begin(Target target, CallerKind kind) throws IOException {
+    private UnderWay begin(Target target, CallerKind kind) throws IOException {
         int port = sCluster.entry(0).port("callers");
-        FramingCaller caller = new FramingCaller(kind, "127.0.0.1", port, Duration.ofSeconds(40));
+        int bufferBytes = target.isUnread() ? SMALL_BUFFER_BYTES : 0;
+        FramingCaller caller = new FramingCaller(kind, "127.0.0.1", port, LONGEST, bufferBytes);
         target.send(caller, kind);
+        CompletableFuture<Void> readsWhen =
+                target.isUnread() ? mCut : CompletableFuture.completedFuture(null);
         return new UnderWay(
-                target,
-                kind,
-                caller,
-                CompletableFuture.supplyAsync(
-                        caller::read, Executors.newVirtualThreadPerTaskExecutor()));
+                target, kind, caller, readsWhen.thenApplyAsync(_ -> caller.read(), mThreads));
     }
 
     private static void checkCut(Cut cut, List<UnderWay> all) {
