--- a/org.orchidmount.test/src/test/java/org/orchidmount/test/DaemonIncompleteResponseTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/test/DaemonIncompleteResponseTest.java
@@ -102,6 +102,7 @@
     /** What ends responses early. */
     private enum Cut {
         SERVICE_FAILS(UPSTREAM_FAILED, Target.FAILING_BODY, Target.FAILING_BODY_IN_CHUNKS),
+        SERVICE_STALLS(TIMED_OUT, Target.LARGE_BODY, Target.LARGE_BODY_IN_CHUNKS),
         TIME_FOR_STOP_IS_OVER(STOPS, Target.LASTING) {
             @Override
             void act() {
