A response is given up where its end is written, and recorded only if it is cut

abort is decided on the I/O thread, and the close of a listener waits for it; the end passes a gate there that an aborted response does not pass. Whatever is thrown by a writer ends the response. The connection of a caller that has gone is closed when its request ends. A slow caller is always reset, as its line says.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/AbortedResponses.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/AbortedResponses.java
@@ -26,10 +26,10 @@
     public record Key(AbortCause cause, ResponseFraming framing) {}
 
     void add(AbortedResponse response) {
-        LOG.info("%s", response.toLine());
         mCounts.computeIfAbsent(
                         new Key(response.cause(), response.framing()), key -> new LongAdder())
                 .increment();
+        LOG.info("%s", response.toLine());
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/BufferingWriter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/BufferingWriter.java
@@ -53,7 +53,7 @@
     private final XnioIoThread mIoThread;
     private final StreamSinkChannel mChannel;
     private final UnreadBytes mUnread;
-    private final Runnable mBeforeEnd;
+    private final EndGate mEndGate;
     private final Consumer<IOException> mDisconnect;
     private final long mCheckMillis;
     private volatile CompletableFuture<Void> mPending;
@@ -85,7 +85,7 @@
      * @param channel the body of the response
      * @param opener opens the account of what is held
      * @param stallTime how long a caller may read nothing while bytes are held
-     * @param beforeEnd run on the I/O thread before the end is written, once all bytes have left
+     * @param endGate asked before the end is written
      * @param disconnect closes the connection in a way that the caller cannot take for the end; is
      *     given the reason, a {@link SlowCallerException} or the failure of a write; must not
      *     block, and may be called on any thread and more than once
@@ -95,11 +95,11 @@
             StreamSinkChannel channel,
             UnreadBytes.Opener opener,
             Duration stallTime,
-            Runnable beforeEnd,
+            EndGate endGate,
             Consumer<IOException> disconnect) {
         mIoThread = ioThread;
         mChannel = channel;
-        mBeforeEnd = beforeEnd;
+        mEndGate = endGate;
         mDisconnect = disconnect;
         mCheckMillis = Math.max(1, stallTime.toMillis() / STALLED_CHECKS);
         mUnread = opener.open(this::disconnect);
@@ -196,10 +196,28 @@
 
     /** The caller counts as gone before a write fails, so that the failure is not logged as one. */
     private void breakOff(IOException error) {
+        if (hasEnded()) {
+            return;
+        }
         mDisconnect.accept(error);
         fail(error);
     }
 
+    private boolean hasEnded() {
+        mLock.lock();
+        try {
+            return mHasEnded;
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    /** The library would log what is thrown on its thread, and tell nobody. */
+    private void breakOffByFault(Throwable fault) {
+        cancelCheck();
+        breakOff(new IOException("writing failed: " + fault, fault));
+    }
+
     private boolean isBehind() throws IOException {
         mLock.lock();
         try {
@@ -289,6 +307,8 @@
             }
         } catch (IOException e) {
             breakOff(e);
+        } catch (Throwable e) {
+            breakOffByFault(e);
         }
     }
 
@@ -327,7 +347,7 @@
                     catchUp();
                 } else if (!mIsShutDown && !mIsAborting) {
                     mIsShutDown = true;
-                    mBeforeEnd.run();
+                    mEndGate.pass();
                     mChannel.shutdownWrites();
                 } else {
                     finish();
@@ -337,6 +357,8 @@
         } catch (IOException e) {
             cancelCheck();
             breakOff(e);
+        } catch (Throwable e) {
+            breakOffByFault(e);
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelWriter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelWriter.java
@@ -19,8 +19,9 @@
  * Writes to a channel from a virtual thread: each write waits until the bytes have left for the
  * socket, so a slow peer slows the writer down.
  *
- * <p>Invariant: the channel is touched on its I/O thread only, and at most one write is under way.
- * Used by one thread at a time.
+ * <p>Invariants: the channel is touched on its I/O thread only, and at most one write is under way;
+ * whatever fails there ends the write, because the library would log an error and tell nobody. Used
+ * by one thread at a time.
  */
 final class ChannelWriter implements ResponseWriter {
     /** Bytes handed to the socket at a time: as many as a socket holds for its peer. */
@@ -28,7 +29,7 @@
 
     private final XnioIoThread mIoThread;
     private final StreamSinkChannel mChannel;
-    private final Runnable mBeforeEnd;
+    private final EndGate mEndGate;
     private volatile CompletableFuture<Void> mPending;
 
     ChannelWriter(XnioIoThread ioThread, StreamSinkChannel channel) {
@@ -40,12 +41,12 @@
      *
      * @param ioThread the thread of the channel
      * @param channel the body
-     * @param beforeEnd run on the I/O thread before the end is written, once all bytes have left
+     * @param endGate asked before the end is written
      */
-    ChannelWriter(XnioIoThread ioThread, StreamSinkChannel channel, Runnable beforeEnd) {
+    ChannelWriter(XnioIoThread ioThread, StreamSinkChannel channel, EndGate endGate) {
         mIoThread = ioThread;
         mChannel = channel;
-        mBeforeEnd = beforeEnd;
+        mEndGate = endGate;
     }
 
     /** Writes all bytes and waits for the socket to take them. */
@@ -87,10 +88,10 @@
 
     private void shutDown(CompletableFuture<Void> done) {
         try {
-            mBeforeEnd.run();
+            mEndGate.pass();
             mChannel.shutdownWrites();
             flush(done);
-        } catch (IOException e) {
+        } catch (Throwable e) {
             done.completeExceptionally(e);
         }
     }
@@ -145,7 +146,7 @@
                 }
             }
             flush(done);
-        } catch (IOException e) {
+        } catch (Throwable e) {
             done.completeExceptionally(e);
         }
     }
@@ -167,7 +168,7 @@
             }
             mChannel.getWriteSetter().set(channel -> flush(done));
             mChannel.resumeWrites();
-        } catch (IOException e) {
+        } catch (Throwable e) {
             done.completeExceptionally(e);
         }
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -13,10 +13,14 @@
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.util.AttachmentKey;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.orchidmount.internal.log.PartLog;
 import org.xnio.IoUtils;
@@ -39,6 +43,9 @@
     /** Each handler bounds bodies itself, by its own limit. */
     private static final long UNLIMITED = -1;
 
+    /** How long the close of the listener waits for an I/O thread. */
+    private static final Duration MAX_TURN = Duration.ofMillis(200);
+
     private static final AttachmentKey<Boolean> TRACKED = AttachmentKey.create(Boolean.class);
 
     private final ExecutorService mThreads = Executors.newVirtualThreadPerTaskExecutor();
@@ -122,10 +129,18 @@
         } catch (Throwable e) {
             fail(request, e);
         } finally {
+            closeIfGone(request);
             request.whenDelivered(() -> mActive.remove(request));
         }
     }
 
+    /** A caller that has only ended its side of the connection would wait for the other. */
+    private static void closeIfGone(ServerExchange request) {
+        if (request.isGone()) {
+            request.abort(AbortCause.INTERNAL_ERROR, "its caller has gone");
+        }
+    }
+
     /** While the listener closes, requests that have just arrived fail for that reason. */
     private void fail(ServerExchange request, Throwable error) {
         boolean isExpected = mIsClosing || request.isGone() || request.isAborted();
@@ -192,10 +207,22 @@
         for (ServerExchange request : mActive) {
             request.abort(AbortCause.INSTANCE_STOPS, "the time for the stop is over");
         }
+        mActive.forEach(HttpServer::awaitTurn);
         mUndertow.stop();
         mThreads.shutdownNow();
     }
 
+    /** Waits until the I/O thread of a request has done what it was asked to do. */
+    private static void awaitTurn(ServerExchange request) {
+        try {
+            request.turn().get(MAX_TURN.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException | RejectedExecutionException e) {
+            LOG.warn("a response is not given up in time: %s", e);
+        }
+    }
+
     /** Serves one request on a virtual thread. */
     @FunctionalInterface
     public interface RequestHandler {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -359,6 +360,11 @@
         mResponse.holdUnread(opener, stallTime);
     }
 
+    /** Returns a future that completes once the I/O thread has done what it was asked to do. */
+    CompletableFuture<Void> turn() {
+        return CompletableFuture.runAsync(() -> {}, mIoThread);
+    }
+
     /** Runs an action as soon as nothing of the answer is held; it must not block. */
     void whenDelivered(Runnable action) {
         mResponse.whenDelivered(action);
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
@@ -16,8 +16,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.orchidmount.internal.log.PartLog;
@@ -40,6 +40,15 @@
 
     private static final String NO_REQUEST_ID = "-";
     private static final String CHUNKED = "chunked";
+    private static final String GIVEN_UP = "the response was given up";
+
+    /** Which of the two ends of a response has come first. */
+    private enum State {
+        OPEN,
+        /** The whole body has left, and the end follows. */
+        ENDED,
+        ABORTED
+    }
 
     private final HttpServerExchange mExchange;
     private final XnioIoThread mIoThread;
@@ -47,7 +56,7 @@
     private final BooleanSupplier mIsGone;
     private final Runnable mMarkGone;
     private final AbortedResponses mAbortedResponses;
-    private final AtomicBoolean mIsAborted = new AtomicBoolean();
+    private final AtomicReference<State> mState = new AtomicReference<>(State.OPEN);
     private final AtomicLong mBytes = new AtomicLong();
     private final AtomicLong mParts = new AtomicLong();
     private volatile String mRequestId = NO_REQUEST_ID;
@@ -91,7 +100,7 @@
     }
 
     boolean isAborted() {
-        return mIsAborted.get();
+        return mState.get() == State.ABORTED;
     }
 
     boolean isStarted() {
@@ -102,7 +111,7 @@
         mStarted = true;
         mIoThread.execute(
                 () -> {
-                    if (!mExchange.isComplete()) {
+                    if (!mExchange.isComplete() && !isAborted()) {
                         begin(status, headers);
                     }
                 });
@@ -126,7 +135,7 @@
         CompletableFuture<Void> done = new CompletableFuture<>();
         mIoThread.execute(
                 () -> {
-                    if (mExchange.isComplete() || mIsGone.getAsBoolean()) {
+                    if (mExchange.isComplete() || mIsGone.getAsBoolean() || isAborted()) {
                         done.completeExceptionally(new IOException("caller has gone"));
                         return;
                     }
@@ -153,18 +162,21 @@
         StreamSinkChannel channel = mExchange.getResponseChannel();
         mWriter =
                 mUnread == null
-                        ? new ChannelWriter(mIoThread, channel, this::beforeEnd)
+                        ? new ChannelWriter(mIoThread, channel, this::passEnd)
                         : new BufferingWriter(
                                 mIoThread,
                                 channel,
                                 mUnread,
                                 mStallTime,
-                                this::beforeEnd,
-                                this::reset);
+                                this::passEnd,
+                                this::disconnect);
     }
 
     /** All bytes have been handed to the system, so that an orderly end tells the truth. */
-    private void beforeEnd() {
+    private void passEnd() throws IOException {
+        if (!mState.compareAndSet(State.OPEN, State.ENDED)) {
+            throw new IOException(GIVEN_UP);
+        }
         if (mFraming == ResponseFraming.CLOSE) {
             setResetOnClose(false);
         }
@@ -174,7 +186,9 @@
         try {
             mExchange.getConnection().setOption(Options.CLOSE_ABORT, isReset);
         } catch (IOException | IllegalArgumentException e) {
-            LOG.warn("%s: cannot set how the connection closes: %s", mRequestId, e);
+            if (mExchange.getConnection().isOpen()) {
+                LOG.warn("%s: cannot set how the connection closes: %s", mRequestId, e);
+            }
         }
     }
 
@@ -191,22 +205,42 @@
                 });
     }
 
+    /**
+     * Decided on the I/O thread, where the end is written as well, so that the response is recorded
+     * only if its caller does not get it whole.
+     */
     void abort(AbortCause cause, String detail) {
-        if (mExchange.isResponseComplete()) {
+        try {
+            mIoThread.execute(() -> abortOnIoThread(cause, detail));
+        } catch (RejectedExecutionException e) {
+            // The listener has closed, and with it the connection.
+            record(cause, detail);
+        }
+    }
+
+    private void abortOnIoThread(AbortCause cause, String detail) {
+        if (mState.get() == State.ENDED || mExchange.isResponseComplete()) {
             return;
         }
         if (!mIsGone.getAsBoolean()) {
             record(cause, detail);
         }
-        Runnable close = () -> execute(() -> IoUtils.safeClose(mExchange.getConnection()));
         ResponseWriter writer = mWriter;
         if (writer == null) {
-            close.run();
+            close(cause);
         } else {
-            writer.abort(close);
+            writer.abort(() -> execute(() -> close(cause)));
         }
     }
 
+    /** A slow caller is reset, so that the system does not keep what it has not read. */
+    private void close(AbortCause cause) {
+        if (cause == AbortCause.CALLER_TOO_SLOW) {
+            setResetOnClose(true);
+        }
+        IoUtils.safeClose(mExchange.getConnection());
+    }
+
     /** A thread that terminates closes its connections itself. */
     private void execute(Runnable task) {
         try {
@@ -217,7 +251,7 @@
     }
 
     private void record(AbortCause cause, String detail) {
-        if (!mIsAborted.compareAndSet(false, true)) {
+        if (!mState.compareAndSet(State.OPEN, State.ABORTED)) {
             return;
         }
         mAbortedResponses.add(
@@ -232,18 +266,16 @@
     }
 
     /**
-     * Leaves the caller, which is from now on treated as one that has gone. The connection is
-     * reset, so that the system does not keep what the caller has not read.
+     * Leaves a caller whose response cannot be written any further. It is from now on treated as
+     * one that has gone.
      */
-    private void reset(IOException reason) {
+    private void disconnect(IOException reason) {
         if (reason instanceof SlowCallerException) {
             record(AbortCause.CALLER_TOO_SLOW, reason.getMessage());
+        } else if (reason.getCause() != null) {
+            record(AbortCause.INTERNAL_ERROR, reason.getMessage());
         }
-        mIoThread.execute(
-                () -> {
-                    setResetOnClose(true);
-                    IoUtils.safeClose(mExchange.getConnection());
-                });
+        execute(() -> close(AbortCause.CALLER_TOO_SLOW));
         // Last, as it wakes the request's thread, which then closes the connection as well.
         mMarkGone.run();
     }
@@ -272,8 +304,8 @@
             mIoThread.execute(() -> turn.complete(null));
             turn.join();
         }
-        if (mIsAborted.get()) {
-            throw new IOException("the response was given up");
+        if (isAborted()) {
+            throw new IOException(GIVEN_UP);
         }
         if (mWriter == null || mIsGone.getAsBoolean()) {
             throw new IOException("caller has gone");
