Nothing is sent to an upstream that has changed since it was chosen

Requests reached decode engines up to 3 s after their leaving was acknowledged (2.5 s are allowed) and were cut when these ended: between the choice of an engine and the send lie a reservation and a prefill, and only a restart or a pause of the engine was asked for afterwards.

UpstreamDirectory.obstacle is asked right before each send: restarted, leaving or gone, or of another stage.

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -167,8 +167,9 @@
         mThrough = Optional.empty();
         mStartEventId = lastEventId();
         Assignment assignment = placement.assignment();
-        if (assignment.hasRestarted()) {
-            mLastFailure = "the upstream has restarted";
+        Optional<String> obstacle = mContext.upstreams().obstacle(assignment);
+        if (obstacle.isPresent()) {
+            mLastFailure = obstacle.get();
             return AttemptOutcome.NOT_REACHED;
         }
         if (mContext.throttle().isPaused(assignment.incarnation())) {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/UpstreamDirectory.java
@@ -140,6 +140,28 @@
         mDepartureAnnouncer.accept(leaving);
     }
 
+    /**
+     * Returns why a request must not be sent to the upstream that was chosen for it, which may have
+     * changed during a wait. To be asked right before each send.
+     *
+     * @param assignment the choice
+     * @return the reason, for the log; empty if the request may be sent
+     */
+    Optional<String> obstacle(Assignment assignment) {
+        if (assignment.hasRestarted()) {
+            return Optional.of("the upstream has restarted");
+        }
+        try (OrderedLock.Held _ = mLock.hold()) {
+            Upstream upstream = assignment.upstream();
+            if (!upstream.isReady()) {
+                return Optional.of("the upstream is leaving since it was chosen");
+            }
+            return upstream.registration().stage() == assignment.registration().stage()
+                    ? Optional.empty()
+                    : Optional.of("the upstream has changed its stage since it was chosen");
+        }
+    }
+
     /** Returns whether an upstream has announced that it is leaving, so that its end is planned. */
     boolean isLeaving(Assignment assignment) {
         try (OrderedLock.Held _ = mLock.hold()) {
