A delivered response does not fail at its sender

Callers that asked to close had their whole response, but the request's line said CALLER_LEFT, and a refusal did not give the account's limit back.

The library closes a connection that is not kept while it writes the end of the response. If the caller has closed its side by then, the close listener runs inside the flush and failed the writer, before the flush returned and the writer learned that all had left. A response whose end was written is not failed any more.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
@@ -289,10 +289,13 @@
         }
     }
 
-    /** Fails a write that is under way, because the caller has gone. */
+    /**
+     * Fails a write that is under way, because the caller has gone. The library closes a connection
+     * while it writes the end of the last response on it, before the writer learns of that end.
+     */
     void fail(IOException error) {
         ResponseWriter writer = mWriter;
-        if (writer != null) {
+        if (writer != null && !mExchange.isResponseComplete()) {
             writer.fail(error);
         }
     }
