Requests that outlast a stop are refused or cut by their relay

At the end of its time for a stop an entry closed the connections of all it still served. A request without response ended without a status, also one that no upstream had run, and the line of a stream that was cut said CALLER_LEFT.

The stop ended requests from outside, where nothing is known of them. Now it cancels them, and each relay gives its request up as at any other failure: not run is refused, what may have run is answered so, a stream that has begun is aborted with INSTANCE_STOPS and reported as CUT. Callers have 2% of the time for the stop to be told; the listener then waits for the threads of its requests, so that their lines are written.

Ruled out: longer times for the last responses; the missing lines were not late.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/EntryLife.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/EntryLife.java
@@ -34,6 +34,9 @@
     /** The part of the time for a stop after which requests that still run are cut off. */
     private static final double LIMIT_SHARE = 0.95;
 
+    /** The part of the time for a stop after which no response is waited for. */
+    private static final double LAST_SHARE = 0.97;
+
     private final BooleanSupplier mKnowsTable;
     private final MonotonicClock mClock;
     private final Duration mLongest;
@@ -132,6 +135,19 @@
         }
     }
 
+    /**
+     * Waits for the callers of requests that were given up to be told so; returns when nothing is
+     * being served any more, or the time is over.
+     *
+     * @param server the listener to callers
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void awaitLastResponses(HttpServer server) throws InterruptedException {
+        while (server.active() > 0 && !isOver(LAST_SHARE)) {
+            Thread.sleep(POLL);
+        }
+    }
+
     private boolean isOver(double share) {
         return untilShare(share).filter(Duration::isNegative).isPresent();
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -43,7 +43,7 @@
     /** Each handler bounds bodies itself, by its own limit. */
     private static final long UNLIMITED = -1;
 
-    /** How long the close of the listener waits for an I/O thread. */
+    /** How long the close of the listener waits for an I/O thread, or for those of requests. */
     private static final Duration MAX_TURN = Duration.ofMillis(200);
 
     private static final AttachmentKey<Boolean> TRACKED = AttachmentKey.create(Boolean.class);
@@ -210,6 +210,18 @@
         mActive.forEach(HttpServer::awaitTurn);
         mUndertow.stop();
         mThreads.shutdownNow();
+        awaitThreads();
+    }
+
+    /** Lets the threads of requests write their last lines into the log. */
+    private void awaitThreads() {
+        try {
+            if (!mThreads.awaitTermination(MAX_TURN.toNanos(), TimeUnit.NANOSECONDS)) {
+                LOG.warn("threads of requests have not ended in time");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Waits until the I/O thread of a request has done what it was asked to do. */
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -120,7 +120,8 @@
      * @param request the request
      * @param service the service chosen for the request, one of those of its route
      * @param caller the response to the caller
-     * @param cancel the signal that is cancelled when the caller disconnects
+     * @param cancel the signal that is cancelled when the caller disconnects, or when the instance
+     *     stops and does not wait for the request any longer, which its caller is then told
      * @param terms checked before each attempt, which is made only if they permit it
      * @return whether an upstream may have run it
      * @throws IOException if the caller has disconnected
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -137,20 +137,37 @@
     Execution run() throws IOException, TimeoutException, InterruptedException {
         try (mCrashReporter;
                 mRetries;
-                CancelSignal.Registration _ = mCancel.onCancel(mProgress::callerLeft)) {
+                CancelSignal.Registration _ = mCancel.onCancel(this::onCancelled)) {
             End end = serve();
-            mReporter.ended(end, mHistory, mIsThrottled, mAttempts, mEngines, mBinding.cause());
+            reportEnd(end);
             boolean mayHaveRun = end == End.SERVED || mHistory.executions() > 0;
             return mayHaveRun ? Execution.MAY_HAVE_RUN : Execution.NOT_RUN;
         } catch (IOException | TimeoutException e) {
-            mReporter.ended(
-                    End.CALLER_LEFT, mHistory, mIsThrottled, mAttempts, mEngines, mBinding.cause());
+            reportEnd(isStopped() ? End.CUT : End.CALLER_LEFT);
+            throw e;
+        } catch (InterruptedException e) {
+            reportEnd(End.CUT);
             throw e;
         } finally {
             mProgress.ended();
         }
     }
 
+    private void reportEnd(End end) {
+        mReporter.ended(end, mHistory, mIsThrottled, mAttempts, mEngines, mBinding.cause());
+    }
+
+    private void onCancelled() {
+        if (!isStopped()) {
+            mProgress.callerLeft();
+        }
+    }
+
+    /** Returns whether this instance stops and gives up what it still serves. */
+    private boolean isStopped() {
+        return mCancel.reason() == CancelSignal.Reason.INSTANCE_STOPPING;
+    }
+
     private End serve() throws IOException, TimeoutException, InterruptedException {
         mContext.retries().of(mService.name()).recordRequest();
         mBinding.bindContinuation();
@@ -336,17 +353,11 @@
 
     /** Ends a request that no upstream has answered completely. */
     private End giveUp() throws IOException, TimeoutException, InterruptedException {
-        if (mCancel.isCancelled()) {
+        if (mCancel.isCancelled() && !isStopped()) {
             return End.CALLER_LEFT;
         }
         if (mAttempts.startedStream().isPresent()) {
-            long lastEventId = mAttempts.startedStream().get().lastEventId();
-            LOG.info(
-                    "%s: stream aborted after event %d: %s",
-                    mRequest.id(), lastEventId, mAttempts.lastFailure());
-            AbortCause cause =
-                    timeLeft().isPositive() ? AbortCause.UPSTREAM_FAILED : AbortCause.TIMED_OUT;
-            mCaller.abort(cause, mAttempts.lastFailure());
+            abortStream(mAttempts.startedStream().get().lastEventId());
             return End.CUT;
         }
         if (mAttempts.fallback().isPresent()) {
@@ -362,12 +373,30 @@
             refuseStopping(mStopCheck.retryAfter().get());
             return End.INSTANCE_STOPS;
         }
+        if (isStopped() && mHistory.executions() == 0) {
+            refuseStopping(RetryAfter.INSTANCE_STOPS);
+            return End.INSTANCE_STOPS;
+        }
         refuse();
         return mRetries.isExhausted() ? End.RETRIES_EXHAUSTED : End.GIVEN_UP;
     }
 
+    private void abortStream(long lastEventId) {
+        LOG.info(
+                "%s: stream aborted after event %d: %s",
+                mRequest.id(), lastEventId, mAttempts.lastFailure());
+        mCaller.abort(abortCause(), mAttempts.lastFailure());
+    }
+
+    private AbortCause abortCause() {
+        if (isStopped()) {
+            return AbortCause.INSTANCE_STOPS;
+        }
+        return timeLeft().isPositive() ? AbortCause.UPSTREAM_FAILED : AbortCause.TIMED_OUT;
+    }
+
     /**
-     * Refuses a request that was sent to no upstream and does not end before this instance does.
+     * Refuses a request that no upstream has run and that does not end before this instance does.
      */
     private void refuseStopping(Duration retryAfter)
             throws IOException, TimeoutException, InterruptedException {
