--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -30,6 +30,7 @@
 /** Relays requests to upstreams that register themselves. Thread-safe. */
 public final class Relay {
     private final RelayContext mContext;
+    private final RelayedRequests mRelayed = new RelayedRequests();
 
     /**
      * Creates a relay.
@@ -135,6 +136,16 @@
             CancelSignal cancel,
             ServingTerms terms)
             throws IOException, TimeoutException, InterruptedException {
-        return new RequestRelay(mContext, request, service, caller, cancel, terms).run();
+        try (CancelSignal.Registration _ = mRelayed.add(cancel)) {
+            return new RequestRelay(mContext, request, service, caller, cancel, terms).run();
+        }
+    }
+
+    /**
+     * Gives up all requests, because the instance stops: each is refused, or its response is cut,
+     * as far as it has come. Returns at once; holds for requests that come later as well.
+     */
+    public void giveUp() {
+        mRelayed.giveUp();
     }
 }
