A response whose end cannot be told fails its call

An upstream's response with a transfer coding other than chunked alone, or with two lengths, was read to the end of its connection or to the first length, and taken for whole wherever it was cut; the entry passed it on as 200, signed, with a length of its own. An interim response other than 100 was passed on as the final one, and the final one was left on a kept connection.

The framing of responses was left to the library, while that of requests is checked (RequestFraming). Now the head is checked before anything of the body is read, and the call fails as garbled.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/CutMessageTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/CutMessageTest.java
@@ -133,6 +133,41 @@
         assertFails(script);
     }
 
+    /** Responses whose end cannot be told, and that only the end of the connection would end. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: chunked, chunked",
+                "Transfer-Encoding: chunked;x=1",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+                "Transfer-Encoding: identity",
+                "Transfer-Encoding: gzip",
+                "Content-Length: 7\r\nContent-Length: 9",
+                "Content-Length: 7, 9",
+                "Content-Length: +7",
+            })
+    void aResponseWhoseEndCannotBeToldFailsTheCall(String field) throws Exception {
+        RawUpstream.Script script =
+                (request, connection) -> {
+                    connection.send("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n{\"a\":1}\r\n");
+                    connection.end();
+                };
+        assertFails(script);
+    }
+
+    /** Guards against an interim response that is taken for the final one. */
+    @ParameterizedTest
+    @ValueSource(ints = {101, 102, 103, 199})
+    void anInterimResponseIsNotTheFinalOne(int status) throws Exception {
+        RawUpstream.Script script =
+                (request, connection) -> {
+                    connection.send("HTTP/1.1 " + status + " Interim\r\n\r\n");
+                    connection.send("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"a\":1}");
+                };
+        assertFails(script);
+    }
+
     /** What a caller reads through a tunnel, or of an upstream, that is killed. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"})
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/CallErrors.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/CallErrors.java
@@ -50,7 +50,7 @@
         if (cause instanceof PathLostException) {
             return new Failure.PathLost(step, peer, cause.getMessage());
         }
-        if (cause instanceof ForeignResponseException) {
+        if (cause instanceof GarbledResponseException) {
             return new Failure.Garbled(step, peer, e.getMessage());
         }
         return new Failure.Broken(step, peer, reason(cause));
@@ -75,8 +75,15 @@
         }
     }
 
+    /** The response is not one that can be read. */
+    static class GarbledResponseException extends IOException {
+        GarbledResponseException(String message) {
+            super(message);
+        }
+    }
+
     /** The response is not that of the call. */
-    static final class ForeignResponseException extends IOException {
+    static final class ForeignResponseException extends GarbledResponseException {
         ForeignResponseException() {
             super("the answer is that of another request");
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -129,6 +129,12 @@
 
     private void onResponse(ClientExchange exchange) {
         ClientResponse response = exchange.getResponse();
+        Optional<String> fault = ResponseHeadCheck.fault(response);
+        if (fault.isPresent()) {
+            failAll(new CallErrors.GarbledResponseException(fault.get()));
+            mPooled.giveUp(this);
+            return;
+        }
         Optional<String> received = mPool.identity(response.getResponseHeaders());
         if (CallIdentity.isForeign(mIdentity, received, mPooled.uses() == 1)) {
             refuseForeign(response, received);
