A stream that was sent is never refused as not run at a stop

A stopping entry that did not send a stream to one engine, as it would outlast the stop there, could send it to another. If that one failed, the caller was told 503, not run, with a time to retry, though the engine may have run it, so that a stream that must not run twice could run twice.

The answer of the first check was kept and decided how the request is given up, whatever was sent since. Now a request is refused for the stop only if none of its attempts may have run.

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -369,12 +369,9 @@
             refuseQuarantined();
             return End.QUARANTINED;
         }
-        if (mStopCheck.retryAfter().isPresent()) {
-            refuseStopping(mStopCheck.retryAfter().get());
-            return End.INSTANCE_STOPS;
-        }
-        if (isStopped() && mHistory.executions() == 0) {
-            refuseStopping(RetryAfter.INSTANCE_STOPS);
+        boolean endsWithInstance = mStopCheck.retryAfter().isPresent() || isStopped();
+        if (endsWithInstance && mHistory.executions() == 0) {
+            refuseStopping(mStopCheck.retryAfter().orElse(RetryAfter.INSTANCE_STOPS));
             return End.INSTANCE_STOPS;
         }
         refuse();
