--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -207,7 +208,7 @@
         for (ServerExchange request : mActive) {
             request.abort(AbortCause.INSTANCE_STOPS, "the time for the stop is over");
         }
-        mActive.forEach(HttpServer::awaitTurn);
+        awaitTurns();
         mUndertow.stop();
         mThreads.shutdownNow();
         awaitThreads();
@@ -224,14 +225,18 @@
         }
     }
 
-    /** Waits until the I/O thread of a request has done what it was asked to do. */
-    private static void awaitTurn(ServerExchange request) {
+    /** Waits until the I/O threads of all requests have done what they were asked to do. */
+    private void awaitTurns() {
         try {
-            request.turn().get(MAX_TURN.toNanos(), TimeUnit.NANOSECONDS);
+            CompletableFuture.allOf(
+                            mActive.stream()
+                                    .map(ServerExchange::turn)
+                                    .toArray(CompletableFuture[]::new))
+                    .get(MAX_TURN.toNanos(), TimeUnit.NANOSECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | TimeoutException | RejectedExecutionException e) {
-            LOG.warn("a response is not given up in time: %s", e);
+            LOG.warn("not all responses are given up in time: %s", e);
         }
     }
 
