A stopping instance weighs the probability that an output is cut

What callers saw: during the planned stop of an entry, streams whose hint fitted into what was left were begun and then cut; so was every stream while no output had ended at this instance yet.

Cause: StopRule compared the time that is left with the expected length, which is a median: about half of the outputs near the limit are longer. The speed was that of complete outputs only, and after the first few it still lay between the prior and what had been observed (after one output of 0.2 tokens/ms, the estimate was some three times as fast).

Change: an output is begun only if the probability that it is cut is at most 0.1 (a cut counts as ten refusals, since another instance serves what is refused). The probability comes from the ratios of actual to hinted lengths of the latest outputs, kept apart for requests without a hint, from a log-normal prior until outputs have been observed, from what the caller has received already, and from the stated maximum (LengthErrors, OutputForecast; pure). The speed is observed without the prior (OutputPace), and from outputs under way after 4, 8, 16 ... events until one is complete. Streams under way are not asked again.

Ruled out by reading, without a run: the blended estimate as the base of the ratios, since it is drawn towards the mean of all hints and so low for long outputs.

Changed tests: StopRuleTest keeps its rows, with the length as a forecast without errors. EngineSpeedEstimatorTest demanded that the measured speed equals the estimate with the prior, which was the fault; it now demands the observed pace and that all else equals.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/routing/EngineSpeedEstimatorTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/routing/EngineSpeedEstimatorTest.java
@@ -61,7 +61,25 @@
         mEstimator.observeOutput(0, 3_000);
         assertThat(mEstimator.measuredSpeed()).isEmpty();
         mEstimator.observeOutput(600, 3_000);
-        assertThat(mEstimator.measuredSpeed()).hasValue(mEstimator.speed());
+        EngineSpeed measured = mEstimator.measuredSpeed().orElseThrow();
+        assertThat(measured.outputTokensPerMilli()).isWithin(1e-9).of(0.2);
+        assertThat(measured.withOutputPace(1)).isEqualTo(mEstimator.speed().withOutputPace(1));
+    }
+
+    /** Guards against a decision that waits for the first complete output. */
+    @Test
+    void theSpeedOfOutputsUnderWayCountsUntilOneIsComplete() {
+        mEstimator.observeOutputUnderWay(0, 100);
+        assertThat(mEstimator.measuredSpeed()).isEmpty();
+        mEstimator.observeOutputUnderWay(60, 600);
+        mEstimator.observeOutputUnderWay(60, 600);
+        assertThat(mEstimator.measuredSpeed().orElseThrow().outputTokensPerMilli())
+                .isWithin(1e-9)
+                .of(0.1);
+        mEstimator.observeOutput(600, 3_000);
+        assertThat(mEstimator.measuredSpeed().orElseThrow().outputTokensPerMilli())
+                .isWithin(1e-9)
+                .of(0.2);
     }
 
     @Test
--- a/org.orchidmount.test/src/test/java/org/orchidmount/routing/StopRuleTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/routing/StopRuleTest.java
@@ -46,6 +46,48 @@
                         ? Optional.of(new EngineSpeed(0.02, 0.04, tokensPerSecond / 1_000, 0, 0))
                         : Optional.empty();
         Duration untilCut = Duration.ofMillis(untilCutMillis);
-        assertThat(StopRule.canEnd(untilCut, waitMillis, outputTokens, measured)).isEqualTo(canEnd);
+        OutputForecast output =
+                new OutputForecast(outputTokens, 0, Integer.MAX_VALUE, LengthErrors.NONE);
+        assertThat(StopRule.mayBegin(untilCut, waitMillis, output, measured)).isEqualTo(canEnd);
+    }
+
+    /**
+     * Guards against a decision by the mean: what is cut in more than a tenth of all cases is not
+     * begun. Of ten outputs, one is twice as long as expected and one three times as long. At one
+     * token per millisecond, the time that is left is the number of tokens.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // As long as expected, twice as long, and nearly that.
+        "1000,    0,  9000, 0.2, false",
+        "1999,    0,  9000, 0.2, false",
+        "2000,    0,  9000, 0.1, true",
+        "3000,    0,  9000, 0.0, true",
+        "999,     0,  9000, 1.0, false",
+        // It does not exceed its limit.
+        "1500,    0,  1500, 0.0, true",
+        "1499,    0,  1500, 0.2, false",
+        // The caller has received a part: as much as most outputs, and more than any other.
+        "500,   500,  9000, 0.2, false",
+        "500,  1000,  9000, 1.0, false",
+        "1000, 1000,  9000, 0.5, false",
+        "2000, 1000,  9000, 0.0, true",
+        "500,  3000,  9000, 1.0, false",
+        "500,  3000,  3500, 0.0, true"
+    })
+    void whatIsLikelyToBeCutIsNotBegun(
+            long untilCutMillis,
+            double receivedTokens,
+            double maxTokens,
+            double probability,
+            boolean mayBegin) {
+        LengthErrors errors = new LengthErrors(1, 1, 1, 1, 2, 1, 1, 3, 1, 1);
+        OutputForecast output = new OutputForecast(1_000, receivedTokens, maxTokens, errors);
+        EngineSpeed speed = new EngineSpeed(0.02, 0.04, 1, 0, 0);
+        Duration untilCut = Duration.ofMillis(untilCutMillis);
+        assertThat(StopRule.cutProbability(untilCut, 0, output, speed))
+                .isWithin(1e-9)
+                .of(probability);
+        assertThat(StopRule.mayBegin(untilCut, 0, output, Optional.of(speed))).isEqualTo(mayBegin);
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -323,6 +323,7 @@
         mCrashReporter.survived();
         stream.end();
         mTracker.ifPresent(tracker -> tracker.observe(stream.lastEventId() - before, timing));
+        mTracker.ifPresent(tracker -> tracker.observeLength(stream.lastEventId()));
         logStream(placement, stream, timing);
         return AttemptOutcome.ENDED;
     }
@@ -343,7 +344,7 @@
                 isProven = true;
                 mCrashReporter.partsSurvived();
             }
-            mTracker.ifPresent(tracker -> tracker.generated(stream.lastEventId() - before));
+            mTracker.ifPresent(tracker -> tracker.generated(stream.lastEventId() - before, timing));
             if (first) {
                 mContext.upstreams().release(assignment);
                 mTracker.ifPresent(tracker -> tracker.observeFirst(placement));
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/EnginePlacer.java
@@ -94,7 +94,7 @@
                 isClientRetry
                         ? MemoryWaitRule.forClientRetry(request.route().targetLatency())
                         : mNewRequestWait;
-        mTracker = new SequenceTracker(context, service);
+        mTracker = new SequenceTracker(context, service, stated);
         mPrefiller =
                 new Prefiller(
                         context,
@@ -132,11 +132,6 @@
         return mTracker;
     }
 
-    /** Returns the expected length of the output. */
-    int expectedOutputTokens() {
-        return mOutput.expectedTokens();
-    }
-
     AvailableMemory availableMemory() {
         return mAvailableMemory;
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -196,7 +196,7 @@
     private boolean mayTry() throws InterruptedException {
         return !mCancel.isCancelled()
                 && mTerms.isStillAllowed()
-                && (mHistory.executions() > 0 || mStopCheck.canEnd(mEngines))
+                && (mHistory.executions() > 0 || mStopCheck.mayBegin(mEngines))
                 && AttemptRule.mayTry(mHistory, mRequest.route().attemptLimits(), timeLeft())
                 && !mRetries.isExhausted()
                 && !(mLastRefused && mRetries.uselessFor().isPositive())
@@ -279,7 +279,7 @@
             AttemptOutcome outcome =
                     mTerms.isStillAllowed()
                                     && (mHistory.executions() > 0
-                                            || mStopCheck.canEndAt(mEngines, placement))
+                                            || mStopCheck.mayBeginAt(mEngines, placement))
                                     && mCrashReporter.tryBeginRun()
                                     && mRetries.tryBegin(ArrivalHistory.Phase.RUN)
                             ? run(placement, cache)
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/SequenceTracker.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/SequenceTracker.java
@@ -12,6 +12,8 @@
 import org.orchidmount.membership.Incarnation;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.EngineSpeedEstimator;
+import org.orchidmount.routing.OutputForecast;
+import org.orchidmount.routing.OutputLengthEstimator.StatedLength;
 
 /**
  * Announces the sequences of one request that engines work on, and estimates the speed of the
@@ -25,15 +27,21 @@
     /** Minimum number of events in a stream from which the speed of its engine is estimated. */
     private static final int MIN_EVENTS = 8;
 
+    /** Minimum number of events of a stream under way; then looked at each time it has doubled. */
+    private static final int MIN_EVENTS_UNDER_WAY = 4;
+
     private final RelayContext mContext;
     private final EngineSpeedEstimator mSpeedEstimator;
+    private final StatedLength mStatedLength;
     private final int mEventTokens;
     private final AtomicInteger mGeneratedTokens = new AtomicInteger();
     private Optional<Incarnation> mOutputEngine = Optional.empty();
     private int mPlacements;
+    private long mNextObservedEvents;
 
-    SequenceTracker(RelayContext context, Service service) {
+    SequenceTracker(RelayContext context, Service service, StatedLength statedLength) {
         mContext = context;
+        mStatedLength = statedLength;
         mSpeedEstimator = context.speedEstimator(service.name());
         mEventTokens = service.engine().map(Service.Engine::tokensPerEvent).orElse(1);
     }
@@ -41,6 +49,7 @@
     /** Announces that an engine begins to work on a sequence; returns the sequence as announced. */
     InFlightSequence begin(InFlightSequence unplaced, Assignment assignment) {
         mGeneratedTokens.set(0);
+        mNextObservedEvents = MIN_EVENTS_UNDER_WAY;
         InFlightSequence sequence = unplaced.placedAt(assignment.incarnation(), ++mPlacements);
         mContext.loads().update(sequence);
         mContext.announcer().begin(sequence, mGeneratedTokens::get);
@@ -70,9 +79,28 @@
         return mEventTokens;
     }
 
-    /** Updates the number of tokens generated so far. */
-    void generated(long events) {
+    /** Updates the number of tokens generated so far, and the speed of outputs under way. */
+    void generated(long events, StreamTiming timing) {
         mGeneratedTokens.set((int) (events * mEventTokens));
+        if (events >= mNextObservedEvents) {
+            mNextObservedEvents = 2 * events;
+            double tokens = (double) (events - 1) * mEventTokens;
+            mSpeedEstimator.observeOutputUnderWay(tokens, timing.durationMillis());
+        }
+    }
+
+    /** Records the length of an output that has ended, up to the id of its last event. */
+    void observeLength(long lastEventId) {
+        mContext.outputLengths().observeOutput(mStatedLength, tokens(lastEventId));
+    }
+
+    /** Returns what is known of the length of the output, of which the caller has some events. */
+    OutputForecast forecast(long lastEventId) {
+        return mContext.outputLengths().forecast(mStatedLength, tokens(lastEventId));
+    }
+
+    private int tokens(long events) {
+        return (int) Math.min(Integer.MAX_VALUE, events * mEventTokens);
     }
 
     /**
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/StopCheck.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/StopCheck.java
@@ -10,6 +10,7 @@
 import org.orchidmount.relay.ServingTerms.PlannedStop;
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.EngineSpeed;
+import org.orchidmount.routing.OutputForecast;
 import org.orchidmount.routing.StopRule;
 
 /**
@@ -33,15 +34,18 @@
         mTerms = terms;
     }
 
-    /** Returns whether a request that has no placement yet can end in time. */
-    boolean canEnd(Optional<EnginePlacer> engines) {
+    /** Returns whether a request that has no placement yet is likely enough to end in time. */
+    boolean mayBegin(Optional<EnginePlacer> engines) {
         Optional<EngineSpeed> speed = mContext.speedEstimator(mService.name()).measuredSpeed();
         double waitMillis = speed.map(EngineSpeed::firstTokenMillis).orElse(0.0);
-        return canEnd(engines, waitMillis, speed);
+        return mayBegin(engines, waitMillis, speed);
     }
 
-    /** Returns whether a request that is about to be sent to an engine can end in time. */
-    boolean canEndAt(Optional<EnginePlacer> engines, Placement placement) {
+    /**
+     * Returns whether a request that is about to be sent to an engine is likely enough to end in
+     * time.
+     */
+    boolean mayBeginAt(Optional<EnginePlacer> engines, Placement placement) {
         String engine = placement.assignment().id();
         Optional<EngineSpeed> speed =
                 mContext.speedEstimator(mService.name())
@@ -49,31 +53,30 @@
                         .map(mean -> mean.slowedBy(mContext.evidence().slowness(engine)));
         int queuedTokens = placement.prefillQueueTokens();
         double waitMillis = speed.map(each -> each.decodeEngineMillis(queuedTokens)).orElse(0.0);
-        return canEnd(engines, waitMillis, speed);
+        return mayBegin(engines, waitMillis, speed);
     }
 
-    private boolean canEnd(
+    private boolean mayBegin(
             Optional<EnginePlacer> engines, double waitMillis, Optional<EngineSpeed> speed) {
         Optional<PlannedStop> stop = mTerms.plannedStop();
         if (stop.isEmpty() || engines.isEmpty()) {
             return true;
         }
-        int tokens = remainingTokens(engines.get());
-        boolean canEnd = StopRule.canEnd(stop.get().untilCut(), waitMillis, tokens, speed);
-        if (!canEnd) {
+        long lastEventId = mRequest.prompt().map(RelayRequest.Prompt::lastEventId).orElse(0L);
+        OutputForecast output = engines.get().tracker().forecast(lastEventId);
+        Duration untilCut = stop.get().untilCut();
+        boolean mayBegin = StopRule.mayBegin(untilCut, waitMillis, output, speed);
+        if (!mayBegin) {
             mRetryAfter = Optional.of(stop.get().retryAfter());
             mReason =
-                    "%d tokens expected, %d ms until responses are cut"
-                            .formatted(tokens, stop.get().untilCut().toMillis());
+                    "%.0f of at most %.0f tokens expected, %.2f tokens/ms, %d ms until the cut"
+                            .formatted(
+                                    output.expectedTokens(),
+                                    output.maxTokens(),
+                                    speed.map(EngineSpeed::outputTokensPerMilli).orElse(0.0),
+                                    untilCut.toMillis());
         }
-        return canEnd;
-    }
-
-    /** Returns the expected output without the events that the caller has already. */
-    private int remainingTokens(EnginePlacer engines) {
-        long lastEventId = mRequest.prompt().map(RelayRequest.Prompt::lastEventId).orElse(0L);
-        long received = lastEventId * engines.tracker().eventTokens();
-        return (int) Math.max(0, engines.expectedOutputTokens() - received);
+        return mayBegin;
     }
 
     /** Returns the time to retry if the request was refused because of a planned stop. */
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/EngineSpeed.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/EngineSpeed.java
@@ -56,6 +56,21 @@
         return decodeEngineMillis(promptTokens) + FIRST_TOKEN_WORK_SHARE * firstTokenMillis;
     }
 
+    /**
+     * Returns the same speed with another output speed.
+     *
+     * @param tokensPerMilli tokens generated per millisecond for one output
+     * @return the changed speed
+     */
+    public EngineSpeed withOutputPace(double tokensPerMilli) {
+        return new EngineSpeed(
+                prefillMillisPerToken,
+                decodePrefillMillisPerToken,
+                tokensPerMilli,
+                firstTokenMillis,
+                outputMillis);
+    }
+
     /**
      * Returns the speed of an engine that is slower or faster than the mean of its service.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/EngineSpeedEstimator.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/EngineSpeedEstimator.java
@@ -6,6 +6,7 @@
 package org.orchidmount.routing;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * Estimates the {@link EngineSpeed} of one service from the requests that pass through this
@@ -53,7 +54,8 @@
     private final LogMean mOutputMillis = new LogMean(PRIOR_OUTPUT_MILLIS, 1);
 
     private volatile EngineSpeed mSpeed = learned();
-    private volatile boolean mHasMeasuredOutput;
+    private final OutputPace mCompletePace = new OutputPace();
+    private final OutputPace mPaceUnderWay = new OutputPace();
 
     /**
      * Returns the current estimate.
@@ -65,12 +67,17 @@
     }
 
     /**
-     * Returns the current estimate if it rests on at least one complete output.
+     * Returns the current estimate with the output speed as observed, without the prior: that of
+     * complete outputs or, until one has been observed, that of outputs under way.
      *
-     * @return the estimated speed; empty if only the prior of the output speed is known
+     * @return the estimated speed; empty if no output has been observed
      */
     public Optional<EngineSpeed> measuredSpeed() {
-        return mHasMeasuredOutput ? Optional.of(mSpeed) : Optional.empty();
+        OptionalDouble complete = mCompletePace.tokensPerMilli();
+        OptionalDouble pace = complete.isPresent() ? complete : mPaceUnderWay.tokensPerMilli();
+        return pace.isPresent()
+                ? Optional.of(mSpeed.withOutputPace(pace.getAsDouble()))
+                : Optional.empty();
     }
 
     private EngineSpeed learned() {
@@ -125,7 +132,17 @@
     public synchronized void observeOutput(double tokens, double tookMillis) {
         observe(mOutputTokensPerMilli, tokens, tookMillis);
         observe(mOutputMillis, tookMillis, 1);
-        mHasMeasuredOutput = mOutputTokensPerMilli.isObserved();
+        mCompletePace.observe(tokens, tookMillis);
+    }
+
+    /**
+     * Records the progress of an output that has not ended.
+     *
+     * @param tokens number of tokens after the first so far
+     * @param tookMillis time from the first token to the latest
+     */
+    public void observeOutputUnderWay(double tokens, double tookMillis) {
+        mPaceUnderWay.observe(tokens, tookMillis);
     }
 
     private void observe(LogMean mean, double dividend, double divisor) {
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/OutputLengthEstimator.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/OutputLengthEstimator.java
@@ -31,6 +31,15 @@
     /** Lower bound of the estimate, unless the caller's limit is lower. */
     private static final int MIN_TOKENS = 64;
 
+    /** Prior for the standard deviation of the logarithm of the error of callers' estimates. */
+    private static final double STATED_LOG_DEVIATION = 0.38;
+
+    /** Prior for the same of the mean, which is expected where a caller states no estimate. */
+    private static final double UNSTATED_LOG_DEVIATION = 0.8;
+
+    private final LengthErrorHistory mStatedErrors = new LengthErrorHistory(STATED_LOG_DEVIATION);
+    private final LengthErrorHistory mUnstatedErrors =
+            new LengthErrorHistory(UNSTATED_LOG_DEVIATION);
     private double mLogMean;
     private double mMeanRequestTokens;
 
@@ -75,6 +84,42 @@
         return bounded(RESERVE_FACTOR * blended(statedLength), statedLength);
     }
 
+    /**
+     * Records the length of an output that its engine has ended.
+     *
+     * @param statedLength what the caller stated
+     * @param actualTokens the length of the whole output
+     */
+    public synchronized void observeOutput(StatedLength statedLength, int actualTokens) {
+        if (actualTokens > 0) {
+            errors(statedLength).observe(actualTokens / base(statedLength));
+        }
+    }
+
+    /**
+     * Returns what is known of the length of an output.
+     *
+     * @param statedLength what the caller states
+     * @param receivedTokens the tokens that the caller has already
+     * @return the forecast
+     */
+    public synchronized OutputForecast forecast(StatedLength statedLength, int receivedTokens) {
+        int max = statedLength.maxTokens() > 0 ? statedLength.maxTokens() : Integer.MAX_VALUE;
+        LengthErrors errors = errors(statedLength).errors();
+        return new OutputForecast(base(statedLength), receivedTokens, max, errors);
+    }
+
+    private LengthErrorHistory errors(StatedLength statedLength) {
+        return statedLength.expectedTokens() > 0 ? mStatedErrors : mUnstatedErrors;
+    }
+
+    /** Returns the length in tokens to which errors relate. */
+    private double base(StatedLength statedLength) {
+        return statedLength.expectedTokens() > 0
+                ? statedLength.expectedTokens()
+                : expect(statedLength);
+    }
+
     /**
      * Returns the size of a request relative to the mean of all, after adding the request to that
      * mean.
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/StopRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/StopRule.java
@@ -9,26 +9,49 @@
 import java.util.Optional;
 import org.orchidmount.clock.Millis;
 
-/** Decides whether an instance that is stopping still begins a streamed output. Pure. */
+/** Decides whether an instance that is stopping still begins a request. Pure. */
 public final class StopRule {
+    /**
+     * The probability of being cut above which an output is not begun: a cut costs a caller about
+     * ten times as much as a refusal, after which another instance serves it.
+     */
+    public static final double MAX_CUT_PROBABILITY = 0.1;
+
     private StopRule() {}
 
     /**
-     * Returns whether an output is expected to end before its instance cuts what still runs.
+     * Returns whether to begin an output.
      *
-     * @param untilCut the time until then
+     * @param untilCut the time until the instance cuts what still runs
      * @param waitMillis the expected time to the first token
-     * @param outputTokens the expected length of the output
-     * @param measured the speed of the engines; empty if no output has been measured
-     * @return false only if the measured speed says that it does not end in time
+     * @param output what is known of its length
+     * @param measured the speed of the engines; empty if no output has been observed
+     * @return false only if the measured speed says that it is too likely to be cut
      */
-    public static boolean canEnd(
+    public static boolean mayBegin(
             Duration untilCut,
             double waitMillis,
-            int outputTokens,
+            OutputForecast output,
             Optional<EngineSpeed> measured) {
         return measured.isEmpty()
-                || waitMillis + outputTokens / measured.get().outputTokensPerMilli()
-                        <= Millis.ofNanos(untilCut.toNanos());
+                || cutProbability(untilCut, waitMillis, output, measured.get())
+                        <= MAX_CUT_PROBABILITY;
+    }
+
+    /**
+     * Returns the probability that an output is cut.
+     *
+     * @param untilCut the time until the instance cuts what still runs
+     * @param waitMillis the expected time to the first token
+     * @param output what is known of its length
+     * @param speed the speed of its engine
+     * @return from 0 to 1
+     */
+    public static double cutProbability(
+            Duration untilCut, double waitMillis, OutputForecast output, EngineSpeed speed) {
+        double outputMillis = Millis.ofNanos(untilCut.toNanos()) - waitMillis;
+        return outputMillis < 0
+                ? 1
+                : output.probabilityOfMore(outputMillis * speed.outputTokensPerMilli());
     }
 }
