A stopping instance refuses plain requests that take too long

What callers saw: during the planned stop of an entry, a plain request that takes longer than what is left was begun, and failed with 502 at the limit, so that its caller did not know whether it had run.

Cause: only requests with a prompt were estimated.

Change: RequestDurations keeps the latest 64 durations of each route and service; a request without a prompt is refused (503, not run, with the time to retry, line REFUSED_INSTANCE_STOPS) if more than a tenth of at least four took longer than is left. StopCheck asks before the request is placed and again before it is sent, as for outputs.

Ruled out: UpstreamCost.PLAIN_REQUEST_MILLIS as an estimate, since it is a constant that no measurement changes.

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -21,6 +21,7 @@
 import org.orchidmount.routes.Service;
 import org.orchidmount.routing.ClientRetryDetector;
 import org.orchidmount.routing.OutputLengthEstimator;
+import org.orchidmount.routing.RequestDurations;
 import org.orchidmount.routing.UrgentArrivals;
 import org.orchidmount.stream.StreamOrigin;
 import org.orchidmount.stream.StreamOrigins;
@@ -30,6 +31,7 @@
 /** Relays requests to upstreams that register themselves. Thread-safe. */
 public final class Relay {
     private final RelayContext mContext;
+    private final RequestDurations mDurations = new RequestDurations();
     private final RelayedRequests mRelayed = new RelayedRequests();
 
     /**
@@ -137,7 +139,8 @@
             ServingTerms terms)
             throws IOException, TimeoutException, InterruptedException {
         try (CancelSignal.Registration _ = mRelayed.add(cancel)) {
-            return new RequestRelay(mContext, request, service, caller, cancel, terms).run();
+            return new RequestRelay(mContext, request, service, caller, cancel, terms, mDurations)
+                    .run();
         }
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -29,6 +29,7 @@
 import org.orchidmount.routing.AttemptRule;
 import org.orchidmount.routing.EngineSpeed;
 import org.orchidmount.routing.FinalOutcome;
+import org.orchidmount.routing.RequestDurations;
 import org.orchidmount.routing.RetryAfter;
 import org.orchidmount.routing.UpstreamCost;
 import org.orchidmount.upstream.CancelSignal;
@@ -80,7 +81,8 @@
             Service service,
             CallerResponse caller,
             CancelSignal cancel,
-            ServingTerms terms) {
+            ServingTerms terms,
+            RequestDurations durations) {
         mContext = context;
         mRequest = request;
         mService = service;
@@ -88,7 +90,7 @@
         mCaller = caller;
         mCancel = cancel;
         mTerms = terms;
-        mStopCheck = new StopCheck(context, request, service, terms);
+        mStopCheck = new StopCheck(context, request, service, terms, durations);
         mProgress = new RequestProgress(context.clock(), request.id());
         mCrashReporter = new CrashReporter(context, request, service, cancel);
         mBinding =
@@ -302,8 +304,12 @@
     private AttemptOutcome run(Placement placement, Optional<KvCacheRef> cache)
             throws IOException, TimeoutException, InterruptedException {
         ArrivalHistory.Result result = ArrivalHistory.Result.ARRIVED;
+        long sentNanos = mContext.clock().nanoTime();
         try {
             AttemptOutcome outcome = mAttempts.run(placement, cache, mHistory);
+            if (outcome == AttemptOutcome.ENDED) {
+                mStopCheck.ended(mEngines, sentNanos);
+            }
             result = arrival(outcome);
             return outcome;
         } finally {
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/StopRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/StopRule.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.orchidmount.clock.Millis;
 
 /** Decides whether an instance that is stopping still begins a request. Pure. */
@@ -38,6 +39,16 @@
                         <= MAX_CUT_PROBABILITY;
     }
 
+    /**
+     * Returns whether to begin a request that is not sent to an engine.
+     *
+     * @param cutProbability the probability that it takes longer than is left; empty if unknown
+     * @return false only if it is known to be too likely to be cut
+     */
+    public static boolean mayBegin(OptionalDouble cutProbability) {
+        return cutProbability.orElse(0) <= MAX_CUT_PROBABILITY;
+    }
+
     /**
      * Returns the probability that an output is cut.
      *
