--- a/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FramingCaller.java
+++ b/org.orchidmount.junit/src/main/java/org/orchidmount/junit/FramingCaller.java
@@ -29,12 +29,18 @@
  */
 public final class FramingCaller implements AutoCloseable {
     private static final int HEX = 16;
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
 
     private final CallerKind mKind;
     private final Socket mSocket;
     private final InputStream mIn;
     private volatile int mBodyBytes;
 
+    /** Whether the last request asked for a head alone; set before its response is read. */
+    private volatile boolean mIsHead;
+
     /**
      * Connects.
      *
@@ -98,7 +104,23 @@
         ByteArrayOutputStream request = new ByteArrayOutputStream();
         request.writeBytes(head.getBytes(StandardCharsets.UTF_8));
         request.writeBytes(bytes);
-        mSocket.getOutputStream().write(request.toByteArray());
+        send(method, request.toByteArray());
+    }
+
+    /**
+     * Sends bytes as they stand, for example a request that no parser takes. The kind of the caller
+     * has no part in it.
+     *
+     * @param bytes the bytes, which begin with a method
+     * @throws IOException if the connection has ended
+     */
+    public void send(String bytes) throws IOException {
+        send(bytes.split(" ")[0], bytes.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private void send(String method, byte[] bytes) throws IOException {
+        mIsHead = method.equals("HEAD");
+        mSocket.getOutputStream().write(bytes);
         mSocket.getOutputStream().flush();
     }
 
@@ -168,7 +190,15 @@
             return new FramedResponse(mStatus, mHeaders, mFraming, body, end, isComplete);
         }
 
+        /** Reads the head of the final response, and passes over those before it. */
         private void readHead() throws IOException {
+            do {
+                mHeaders.clear();
+                readOneHead();
+            } while (mStatus < FIRST_FINAL_STATUS);
+        }
+
+        private void readOneHead() throws IOException {
             String[] words = readLine().split(" ");
             for (String line = readLine(); !line.isEmpty(); line = readLine()) {
                 int colon = line.indexOf(':');
@@ -179,7 +209,14 @@
             mStatus = Integer.parseInt(words[1]);
         }
 
+        private boolean hasBody() {
+            return !mIsHead && mStatus != NO_CONTENT && mStatus != NOT_MODIFIED;
+        }
+
         private void readBody() throws IOException {
+            if (!hasBody()) {
+                return;
+            }
             if ("chunked".equalsIgnoreCase(mHeaders.get("transfer-encoding"))) {
                 mFraming = Framing.CHUNKED;
                 readChunks();
