A length that cannot be read is no framing of a response

Callers of HTTP/1.0, and of HTTP/1.1 with Connection: close, took a cut response for whole whose Content-Length was signed or malformed; one with two lengths left them waiting.

Cause: ResponseFraming took any Content-Length for the framing. The library ignores one that it cannot read and uses the end of the connection, which was then not told to reset.

Any other is removed, and the response is sent in chunks, or with a reset where it is cut.

Ruled out: entries, which set lengths anew (HeaderNames). orchidmountd passes on the Content-Length of a plain service to HTTP/1.0; whether its client takes such a response was not run.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
@@ -153,6 +153,9 @@
         mExchange.setStatusCode(status);
         mExchange.getResponseHeaders().putAll(headers);
         mFraming = ResponseFraming.of(mExchange);
+        if (mFraming != ResponseFraming.LENGTH) {
+            mExchange.getResponseHeaders().remove(Headers.CONTENT_LENGTH);
+        }
         if (mFraming == ResponseFraming.CHUNKED) {
             mExchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, CHUNKED);
         } else if (mFraming == ResponseFraming.CLOSE) {
