A response whose end cannot be written is given up

A caller of a response in chunks whose last chunk could not be written, for an error on the I/O thread, waited for it until its own time limit, and the response left no line.

Cause: a response counts as ended once its body has left, before the end is written; abort then had no effect.

Change: an end whose writing fails is none, so that the response is given up like any other. Not so if the caller has gone, or the library has written the end meanwhile.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
@@ -32,8 +32,8 @@
  * <p>Invariants: the exchange is touched on its I/O thread only; the end of the connection is in
  * order only if the framing of the response tells without it that the response has not ended, or if
  * the response is whole; a response ends either by {@link #end} or {@link #answer}, or by {@link
- * #abort}, which is recorded once. Used by one thread, except {@link #abort} and {@link #fail},
- * which are thread-safe.
+ * #abort}, which is recorded once; an end whose writing fails is none. Used by one thread, except
+ * {@link #abort} and {@link #fail}, which are thread-safe.
  */
 final class ServerResponse {
     private static final PartLog LOG = PartLog.of("http");
@@ -125,7 +125,26 @@
     }
 
     void end(Duration timeout) throws IOException, TimeoutException, InterruptedException {
-        writer().end(timeout, mExchange::endExchange);
+        ResponseWriter writer = writer();
+        try {
+            writer.end(timeout, mExchange::endExchange);
+        } catch (IOException e) {
+            reopen();
+            throw e;
+        }
+    }
+
+    /** An end that could not be written is none: the response can still be given up. */
+    private void reopen() {
+        execute(
+                () -> {
+                    boolean isEnded = mIsGone.getAsBoolean() || mExchange.isResponseComplete();
+                    if (!isEnded
+                            && mState.compareAndSet(State.ENDED, State.OPEN)
+                            && mFraming == ResponseFraming.CLOSE) {
+                        setResetOnClose(true);
+                    }
+                });
     }
 
     void answer(int status, HeaderMap headers, byte[] body, Duration timeout)
@@ -142,7 +161,12 @@
                     begin(status, headers);
                     mWriter.writeAndEnd(body, done, mExchange::endExchange);
                 });
-        ChannelWriter.await(done, timeout);
+        try {
+            ChannelWriter.await(done, timeout);
+        } catch (IOException e) {
+            reopen();
+            throw e;
+        }
     }
 
     /** Sets the head of the response; on the I/O thread. */
