The bodies of requests are bounded in all

Uploads within their limits that came together exceeded the heap: a part of them was never answered, and small requests beside them waited for seconds.

Each request's body was collected in a growing array and copied, so that it took up to three times its size, and nothing bounded the sum. BodyMemory now counts the bodies of all requests of a process, each before it is read: one of a known length with that length, into one array of it, one in chunks with twice what has come. BodyMemoryRule bounds them: by the setting requestBodies.totalBytes, checked against the heap at the start, or 0.6 of the heap that unread responses leave; a sixteenth is kept for bodies up to 64 KiB. A body without memory waits up to 1.5 s, its sender slowed by its connection, and is then refused as not run (REFUSED_NO_BODY_MEMORY), with the mean time that large bodies are held as the time to return. Memory is returned when the request has been handled, since it may be tried again until then.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/settings/SiteSettingsReaderTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/settings/SiteSettingsReaderTest.java
@@ -15,8 +15,10 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.orchidmount.quota.QuotaTolerance;
 import org.orchidmount.relay.UnreadRule;
+import org.orchidmount.routing.BodyMemoryRule;
 
 /** Tests {@code SiteSettingsReader}. */
 final class SiteSettingsReaderTest {
@@ -170,6 +172,39 @@
         assertThat(settings.unreadResponses()).hasValue(new UnreadRule(1_048_576, 16_777_216));
     }
 
+    /** Guards against a default that leaves no heap beside the bytes that callers do not read. */
+    @Test
+    void withoutABoundOnBodiesItIsAShareOfTheHeap() throws IOException {
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        SiteSettings settings = ((SiteSettingsReader.Result.Valid) read(ENTRY)).settings();
+        assertThat(settings.bodyMemory()).isEqualTo(BodyMemoryRule.ofHeap(heapBytes, 0));
+        String unread = ENTRY.replace("\"stopSeconds\"", UNREAD);
+        settings = ((SiteSettingsReader.Result.Valid) read(unread)).settings();
+        assertThat(settings.bodyMemory()).isEqualTo(BodyMemoryRule.ofHeap(heapBytes, 16_777_216));
+    }
+
+    @Test
+    void readsABoundOnBodies() throws IOException {
+        SiteSettings settings =
+                ((SiteSettingsReader.Result.Valid) read(bodies("20000000"))).settings();
+        assertThat(settings.bodyMemory()).isEqualTo(new BodyMemoryRule(20_000_000));
+    }
+
+    /** Guards against a start with a bound that the heap cannot bear or that takes no body. */
+    @ParameterizedTest
+    @ValueSource(strings = {"1000", "2147483648", "\"9MiB\""})
+    void aBadBoundOnBodiesIsNamed(String bytes) throws IOException {
+        SiteSettingsReader.Result.Invalid invalid =
+                (SiteSettingsReader.Result.Invalid) read(bodies(bytes));
+        assertThat(invalid.problems().getFirst().path()).isEqualTo("requestBodies.totalBytes");
+    }
+
+    private static String bodies(String bytes) {
+        return ENTRY.replace(
+                "\"stopSeconds\"",
+                "\"requestBodies\": {\"totalBytes\": " + bytes + "}, \"stopSeconds\"");
+    }
+
     /** A bound that is missing, too small or contradictory is named, and what to give instead. */
     @ParameterizedTest
     @CsvSource(
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -51,6 +51,7 @@
     private final ExecutorService mThreads = Executors.newVirtualThreadPerTaskExecutor();
     private final Undertow mUndertow;
     private final RequestHandler mHandler;
+    private final BodyMemory mBodyMemory;
     private final Set<ServerExchange> mActive = ConcurrentHashMap.newKeySet();
     private final AbortedResponses mAbortedResponses = new AbortedResponses();
     private final Set<ServerConnection> mIdle = ConcurrentHashMap.newKeySet();
@@ -58,7 +59,7 @@
     private volatile boolean mIsClosing;
 
     /**
-     * Starts to listen.
+     * Starts to listen, without a bound on the bodies held.
      *
      * @param host the IP address
      * @param port the TCP port, 0 for a free one
@@ -69,6 +70,28 @@
      */
     public HttpServer(
             String host, int port, HttpLimits limits, int ioThreads, RequestHandler handler) {
+        this(host, port, limits, ioThreads, BodyMemory.unbounded(), handler);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param host the IP address
+     * @param port the TCP port, 0 for a free one
+     * @param limits what is taken from a sender
+     * @param ioThreads the number of I/O threads
+     * @param bodyMemory memory for the bodies of requests
+     * @param handler serves the requests
+     * @throws RuntimeException if the address cannot be bound
+     */
+    public HttpServer(
+            String host,
+            int port,
+            HttpLimits limits,
+            int ioThreads,
+            BodyMemory bodyMemory,
+            RequestHandler handler) {
+        mBodyMemory = bodyMemory;
         mHandler = handler;
         HttpHandler root = new HttpContinueReadHandler(this::dispatch);
         mUndertow =
@@ -111,7 +134,8 @@
                     }
                     next.proceed();
                 });
-        ServerExchange request = new ServerExchange(exchange, () -> mDraining, mAbortedResponses);
+        ServerExchange request =
+                new ServerExchange(exchange, () -> mDraining, mAbortedResponses, mBodyMemory);
         mActive.add(request);
         exchange.dispatch(mThreads, () -> serve(request));
     }
@@ -129,6 +153,7 @@
         } catch (Throwable e) {
             fail(request, e);
         } finally {
+            request.releaseBody();
             closeIfGone(request);
             request.whenDelivered(() -> mActive.remove(request));
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
@@ -9,7 +9,6 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -35,7 +34,9 @@
     private final ByteQueue mBody = new ByteQueue(this::resumeReading);
     private final List<Runnable> mGoneActions = new ArrayList<>();
     private final ServerResponse mResponse;
+    private final BodyMemory.Lease mLease;
     private volatile ChannelPump mPump;
+    private volatile boolean mHasUnreadBody;
     private boolean mGone;
 
     /**
@@ -44,11 +45,23 @@
      * @param exchange the exchange
      * @param closing tells, when the answer begins, whether its connection is to be closed after it
      * @param aborted records an answer that is given up
+     * @param memory memory for its body
      */
-    ServerExchange(HttpServerExchange exchange, BooleanSupplier closing, AbortedResponses aborted) {
+    ServerExchange(
+            HttpServerExchange exchange,
+            BooleanSupplier closing,
+            AbortedResponses aborted,
+            BodyMemory memory) {
         mExchange = exchange;
         mIoThread = exchange.getIoThread();
-        mResponse = new ServerResponse(exchange, closing, this::isGone, this::markGone, aborted);
+        mLease = memory.open();
+        mResponse =
+                new ServerResponse(
+                        exchange,
+                        () -> mHasUnreadBody || closing.getAsBoolean(),
+                        this::isGone,
+                        this::markGone,
+                        aborted);
         CurrentExchange.of(exchange.getConnection()).set(this);
     }
 
@@ -169,12 +182,14 @@
     }
 
     /**
-     * Reads the whole body.
+     * Reads the whole body. It counts as held until the request has been handled.
      *
      * @param timeout the longest time for the whole body
      * @param mostBytes the largest body taken
      * @return the body
-     * @throws BodyTooLargeException if the body is larger
+     * @throws BodyTooLargeException if the body is larger, or larger than this process ever holds
+     * @throws NoBodyMemoryException if the bodies of other requests take the memory for too long;
+     *     the connection is then closed after the response
      * @throws IOException if the connection breaks
      * @throws TimeoutException if the sender is too slow
      * @throws InterruptedException if the thread is interrupted
@@ -182,19 +197,23 @@
     public byte[] readAll(Duration timeout, long mostBytes)
             throws IOException, TimeoutException, InterruptedException {
         long endNanos = System.nanoTime() + timeout.toNanos();
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
-        while (true) {
-            byte[] part = read(Duration.ofNanos(endNanos - System.nanoTime()));
-            if (part == null) {
-                return body.toByteArray();
-            }
-            if (body.size() + part.length > mostBytes) {
-                throw new BodyTooLargeException(mostBytes);
-            }
-            body.writeBytes(part);
+        try {
+            return BodyReader.read(
+                    () -> read(Duration.ofNanos(endNanos - System.nanoTime())),
+                    contentLength(),
+                    mostBytes,
+                    mLease);
+        } catch (NoBodyMemoryException | BodyTooLargeException e) {
+            mHasUnreadBody = true;
+            throw e;
         }
     }
 
+    /** Returns the memory of the body, which is not used any more. */
+    void releaseBody() {
+        mLease.close();
+    }
+
     /** Notes that the caller has closed its connection. */
     void markGone() {
         List<Runnable> actions;
--- a/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/report/RequestEnd.java
@@ -69,6 +69,8 @@
      * it serves.
      */
     REFUSED_VERSION_GONE,
+    /** Refused: the bodies of other requests took the memory of this instance for too long. */
+    REFUSED_NO_BODY_MEMORY,
     /** Refused: the instance is stopping and would not complete the response. */
     REFUSED_INSTANCE_STOPS,
     /** The time limit of the request expired. */
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/RetryAfter.java
@@ -65,8 +65,30 @@
 
     private static final Duration MAX_OUTAGE = Duration.ofSeconds(2);
 
+    /** Bounds of the time to return when the bodies of other requests take the memory. */
+    private static final Duration MIN_BODY_MEMORY = Duration.ofMillis(200);
+
+    private static final Duration MAX_BODY_MEMORY = Duration.ofSeconds(2);
+
     private RetryAfter() {}
 
+    /**
+     * Returns the retry time for a request for whose body there is no memory: by then, most of the
+     * bodies that are held now are not held any more.
+     *
+     * @param holdTime how long bodies are held on average
+     * @param random random source for spreading retries
+     * @return time after which the caller should retry
+     */
+    public static Duration bodyMemory(Duration holdTime, RandomGenerator random) {
+        long millis =
+                Math.clamp(
+                        holdTime.toMillis(),
+                        MIN_BODY_MEMORY.toMillis(),
+                        MAX_BODY_MEMORY.toMillis());
+        return limit(Duration.ofMillis(millis), random);
+    }
+
     /**
      * Returns the retry time for a request while no upstream can be reached, or all refuse their
      * work. An outage that has lasted for some time is expected to last as long again.
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
@@ -12,6 +12,7 @@
 import org.orchidmount.cluster.HostPort;
 import org.orchidmount.quota.QuotaTolerance;
 import org.orchidmount.relay.UnreadRule;
+import org.orchidmount.routing.BodyMemoryRule;
 
 /**
  * The checked settings of an instance of a site whose upstreams register themselves. Immutable.
@@ -32,6 +33,8 @@
  *     machine is suspended
  * @param unreadResponses what an instance that serves callers holds of responses that they do not
  *     read; nothing if it waits for them to read
+ * @param requestBodies what an instance holds of the bodies of requests; a share of its heap if
+ *     empty
  * @param log the form of the logs
  */
 public record SiteSettings(
@@ -48,12 +51,24 @@
         Duration stop,
         Duration suspensionsAfter,
         Optional<UnreadRule> unreadResponses,
+        Optional<BodyMemoryRule> requestBodies,
         Settings.Log log) {
     /** Copies the list of seeds. */
     public SiteSettings {
         seeds = List.copyOf(seeds);
     }
 
+    /**
+     * Returns what this process holds of the bodies of requests.
+     *
+     * @return the setting, or a share of the heap that has no other use
+     */
+    public BodyMemoryRule bodyMemory() {
+        long unreadBytes = unreadResponses.map(UnreadRule::totalBytes).orElse(0L);
+        return requestBodies.orElseGet(
+                () -> BodyMemoryRule.ofHeap(Runtime.getRuntime().maxMemory(), unreadBytes));
+    }
+
     /**
      * When entries share what they know of upstreams and of waiting requests.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.orchidmount.quota.QuotaTolerance;
 import org.orchidmount.relay.UnreadRule;
+import org.orchidmount.routing.BodyMemoryRule;
 
 /**
  * Reads and checks the settings file of an instance of a site whose upstreams register themselves.
@@ -41,6 +42,14 @@
     /** Lower bound of a setting: the largest response that is not streamed, 4 MiB, has to fit. */
     private static final int LEAST_TOTAL_BYTES = 5 * 1024 * 1024;
 
+    /**
+     * Lower bound of a setting: the largest body, 4 MiB, takes twice its size if sent in chunks.
+     */
+    private static final int LEAST_BODY_BYTES = 9 * 1024 * 1024;
+
+    /** Upper bound of a setting: with more, the heap has no room for other objects. */
+    private static final double MOST_HEAP_SHARE = 0.75;
+
     private SiteSettingsReader() {}
 
     /** The settings, or all that is wrong with the file. */
@@ -89,6 +98,9 @@
                         root.has("unreadResponses")
                                 ? unreadResponses(root.section("unreadResponses", true))
                                 : Optional.empty(),
+                        root.has("requestBodies")
+                                ? Optional.of(requestBodies(root.section("requestBodies", true)))
+                                : Optional.empty(),
                         SettingsReader.log(root.section("log", false)));
         if (settings.entry().isEmpty() == settings.voter().isEmpty()) {
             root.reject("entry", "give either the object \"entry\" or the object \"voter\"");
@@ -168,6 +180,14 @@
         return Optional.of(new UnreadRule(callerBytes, totalBytes));
     }
 
+    private static BodyMemoryRule requestBodies(Section section) {
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        int mostBytes = (int) Math.min(Integer.MAX_VALUE, (long) (MOST_HEAP_SHARE * heapBytes));
+        int totalBytes = section.bytes("totalBytes", null, LEAST_BODY_BYTES, mostBytes);
+        section.finish();
+        return new BodyMemoryRule(Math.max(LEAST_BODY_BYTES, totalBytes));
+    }
+
     private static Optional<Duration> keyRevocation(Section root) {
         return root.has("keyRevocationMillis")
                 ? Optional.of(millis(root, "keyRevocationMillis", 0))
