The daemon bounds the bodies of requests in all

As at the entries of a site, bodies within their limits that came together could exceed the heap of orchidmountd. Its listeners for callers and operators now share one BodyMemory, bounded by callers.totalBodyBytes, which must hold the largest body in chunks and is at most 0.75 of the heap; without it 0.6 of the heap. What has no memory is refused as not run, 503 no_body_memory with Retry-After; four figures of it are in /metrics. The site's setting is read by the same code.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CallerFront.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CallerFront.java
@@ -46,7 +46,13 @@
                         settings.headerTimeout(),
                         settings.idleTimeout());
         mServer =
-                new HttpServer(settings.host(), settings.port(), limits, IO_THREADS, this::handle);
+                new HttpServer(
+                        settings.host(),
+                        settings.port(),
+                        limits,
+                        IO_THREADS,
+                        parts.bodies(),
+                        this::handle);
         AbortMetrics.register(parts.metrics(), "response", mServer.abortedResponses());
     }
 
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionHandler.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/CompletionHandler.java
@@ -9,14 +9,17 @@
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeoutException;
 import org.orchidmount.blackboard.RequestBoard.RequestView;
 import org.orchidmount.errors.Attempt;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.internal.http.AbortCause;
 import org.orchidmount.internal.http.BodyTooLargeException;
+import org.orchidmount.internal.http.NoBodyMemoryException;
 import org.orchidmount.internal.http.Peer;
 import org.orchidmount.internal.http.ServerExchange;
+import org.orchidmount.routing.RetryAfter;
 import org.orchidmount.table.Table;
 import org.orchidmount.upstream.CancelSignal;
 import org.orchidmount.upstream.TokenStream;
@@ -170,6 +173,14 @@
             return exchange.readAll(timeout, mostBytes);
         } catch (BodyTooLargeException e) {
             throw new RefusedException(tooLarge);
+        } catch (NoBodyMemoryException e) {
+            Duration retryAfter = RetryAfter.bodyMemory(e.holdTime(), ThreadLocalRandom.current());
+            throw new RefusedException(
+                    Refusal.notNow(
+                            StatusCodes.SERVICE_UNAVAILABLE,
+                            "no_body_memory",
+                            Messages.NO_BODY_MEMORY,
+                            retryAfter.toMillis()));
         } catch (TimeoutException e) {
             throw new RefusedException(
                     Refusal.bad(
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/Messages.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/Messages.java
@@ -23,6 +23,8 @@
     static final String PROMPT_TOO_LONG = "the prompt has about %d tokens: the model takes %d";
     static final String OUTPUT_TOO_LONG = "max_tokens is %d: give 1 to %d";
     static final String BODY_TOO_LARGE = "the body is larger than %d bytes";
+    static final String NO_BODY_MEMORY =
+            "the bodies of other requests take the memory; come back later";
     static final String BODY_TOO_SLOW = "the body did not arrive in %d ms";
     static final String BODY_CUT = "the body ended before its announced length";
     static final String TOO_LATE = "the first token would come too late";
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/OperatorFront.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/OperatorFront.java
@@ -90,6 +90,7 @@
                         settings.port(),
                         HttpLimits.defaults(),
                         IO_THREADS,
+                        parts.bodies(),
                         this::handle);
         AbortMetrics.register(metrics, "operator.response", mServer.abortedResponses());
     }
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/Parts.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/Parts.java
@@ -11,6 +11,7 @@
 import org.orchidmount.claims.ClaimStore;
 import org.orchidmount.clock.MonotonicClock;
 import org.orchidmount.controller.Admission;
+import org.orchidmount.internal.http.BodyMemory;
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.limits.LocalLimits;
 import org.orchidmount.limits.RetryBudget;
@@ -37,6 +38,7 @@
  * @param cleaner cancels what is of no further use
  * @param claims the claims of not-repeatable requests
  * @param resumeTokens signs resume tokens
+ * @param bodies memory for the bodies of requests
  * @param metrics the figures
  */
 record Parts(
@@ -55,4 +57,5 @@
         EngineCleaner cleaner,
         ClaimStore claims,
         ResumeTokens resumeTokens,
+        BodyMemory bodies,
         MetricRegistry metrics) {}
--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/internal/RunningDaemon.java
@@ -26,6 +26,7 @@
 import org.orchidmount.controller.WorkerPool;
 import org.orchidmount.daemon.Daemon;
 import org.orchidmount.internal.claims.FileClaimStore;
+import org.orchidmount.internal.http.BodyMemory;
 import org.orchidmount.internal.http.ConnectionCounters;
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.log.PartLog;
@@ -39,6 +40,7 @@
 import org.orchidmount.quarantine.CrashRegistry;
 import org.orchidmount.quarantine.CrashReports;
 import org.orchidmount.quarantine.RunLock;
+import org.orchidmount.routing.BodyMemoryRule;
 import org.orchidmount.routing.Policies;
 import org.orchidmount.settings.Settings;
 import org.orchidmount.upstream.EngineClient;
@@ -183,6 +185,7 @@
                 new EngineCleaner(engines, CLEAN_FIRST_PAUSE, CLEAN_LONGEST_PAUSE),
                 mClaims,
                 resumeTokens(mSettings, clock),
+                bodies(clock, metrics),
                 metrics);
     }
 
@@ -201,6 +204,16 @@
         return crashes;
     }
 
+    private BodyMemory bodies(MonotonicClock clock, MetricRegistry metrics) {
+        BodyMemoryRule rule = mSettings.callers().bodyMemory();
+        BodyMemory bodies = new BodyMemory(rule, clock, BodyMemory.MAX_WAIT);
+        metrics.gauge("request.bodies.held_bytes", () -> bodies::heldBytes);
+        metrics.gauge("request.bodies.most_held_bytes", () -> bodies::mostHeldBytes);
+        metrics.gauge("request.bodies.waited", () -> bodies::waited);
+        metrics.gauge("request.bodies.refused", () -> bodies::refused);
+        return bodies;
+    }
+
     private static void register(MetricRegistry metrics, ConnectionCounters counters) {
         metrics.gauge("upstream.connections.opened", () -> counters::openedCount);
         metrics.gauge("upstream.connections.reused", () -> counters::reusedCount);
--- a/org.orchidmount.test/src/test/java/org/orchidmount/routing/BodyMemoryRuleTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/routing/BodyMemoryRuleTest.java
@@ -65,6 +65,14 @@
         assertThat(bodyBytes).isAtMost(Math.max(1, (heapBytes - otherBytes) * 2 / 3));
     }
 
+    /** Guards against a least bound with which the largest body is refused for ever. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 1_000, 100_000, 4 * MIB, 256L * MIB})
+    void theLeastBoundHoldsABodyTwice(long bytes) {
+        assertThat(new BodyMemoryRule(BodyMemoryRule.leastFor(bytes)).canEverHold(2 * bytes))
+                .isTrue();
+    }
+
     /** Guards against a bound that refuses every request. */
     @ParameterizedTest
     @ValueSource(longs = {0, -1})
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/BodyMemoryRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/BodyMemoryRule.java
@@ -25,6 +25,9 @@
     /** Share of the heap that is left to bodies; the rest is for all other objects. */
     private static final double HEAP_SHARE = 0.6;
 
+    /** With more, the heap has no room for other objects. */
+    private static final double MOST_HEAP_SHARE = 0.75;
+
     /** Checks the bound. */
     public BodyMemoryRule {
         if (totalBytes <= 0) {
@@ -43,6 +46,27 @@
         return new BodyMemoryRule((long) (HEAP_SHARE * Math.max(2, heapBytes - otherBytes)));
     }
 
+    /**
+     * Returns the largest bound that leaves room for other objects.
+     *
+     * @param heapBytes the largest heap of the process
+     * @return the most bytes held of all bodies
+     */
+    public static long mostOfHeap(long heapBytes) {
+        return (long) (MOST_HEAP_SHARE * heapBytes);
+    }
+
+    /**
+     * Returns the smallest bound with which a body can be held, also while it is put together from
+     * chunks and takes twice its size.
+     *
+     * @param bodyBytes the size of the body
+     * @return the least bytes held of all bodies
+     */
+    public static long leastFor(long bodyBytes) {
+        return 2 * bodyBytes * SMALL_SHARE_DIVISOR / (SMALL_SHARE_DIVISOR - 1) + 1;
+    }
+
     /**
      * Returns whether a body counts as large.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/Settings.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/Settings.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
+import org.orchidmount.routing.BodyMemoryRule;
 
 /**
  * The settings of one instance. Immutable; every value has been checked.
@@ -47,6 +48,7 @@
      * @param maxConnections the most open connections
      * @param maxHeaderBytes the largest head of a request
      * @param maxBodyBytes the largest body of a completion request
+     * @param bodyMemory what is held of the bodies of all requests, those of operators included
      * @param headerTimeout the longest time for the head of a request
      * @param bodyTimeout the longest time for a completion request's body, and for each part of
      *     other bodies
@@ -59,6 +61,7 @@
             int maxConnections,
             int maxHeaderBytes,
             int maxBodyBytes,
+            BodyMemoryRule bodyMemory,
             Duration headerTimeout,
             Duration bodyTimeout,
             Duration idleTimeout,
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SettingsReader.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import org.orchidmount.routing.BodyMemoryRule;
 import org.orchidmount.routing.Policies;
 
 /**
@@ -36,6 +37,8 @@
     /** The largest body of a completion that may be allowed: it is held whole. */
     private static final int MAX_BODY_BYTES = 256 * 1024 * 1024;
 
+    private static final String TOTAL_BODY_BYTES = "totalBodyBytes";
+
     private SettingsReader() {}
 
     /**
@@ -130,13 +133,15 @@
     }
 
     private static Settings.Callers callers(Section section) {
+        int maxBodyBytes = section.bytes("maxBodyBytes", 8 * 1024 * 1024, 1024, MAX_BODY_BYTES);
         Settings.Callers callers =
                 new Settings.Callers(
                         section.address("host"),
                         section.port("port"),
                         section.count("maxConnections", 10_000, 1, 1_000_000),
                         section.bytes("maxHeaderBytes", 16_384, 1024, 1024 * 1024),
-                        section.bytes("maxBodyBytes", 8 * 1024 * 1024, 1024, MAX_BODY_BYTES),
+                        maxBodyBytes,
+                        bodyMemory(section, maxBodyBytes),
                         section.millis("headerTimeoutMillis", 10_000, 10, DAY_MILLIS),
                         section.millis("bodyTimeoutMillis", 30_000, 10, DAY_MILLIS),
                         section.millis("idleTimeoutMillis", 60_000, 10, DAY_MILLIS),
@@ -145,6 +150,25 @@
         return callers;
     }
 
+    private static BodyMemoryRule bodyMemory(Section section, int maxBodyBytes) {
+        return section.has(TOTAL_BODY_BYTES)
+                ? bodyMemory(section, TOTAL_BODY_BYTES, maxBodyBytes)
+                : BodyMemoryRule.ofHeap(Runtime.getRuntime().maxMemory(), 0);
+    }
+
+    /** Reads a bound on the bodies of all requests, which the heap has to bear. */
+    static BodyMemoryRule bodyMemory(Section section, String key, int maxBodyBytes) {
+        long mostBytes = BodyMemoryRule.mostOfHeap(Runtime.getRuntime().maxMemory());
+        long leastBytes = BodyMemoryRule.leastFor(maxBodyBytes);
+        int totalBytes =
+                section.bytes(
+                        key,
+                        null,
+                        (int) Math.min(Integer.MAX_VALUE, leastBytes),
+                        (int) Math.min(Integer.MAX_VALUE, mostBytes));
+        return new BodyMemoryRule(Math.max(leastBytes, totalBytes));
+    }
+
     private static Settings.Operators operators(
             Section section, Path folder, List<SettingsProblem> warnings) {
         Settings.Operators operators =
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -42,13 +42,8 @@
     /** Lower bound of a setting: the largest response that is not streamed, 4 MiB, has to fit. */
     private static final int LEAST_TOTAL_BYTES = 5 * 1024 * 1024;
 
-    /**
-     * Lower bound of a setting: the largest body, 4 MiB, takes twice its size if sent in chunks.
-     */
-    private static final int LEAST_BODY_BYTES = 9 * 1024 * 1024;
-
-    /** Upper bound of a setting: with more, the heap has no room for other objects. */
-    private static final double MOST_HEAP_SHARE = 0.75;
+    /** The largest body that callers may be allowed to send. */
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
     private SiteSettingsReader() {}
 
@@ -181,11 +176,9 @@
     }
 
     private static BodyMemoryRule requestBodies(Section section) {
-        long heapBytes = Runtime.getRuntime().maxMemory();
-        int mostBytes = (int) Math.min(Integer.MAX_VALUE, (long) (MOST_HEAP_SHARE * heapBytes));
-        int totalBytes = section.bytes("totalBytes", null, LEAST_BODY_BYTES, mostBytes);
+        BodyMemoryRule rule = SettingsReader.bodyMemory(section, "totalBytes", MAX_BODY_BYTES);
         section.finish();
-        return new BodyMemoryRule(Math.max(LEAST_BODY_BYTES, totalBytes));
+        return rule;
     }
 
     private static Optional<Duration> keyRevocation(Section root) {
