A process ends when its heap is exhausted and a thread ends by it

After an OutOfMemoryError an instance could live on without the I/O thread of its listener or the threads that dial voters, ready in its own eyes.

Nothing handled errors that end a thread, and TaskThread's executor kept those of tasks to itself and ended the periodic task without a word. Tasks pass errors to the same handler. A request's own thread still only gives its response up.

Ruled out: the virtual machine's own flag for this, which also ends the process when a request's thread can be saved.

No entry as a whole process was made to lose a thread.

--- a/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/Main.java
+++ b/org.orchidmount.daemon/src/main/java/org/orchidmount/daemon/Main.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.orchidmount.Version;
+import org.orchidmount.daemon.internal.HeapExhaustion;
 import org.orchidmount.daemon.internal.StopSignals;
 import org.orchidmount.daemon.internal.TableCheck;
 import org.orchidmount.internal.log.LogSetup;
@@ -83,6 +84,7 @@
     }
 
     private static int run(Settings settings) throws InterruptedException {
+        HeapExhaustion.install();
         LogSetup.install(settings.log().json(), settings.log().level());
         try (Daemon daemon = Daemon.start(settings)) {
             AtomicBoolean asked = new AtomicBoolean();
--- a/org.orchidmount/src/main/java/org/orchidmount/cluster/TaskThread.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/cluster/TaskThread.java
@@ -13,7 +13,8 @@
 
 /**
  * Runs the tasks of a node in sequence on a dedicated thread, so that the node's state needs no
- * lock. An exception in a task is logged and ends neither the thread nor periodic tasks.
+ * lock. An exception in a task is logged and ends neither the thread nor periodic tasks; an error
+ * is passed to the handler of uncaught ones, which decides whether the process goes on.
  * Thread-safe.
  */
 final class TaskThread implements AutoCloseable {
@@ -67,6 +68,10 @@
             task.run();
         } catch (RuntimeException e) {
             mLog.error("task failed with an unexpected exception", e);
+        } catch (Error e) {
+            // The executor would keep it, and end the periodic task without a word.
+            Thread thread = Thread.currentThread();
+            thread.getUncaughtExceptionHandler().uncaughtException(thread, e);
         }
     }
 
