Responses that are read whole share the memory of bodies

Large responses of upstreams that came together exceeded the heap of an entry as uploads did: each was collected in a growing array and copied, and nothing bounded the sum.

ResponseReader takes memory for a response before it reads it, into one array if its length is known. Responses take what requests leave of 0.75 of the heap without unread responses; requests keep their own bound, so that a response always has some memory. One without memory waits until its request's time is over, its upstream slowed by its connection and not blamed, and then fails as one that may have run. A response that is discarded is no longer collected.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/routing/BodyMemoryRuleTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/routing/BodyMemoryRuleTest.java
@@ -37,21 +37,18 @@
     void largeBodiesLeaveAShareToSmallOnes(
             int bodyKib, int otherKib, int otherLargeKib, boolean isHeld) {
         BodyMemoryRule rule = new BodyMemoryRule(16 * MIB);
-        assertThat(
-                        rule.canHold(
-                                (long) bodyKib * KIB,
-                                (long) otherKib * KIB,
-                                (long) otherLargeKib * KIB))
-                .isEqualTo(isHeld);
+        BodyMemoryRule.Held others =
+                new BodyMemoryRule.Held((long) otherKib * KIB, (long) otherLargeKib * KIB, 0);
+        assertThat(rule.canHoldRequest((long) bodyKib * KIB, others)).isEqualTo(isHeld);
     }
 
     /** Guards against bodies that wait for memory that there will never be. */
     @Test
     void aBodyLargerThanTheShareOfLargeOnesIsNeverHeld() {
         BodyMemoryRule rule = new BodyMemoryRule(16 * MIB);
-        assertThat(rule.canEverHold(15 * MIB)).isTrue();
-        assertThat(rule.canEverHold(15 * MIB + 1)).isFalse();
-        assertThat(BodyMemoryRule.UNBOUNDED.canEverHold(Integer.MAX_VALUE)).isTrue();
+        assertThat(rule.canEverHold(15 * MIB, false)).isTrue();
+        assertThat(rule.canEverHold(15 * MIB + 1, false)).isFalse();
+        assertThat(BodyMemoryRule.UNBOUNDED.canEverHold(Integer.MAX_VALUE, false)).isTrue();
     }
 
     /** Guards against bounds that together exceed the heap. */
@@ -69,10 +66,37 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 1_000, 100_000, 4 * MIB, 256L * MIB})
     void theLeastBoundHoldsABodyTwice(long bytes) {
-        assertThat(new BodyMemoryRule(BodyMemoryRule.leastFor(bytes)).canEverHold(2 * bytes))
+        assertThat(new BodyMemoryRule(BodyMemoryRule.leastFor(bytes)).canEverHold(2 * bytes, false))
                 .isTrue();
     }
 
+    /** Guards against requests and responses that wait for each other, and a sum over the bound. */
+    @ParameterizedTest(name = "{0} KiB beside {1}, {2} and {3} KiB: {4}, {5}")
+    @CsvSource({
+        "4096, 0, 0, 0, true, true",
+        "8192, 15360, 15360, 0, false, true",
+        "8193, 15360, 15360, 0, false, false",
+        "1024, 0, 0, 22528, true, true",
+        "1025, 0, 0, 22528, false, false",
+        "64, 0, 0, 23552, true, false",
+        "64, 960, 0, 23552, true, false",
+        "64, 961, 0, 23552, false, false",
+    })
+    void responsesTakeWhatRequestsLeaveButAShareOfSmallOnes(
+            int bodyKib,
+            int requestKib,
+            int largeKib,
+            int responseKib,
+            boolean isRequestHeld,
+            boolean isResponseHeld) {
+        BodyMemoryRule rule = new BodyMemoryRule(16 * MIB, 24 * MIB);
+        BodyMemoryRule.Held others =
+                new BodyMemoryRule.Held(
+                        (long) requestKib * KIB, (long) largeKib * KIB, (long) responseKib * KIB);
+        assertThat(rule.canHoldRequest((long) bodyKib * KIB, others)).isEqualTo(isRequestHeld);
+        assertThat(rule.canHoldResponse((long) bodyKib * KIB, others)).isEqualTo(isResponseHeld);
+    }
+
     /** Guards against a bound that refuses every request. */
     @ParameterizedTest
     @ValueSource(longs = {0, -1})
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/BodyMemory.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/BodyMemory.java
@@ -14,7 +14,8 @@
 import org.orchidmount.routing.BodyMemoryRule;
 
 /**
- * The memory that the bodies of all requests of a process take while they are held whole.
+ * The memory that the bodies of all requests of a process, and of all responses to them, take while
+ * they are held whole.
  *
  * <p>Invariants: bytes are counted before they are read; the bytes counted never exceed the bounds
  * of {@link BodyMemoryRule}. Thread-safe; the lock is a leaf, no other lock is taken under it.
@@ -33,6 +34,7 @@
     private final Condition mReturned = mLock.newCondition();
     private long mHeldBytes;
     private long mLargeBytes;
+    private long mResponseBytes;
     private long mMostHeldBytes;
     private long mWaited;
     private long mRefused;
@@ -62,7 +64,16 @@
      * @return the account
      */
     public Lease open() {
-        return new Lease();
+        return new Lease(false);
+    }
+
+    /**
+     * Opens the account of the response to one request, with nothing held.
+     *
+     * @return the account
+     */
+    public Lease openResponse() {
+        return new Lease(true);
     }
 
     /**
@@ -129,10 +140,13 @@
 
     /** What is held of the body of one request. Thread-safe. */
     public final class Lease implements AutoCloseable {
+        private final boolean mIsResponse;
         private long mBytes;
         private long mSinceNanos;
 
-        private Lease() {}
+        private Lease(boolean isResponse) {
+            mIsResponse = isResponse;
+        }
 
         /**
          * Sets how much is held, and waits until there is memory for it.
@@ -144,14 +158,21 @@
          */
         public void hold(long bytes)
                 throws BodyTooLargeException, NoBodyMemoryException, InterruptedException {
+            hold(bytes, mMaxWait);
+        }
+
+        /** Does the same with another wait than that of the account. */
+        void hold(long bytes, Duration maxWait)
+                throws BodyTooLargeException, NoBodyMemoryException, InterruptedException {
             mLock.lockInterruptibly();
             try {
-                if (!mRule.canEverHold(bytes)) {
+                if (!mRule.canEverHold(bytes, mIsResponse)) {
                     mRefused++;
-                    throw new BodyTooLargeException(mRule.largeBytes());
+                    throw new BodyTooLargeException(
+                            mIsResponse ? mRule.totalBytes() : mRule.largeBytes());
                 }
                 if (!fits(bytes)) {
-                    await(bytes);
+                    await(bytes, maxWait);
                 }
                 set(bytes);
             } finally {
@@ -159,9 +180,10 @@
             }
         }
 
-        private void await(long bytes) throws NoBodyMemoryException, InterruptedException {
+        private void await(long bytes, Duration maxWait)
+                throws NoBodyMemoryException, InterruptedException {
             mWaited++;
-            long leftNanos = mMaxWait.toNanos();
+            long leftNanos = maxWait.toNanos();
             while (!fits(bytes)) {
                 if (leftNanos <= 0) {
                     mRefused++;
@@ -172,8 +194,19 @@
         }
 
         private boolean fits(long bytes) {
-            long otherLargeBytes = mLargeBytes - large(mBytes);
-            return bytes <= mBytes || mRule.canHold(bytes, mHeldBytes - mBytes, otherLargeBytes);
+            if (bytes <= mBytes) {
+                return true;
+            }
+            long ownResponseBytes = mIsResponse ? mBytes : 0;
+            long ownRequestBytes = mBytes - ownResponseBytes;
+            BodyMemoryRule.Held others =
+                    new BodyMemoryRule.Held(
+                            mHeldBytes - mResponseBytes - ownRequestBytes,
+                            mLargeBytes - large(ownRequestBytes),
+                            mResponseBytes - ownResponseBytes);
+            return mIsResponse
+                    ? mRule.canHoldResponse(bytes, others)
+                    : mRule.canHoldRequest(bytes, others);
         }
 
         private void set(long bytes) {
@@ -181,11 +214,15 @@
             if (mBytes == 0) {
                 mSinceNanos = mClock.nanoTime();
             }
-            if (bytes == 0 && mRule.isLarge(mBytes)) {
+            if (bytes == 0 && !mIsResponse && mRule.isLarge(mBytes)) {
                 long heldNanos = mClock.nanoTime() - mSinceNanos;
                 mHoldNanos += NEWEST_WEIGHT * (heldNanos - mHoldNanos);
             }
-            mLargeBytes += large(bytes) - large(mBytes);
+            if (mIsResponse) {
+                mResponseBytes += bytes - mBytes;
+            } else {
+                mLargeBytes += large(bytes) - large(mBytes);
+            }
             mHeldBytes += bytes - mBytes;
             mBytes = bytes;
             mMostHeldBytes = Math.max(mMostHeldBytes, mHeldBytes);
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/BodyReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/BodyReader.java
@@ -73,13 +73,19 @@
             lease.hold(2L * readBytes);
             read.add(part);
         }
-        byte[] body = new byte[readBytes];
+        byte[] body = join(read, readBytes);
+        lease.hold(readBytes);
+        return body;
+    }
+
+    /** Copies parts into one array. */
+    static byte[] join(List<byte[]> parts, int sumBytes) {
+        byte[] body = new byte[sumBytes];
         int copiedBytes = 0;
-        for (byte[] part : read) {
+        for (byte[] part : parts) {
             System.arraycopy(part, 0, body, copiedBytes, part.length);
             copiedBytes += part.length;
         }
-        lease.hold(readBytes);
         return body;
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -323,15 +323,18 @@
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         for (byte[] part = read(timeout); part != null; part = read(timeout)) {
             if (body.size() + part.length > mostBytes) {
-                throw new CallFailedException(
-                        new Failure.Garbled(
-                                mStep, mPeer.name(), "answer is larger than " + mostBytes));
+                throw tooLarge(mostBytes);
             }
             body.writeBytes(part);
         }
         return body.toByteArray();
     }
 
+    CallFailedException tooLarge(int mostBytes) {
+        return new CallFailedException(
+                new Failure.Garbled(mStep, mPeer.name(), "answer is larger than " + mostBytes));
+    }
+
     /**
      * Limits how long the connection may rest before it is used again.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpConnections.java
@@ -42,6 +42,7 @@
     private final Set<HttpCall> mRepeatable = ConcurrentHashMap.newKeySet();
 
     private final ConnectionCounters mCounters = new ConnectionCounters();
+    private volatile BodyMemory mBodyMemory = BodyMemory.unbounded();
 
     /**
      * Creates an empty pool.
@@ -100,6 +101,24 @@
         return mCounters;
     }
 
+    /**
+     * Bounds what is held of responses that are read whole.
+     *
+     * @param memory their memory
+     */
+    public void boundResponses(BodyMemory memory) {
+        mBodyMemory = memory;
+    }
+
+    /**
+     * Returns the memory of responses that are read whole.
+     *
+     * @return their memory, without bounds unless given
+     */
+    public BodyMemory bodyMemory() {
+        return mBodyMemory;
+    }
+
     /** Returns the identity of a call or of a response, from its header fields. */
     Optional<String> identity(HeaderMap headers) {
         return Optional.ofNullable(headers.getFirst(mIdentityField));
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/NoBodyMemoryException.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/NoBodyMemoryException.java
@@ -8,7 +8,7 @@
 import java.io.IOException;
 import java.time.Duration;
 
-/** There is no memory for the body of a request, which was not read. */
+/** There is no memory for a body, which was not read whole. */
 public final class NoBodyMemoryException extends IOException {
     private final transient Duration mHoldTime;
 
@@ -19,7 +19,7 @@
      * @param holdTime how long bodies are held on average
      */
     NoBodyMemoryException(long bytes, Duration holdTime) {
-        super("no memory for " + bytes + " bytes of a request's body");
+        super("no memory for " + bytes + " bytes of a body");
         mHoldTime = holdTime;
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -9,14 +9,20 @@
 import io.undertow.util.HeaderMap;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import org.orchidmount.errors.CallFailedException;
 import org.orchidmount.errors.Failure;
 import org.orchidmount.errors.Step;
+import org.orchidmount.internal.http.BodyMemory;
+import org.orchidmount.internal.http.BodyTooLargeException;
 import org.orchidmount.internal.http.HttpCall;
 import org.orchidmount.internal.http.HttpConnections;
 import org.orchidmount.internal.http.HttpHead;
+import org.orchidmount.internal.http.NoBodyMemoryException;
+import org.orchidmount.internal.http.ResponseReader;
 import org.orchidmount.internal.log.PartLog;
 import org.orchidmount.quarantine.PartHistory;
 import org.orchidmount.relay.RequestProgress.Activity;
@@ -36,11 +42,11 @@
  * resources reserved at an upstream are used only at the incarnation that granted them. Confined to
  * one virtual thread.
  */
-final class AttemptRunner {
+final class AttemptRunner implements AutoCloseable {
     private static final PartLog LOG = PartLog.of("relay");
 
     /** Maximum size of a response that is not streamed; larger responses fail. */
-    private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+    private static final int MAX_RESPONSE_BYTES = Relay.MAX_RESPONSE_BYTES;
 
     /**
      * Time allowed to drain the body of an unused response, so that its connection can be reused.
@@ -59,6 +65,7 @@
     private final long mArrivedNanos;
     private Optional<StreamForward> mStream = Optional.empty();
     private Optional<FallbackResponse> mFallback = Optional.empty();
+    private final List<BodyMemory.Lease> mLeases = new ArrayList<>();
     private Optional<StreamTiming> mTiming = Optional.empty();
     private long mFirstResponseNanos;
     private boolean mHasResponse;
@@ -261,7 +268,12 @@
 
     private void discard(HttpCall call) {
         try {
-            call.readAll(DISCARD_TIMEOUT, MAX_RESPONSE_BYTES);
+            int readBytes = 0;
+            byte[] part = call.read(DISCARD_TIMEOUT);
+            while (part != null && readBytes <= MAX_RESPONSE_BYTES) {
+                readBytes += part.length;
+                part = call.read(DISCARD_TIMEOUT);
+            }
         } catch (CallFailedException e) {
             LOG.debug("%s: %s", mRequest.id(), e.failure().describe());
         }
@@ -286,7 +298,14 @@
         if (mRoute.kind() == RequestKind.STREAM && HttpStatus.isSuccess(status)) {
             return onStream(placement, call, status, headers);
         }
-        byte[] body = call.readAll(timeLeft(), MAX_RESPONSE_BYTES);
+        byte[] body;
+        try {
+            body = ResponseReader.read(call, response, timeLeft(), MAX_RESPONSE_BYTES, openLease());
+        } catch (NoBodyMemoryException | BodyTooLargeException e) {
+            // The upstream is not to blame.
+            mLastFailure = e.getMessage();
+            return AttemptOutcome.MAY_HAVE_RUN;
+        }
         if (HttpStatus.isServerError(status)) {
             mContext.upstreams().failed(placement.assignment());
             mLastFailure = "status " + status;
@@ -304,6 +323,18 @@
         return AttemptOutcome.ENDED;
     }
 
+    private BodyMemory.Lease openLease() {
+        BodyMemory.Lease lease = mContext.connections().bodyMemory().openResponse();
+        mLeases.add(lease);
+        return lease;
+    }
+
+    /** Returns the memory of the responses that were read whole. */
+    @Override
+    public void close() {
+        mLeases.forEach(BodyMemory.Lease::close);
+    }
+
     private AttemptOutcome onStream(
             Placement placement, HttpCall call, int status, HeaderMap headers)
             throws CallFailedException, IOException, TimeoutException, InterruptedException {
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/Relay.java
@@ -29,6 +29,9 @@
 
 /** Relays requests to upstreams that register themselves. Thread-safe. */
 public final class Relay {
+    /** The largest response that is read whole. */
+    public static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+
     private final RelayContext mContext;
     private final RelayedRequests mRelayed = new RelayedRequests();
 
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/RequestRelay.java
@@ -137,6 +137,7 @@
     Execution run() throws IOException, TimeoutException, InterruptedException {
         try (mCrashReporter;
                 mRetries;
+                mAttempts;
                 CancelSignal.Registration _ = mCancel.onCancel(this::onCancelled)) {
             End end = serve();
             reportEnd(end);
--- a/org.orchidmount/src/main/java/org/orchidmount/routing/BodyMemoryRule.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/BodyMemoryRule.java
@@ -10,9 +10,10 @@
  * Large bodies leave a share to small ones, so that small requests are served while large ones
  * wait. Pure and immutable.
  *
- * @param totalBytes the most bytes held of all bodies
+ * @param requestBytes the most bytes held of the bodies of requests
+ * @param totalBytes the most bytes held of all bodies, those of responses included
  */
-public record BodyMemoryRule(long totalBytes) {
+public record BodyMemoryRule(long requestBytes, long totalBytes) {
     /** Holds any number of bodies. */
     public static final BodyMemoryRule UNBOUNDED = new BodyMemoryRule(Long.MAX_VALUE);
 
@@ -28,13 +29,19 @@
     /** With more, the heap has no room for other objects. */
     private static final double MOST_HEAP_SHARE = 0.75;
 
-    /** Checks the bound. */
+    /** Checks the bounds. */
     public BodyMemoryRule {
-        if (totalBytes <= 0) {
-            throw new IllegalArgumentException("a bound of " + totalBytes + " bytes");
+        if (requestBytes <= 0 || totalBytes < requestBytes) {
+            throw new IllegalArgumentException(
+                    "bounds of " + requestBytes + " bytes of " + totalBytes);
         }
     }
 
+    /** Creates a rule for requests only. */
+    public BodyMemoryRule(long totalBytes) {
+        this(totalBytes, totalBytes);
+    }
+
     /**
      * Returns the rule for a process without a setting.
      *
@@ -46,6 +53,21 @@
         return new BodyMemoryRule((long) (HEAP_SHARE * Math.max(2, heapBytes - otherBytes)));
     }
 
+    /**
+     * Returns the rule of a process that reads responses whole as well: requests have the same
+     * bound, and responses take what they leave of a larger one.
+     *
+     * @param heapBytes the largest heap of the process
+     * @param otherBytes bytes of it that have a bound of their own
+     * @param mostBytes the largest response
+     * @return the rule
+     */
+    public BodyMemoryRule withResponses(long heapBytes, long otherBytes, long mostBytes) {
+        long shareBytes = (long) (MOST_HEAP_SHARE * (heapBytes - otherBytes));
+        return new BodyMemoryRule(
+                requestBytes, Math.max(requestBytes + leastFor(mostBytes), shareBytes));
+    }
+
     /**
      * Returns the largest bound that leaves room for other objects.
      *
@@ -78,34 +100,70 @@
     }
 
     /**
-     * Returns the most bytes that all large bodies may take.
+     * Returns the most bytes that the large bodies of all requests may take.
      *
      * @return the bytes
      */
     public long largeBytes() {
-        return totalBytes - totalBytes / SMALL_SHARE_DIVISOR;
+        return requestBytes - requestBytes / SMALL_SHARE_DIVISOR;
+    }
+
+    /**
+     * What is held of other bodies. Immutable.
+     *
+     * @param requestBytes the bytes held of requests
+     * @param largeRequestBytes those of them that belong to large bodies
+     * @param responseBytes the bytes held of responses
+     */
+    public record Held(long requestBytes, long largeRequestBytes, long responseBytes) {
+        private static final Held NOTHING = new Held(0, 0, 0);
     }
 
     /**
      * Returns whether a body would fit if no other one was held.
      *
      * @param bytes the bytes to be held of it
+     * @param isResponse whether it is that of a response
      * @return false if it is never to be taken
      */
-    public boolean canEverHold(long bytes) {
-        return canHold(bytes, 0, 0);
+    public boolean canEverHold(long bytes, boolean isResponse) {
+        return isResponse
+                ? canHoldResponse(bytes, Held.NOTHING)
+                : canHoldRequest(bytes, Held.NOTHING);
+    }
+
+    /**
+     * Returns whether the body of a request fits beside the others.
+     *
+     * @param bytes the bytes to be held of it
+     * @param others what is held of all other bodies
+     * @return true if it may be held
+     */
+    public boolean canHoldRequest(long bytes, Held others) {
+        if (bytes > requestBytes - others.requestBytes()) {
+            return false;
+        }
+        return isLarge(bytes)
+                ? bytes <= largeBytes() - others.largeRequestBytes()
+                        && fitsBesideSmall(bytes, others)
+                : bytes <= totalBytes - others.requestBytes() - others.responseBytes();
     }
 
     /**
-     * Returns whether a body fits beside the others.
+     * Returns whether the body of a response fits beside the others.
      *
      * @param bytes the bytes to be held of it
-     * @param otherBytes the bytes held of all other bodies
-     * @param otherLargeBytes those of them that belong to large bodies
+     * @param others what is held of all other bodies
      * @return true if it may be held
      */
-    public boolean canHold(long bytes, long otherBytes, long otherLargeBytes) {
-        return bytes <= totalBytes - otherBytes
-                && (!isLarge(bytes) || bytes <= largeBytes() - otherLargeBytes);
+    public boolean canHoldResponse(long bytes, Held others) {
+        return fitsBesideSmall(bytes, others);
+    }
+
+    /** Returns whether a share is left to the small bodies of requests. */
+    private boolean fitsBesideSmall(long bytes, Held others) {
+        long largeBytes = totalBytes - requestBytes / SMALL_SHARE_DIVISOR;
+        return bytes <= largeBytes - others.largeRequestBytes() - others.responseBytes()
+                && bytes <= totalBytes - others.requestBytes() - others.responseBytes();
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettings.java
@@ -69,6 +69,18 @@
                 () -> BodyMemoryRule.ofHeap(Runtime.getRuntime().maxMemory(), unreadBytes));
     }
 
+    /**
+     * Returns what an instance that serves callers holds of the bodies of requests and responses.
+     *
+     * @param mostBytes the largest response
+     * @return the rule for requests, and a larger bound with responses
+     */
+    public BodyMemoryRule bodyMemory(long mostBytes) {
+        long unreadBytes = unreadResponses.map(UnreadRule::totalBytes).orElse(0L);
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        return bodyMemory().withResponses(heapBytes, unreadBytes, mostBytes);
+    }
+
     /**
      * When entries share what they know of upstreams and of waiting requests.
      *
