--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
@@ -9,7 +9,6 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -37,7 +36,9 @@
     private final List<Runnable> mGoneActions = new ArrayList<>();
     private final ServerResponse mResponse;
     private final LingeringClose mLingeringClose;
+    private final BodyMemory.Lease mLease;
     private volatile ChannelPump mPump;
+    private volatile boolean mHasUnreadBody;
     private boolean mGone;
 
     /**
@@ -47,18 +48,26 @@
      * @param closing tells, when the answer begins, whether its connection is to be closed after it
      * @param aborted records an answer that is given up
      * @param lingeringClose closes the connection behind a whole answer
+     * @param memory memory for its body
      */
     ServerExchange(
             HttpServerExchange exchange,
             BooleanSupplier closing,
             AbortedResponses aborted,
-            LingeringClose lingeringClose) {
+            LingeringClose lingeringClose,
+            BodyMemory memory) {
         mExchange = exchange;
         mLingeringClose = lingeringClose;
         mIoThread = exchange.getIoThread();
+        mLease = memory.open();
         mResponse =
                 new ServerResponse(
-                        exchange, closing, this::isGone, this::markGone, aborted, this::finish);
+                        exchange,
+                        () -> mHasUnreadBody || closing.getAsBoolean(),
+                        this::isGone,
+                        this::markGone,
+                        aborted,
+                        this::finish);
         CurrentExchange.of(exchange.getConnection()).set(this);
     }
 
@@ -196,12 +205,14 @@
     }
 
     /**
-     * Reads the whole body.
+     * Reads the whole body. It counts as held until the request has been handled.
      *
      * @param timeout the longest time for the whole body
      * @param mostBytes the largest body taken
      * @return the body
-     * @throws BodyTooLargeException if the body is larger
+     * @throws BodyTooLargeException if the body is larger, or larger than this process ever holds
+     * @throws NoBodyMemoryException if the bodies of other requests take the memory for too long;
+     *     the connection is then closed after the response
      * @throws IOException if the connection breaks
      * @throws TimeoutException if the sender is too slow
      * @throws InterruptedException if the thread is interrupted
@@ -209,19 +220,23 @@
     public byte[] readAll(Duration timeout, long mostBytes)
             throws IOException, TimeoutException, InterruptedException {
         long endNanos = System.nanoTime() + timeout.toNanos();
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
-        while (true) {
-            byte[] part = read(Duration.ofNanos(endNanos - System.nanoTime()));
-            if (part == null) {
-                return body.toByteArray();
-            }
-            if (body.size() + part.length > mostBytes) {
-                throw new BodyTooLargeException(mostBytes);
-            }
-            body.writeBytes(part);
+        try {
+            return BodyReader.read(
+                    () -> read(Duration.ofNanos(endNanos - System.nanoTime())),
+                    contentLength(),
+                    mostBytes,
+                    mLease);
+        } catch (NoBodyMemoryException | BodyTooLargeException e) {
+            mHasUnreadBody = true;
+            throw e;
         }
     }
 
+    /** Returns the memory of the body, which is not used any more. */
+    void releaseBody() {
+        mLease.close();
+    }
+
     /** Notes that the caller has closed its connection. */
     void markGone() {
         List<Runnable> actions;
--- a/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/settings/SiteSettingsReader.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.orchidmount.quota.QuotaTolerance;
 import org.orchidmount.relay.UnreadRule;
+import org.orchidmount.routing.BodyMemoryRule;
 
 /**
  * Reads and checks the settings file of an instance of a site whose upstreams register themselves.
@@ -41,6 +42,9 @@
     /** Lower bound of a setting: the largest response that is not streamed, 4 MiB, has to fit. */
     private static final int LEAST_TOTAL_BYTES = 5 * 1024 * 1024;
 
+    /** The largest body that callers may be allowed to send. */
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
     private SiteSettingsReader() {}
 
     /** The settings, or all that is wrong with the file. */
@@ -89,6 +93,9 @@
                         root.has("unreadResponses")
                                 ? unreadResponses(root.section("unreadResponses", true))
                                 : Optional.empty(),
+                        root.has("requestBodies")
+                                ? Optional.of(requestBodies(root.section("requestBodies", true)))
+                                : Optional.empty(),
                         SettingsReader.log(root.section("log", false)));
         if (settings.entry().isEmpty() == settings.voter().isEmpty()) {
             root.reject("entry", "give either the object \"entry\" or the object \"voter\"");
@@ -168,6 +175,12 @@
         return Optional.of(new UnreadRule(callerBytes, totalBytes));
     }
 
+    private static BodyMemoryRule requestBodies(Section section) {
+        BodyMemoryRule rule = SettingsReader.bodyMemory(section, "totalBytes", MAX_BODY_BYTES);
+        section.finish();
+        return rule;
+    }
+
     private static Optional<Duration> keyRevocation(Section root) {
         return root.has("keyRevocationMillis")
                 ? Optional.of(millis(root, "keyRevocationMillis", 0))
