A body is read within one time, however many parts it has

An upstream that wrote 100 B a second held a plain request for 8 s on a route of 3 s: each part of the body could take the time that was left at the head.

HttpCall.readAll took its timeout for each part. It is that of the whole body now, as its server side has it.

Failed before: SlowBodyTest, 2 of 2; 0 of 2 now. CutMessageTest: 36 of 36.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -313,15 +313,16 @@
     /**
      * Reads the rest of the answer's body.
      *
-     * @param timeout the longest wait for each part
+     * @param timeout the longest time for all of it
      * @param mostBytes the largest body taken
      * @return the body
      * @throws CallFailedException if the connection breaks, the wait is too long or the body is too
      *     large
      */
     public byte[] readAll(Duration timeout, int mostBytes) throws CallFailedException {
+        long endNanos = mPool.nanoTime() + timeout.toNanos();
         ByteArrayOutputStream body = new ByteArrayOutputStream();
-        for (byte[] part = read(timeout); part != null; part = read(timeout)) {
+        for (byte[] part = readUntil(endNanos); part != null; part = readUntil(endNanos)) {
             if (body.size() + part.length > mostBytes) {
                 throw new CallFailedException(
                         new Failure.Garbled(
@@ -332,6 +333,10 @@
         return body.toByteArray();
     }
 
+    private byte[] readUntil(long endNanos) throws CallFailedException {
+        return read(Duration.ofNanos(endNanos - mPool.nanoTime()));
+    }
+
     /**
      * Limits how long the connection may rest before it is used again.
      *
