An event without end is refused with a status

Callers of a stream whose upstream sends an event or a line without end got a closed connection without a status, although nothing had been sent to them: the relay threw the error of a caller that has left.

The call now fails as that of an upstream that sends what is no response: other upstreams are tried as the route allows, and without one the caller gets 502.

--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -42,6 +42,9 @@
     /** Maximum size of a response that is not streamed; larger responses fail. */
     private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
+    private static final String OVERSIZED_EVENT =
+            "an event of the upstream exceeds the size limit of 1 MiB";
+
     /**
      * Time allowed to drain the body of an unused response, so that its connection can be reused.
      */
@@ -339,6 +342,11 @@
             boolean first = timing.recordPart();
             recordFirstResponse();
             stream.part(part);
+            if (stream.isOversized()) {
+                // The fault is the upstream's: the caller is still there and gets a status.
+                throw new CallFailedException(
+                        new Failure.Garbled(Step.FORWARD, assignment.id(), OVERSIZED_EVENT));
+            }
             if (!isProven && timing.isLongerThan(PartHistory.PROVEN_AFTER)) {
                 isProven = true;
                 mCrashReporter.partsSurvived();
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/StreamForward.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/StreamForward.java
@@ -59,9 +59,11 @@
             start();
             mCaller.sendPart(event.bytes());
         }
-        if (mFramer.isOversized()) {
-            throw new IOException("an event of the upstream exceeds the size limit of 1 MiB");
-        }
+    }
+
+    /** Returns whether the event that is being received exceeds the size limit. */
+    boolean isOversized() {
+        return mFramer.isOversized();
     }
 
     private void start() {
