What an upstream sends beside its bodies is limited

Callers waited for their deadline while an upstream sent a line or fields without end: the library reads a status line, a field, a chunk-size line, an extension and trailers as long as they come, partly in a loop on the I/O thread and into memory, and hands nothing on that could be counted.

ReceiveLimit counts what the socket brings against what has been handed on of bodies, below the library: a conduit is installed when a connection is opened (LimitedOpener). Ruled out: a check in ChannelPump alone, which sees no heads and does not run while the library loops.

ChannelPumpTest passes the new argument; its checks are unchanged. Listeners still read without end.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/ChannelPumpTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/ChannelPumpTest.java
@@ -58,7 +58,7 @@
     void whateverEndsReadingIsToldToTheReader(Cause cause) throws InterruptedException {
         ByteQueue queue = new ByteQueue(() -> {});
         try (ByteBufferPool pool = new DefaultByteBufferPool(false, 1_024)) {
-            ChannelPump pump = new ChannelPump(channel(cause), pool, queue);
+            ChannelPump pump = new ChannelPump(channel(cause), pool, queue, new ReceiveLimit());
             Thread.ofVirtual().start(pump::start).join();
         }
         assertThrows(IOException.class, () -> queue.take(DEADLINE));
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/CallErrors.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/CallErrors.java
@@ -50,7 +50,8 @@
         if (cause instanceof PathLostException) {
             return new Failure.PathLost(step, peer, cause.getMessage());
         }
-        if (cause instanceof ForeignResponseException) {
+        if (cause instanceof ForeignResponseException
+                || cause instanceof ReceiveLimit.ExceededException) {
             return new Failure.Garbled(step, peer, e.getMessage());
         }
         return new Failure.Broken(step, peer, reason(cause));
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelPump.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelPump.java
@@ -26,8 +26,11 @@
     private final StreamSourceChannel mChannel;
     private final ByteBufferPool mPool;
     private final ByteQueue mQueue;
+    private final ReceiveLimit mLimit;
 
-    ChannelPump(StreamSourceChannel channel, ByteBufferPool pool, ByteQueue queue) {
+    ChannelPump(
+            StreamSourceChannel channel, ByteBufferPool pool, ByteQueue queue, ReceiveLimit limit) {
+        mLimit = limit;
         mChannel = channel;
         mPool = pool;
         mQueue = queue;
@@ -61,6 +64,7 @@
                     mQueue.end();
                     return;
                 }
+                mLimit.delivered(count);
                 byte[] chunk = new byte[count];
                 buffer.flip().get(chunk);
                 if (!mQueue.offer(chunk)) {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionOpener.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ConnectionOpener.java
@@ -109,7 +109,7 @@
 
     private PooledConnection openDirectly(Peer peer, Step step, CancelSignal cancel)
             throws CallFailedException {
-        CompletableFuture<ClientConnection> attempt = dial(peer);
+        CompletableFuture<DialledConnection> attempt = dial(peer);
         try {
             return established(peer, await(attempt, TUNNEL_AFTER, cancel));
         } catch (TimeoutException e) {
@@ -125,7 +125,7 @@
 
     /** Opens a tunnel while a direct attempt goes on; without one, waits for the attempt. */
     private PooledConnection openEither(
-            Peer peer, Step step, CancelSignal cancel, CompletableFuture<ClientConnection> attempt)
+            Peer peer, Step step, CancelSignal cancel, CompletableFuture<DialledConnection> attempt)
             throws CallFailedException {
         Optional<PooledConnection> tunnel = openTunnel(peer, step, cancel);
         if (tunnel.isPresent()) {
@@ -146,7 +146,7 @@
         }
     }
 
-    private PooledConnection established(Peer peer, ClientConnection connection) {
+    private PooledConnection established(Peer peer, DialledConnection connection) {
         mPaths.dialled(peer, true);
         return pooled(peer, connection, Optional.empty());
     }
@@ -158,13 +158,13 @@
     }
 
     /** Records the result of an attempt whose connection is not needed any more. */
-    private void recordLater(Peer peer, CompletableFuture<ClientConnection> attempt) {
+    private void recordLater(Peer peer, CompletableFuture<DialledConnection> attempt) {
         attempt.orTimeout(mConnectTimeout.toNanos(), TimeUnit.NANOSECONDS)
                 .whenComplete(
                         (connection, error) -> {
                             mPaths.dialled(peer, error == null);
                             if (connection != null) {
-                                PooledConnection.closeLater(connection);
+                                PooledConnection.closeLater(connection.connection());
                             }
                         });
     }
@@ -176,9 +176,9 @@
      * @return the connection; empty if it was not established in time
      */
     Optional<PooledConnection> probe(Peer peer, Duration timeout) throws InterruptedException {
-        CompletableFuture<ClientConnection> attempt = dial(peer);
+        CompletableFuture<DialledConnection> attempt = dial(peer);
         try {
-            ClientConnection connection = attempt.get(timeout.toNanos(), TimeUnit.NANOSECONDS);
+            DialledConnection connection = attempt.get(timeout.toNanos(), TimeUnit.NANOSECONDS);
             return Optional.of(pooled(peer, connection, Optional.empty()));
         } catch (TimeoutException e) {
             abandon(attempt, e);
@@ -196,9 +196,9 @@
             Peer upstream, TunnelPeer through, Step step, Duration timeout, CancelSignal cancel)
             throws CallFailedException {
         Peer peer = new Peer(through.node(), through.host(), through.port());
-        CompletableFuture<ClientConnection> attempt = connect(peer.address());
+        CompletableFuture<DialledConnection> attempt = connect(peer.address());
         try {
-            ClientConnection connection = await(attempt, timeout, cancel);
+            DialledConnection connection = await(attempt, timeout, cancel);
             PooledConnection pooled = pooled(upstream, connection, Optional.of(through.node()));
             HttpCall call = new HttpCall(mPool, peer, step, pooled, true);
             call.abortOn(cancel);
@@ -215,7 +215,7 @@
     }
 
     private PooledConnection pooled(
-            Peer upstream, ClientConnection connection, Optional<String> through) {
+            Peer upstream, DialledConnection connection, Optional<String> through) {
         return new PooledConnection(
                 connection,
                 mPool.nanoTime(),
@@ -224,21 +224,27 @@
                 () -> mPool.surplusFrom(upstream));
     }
 
-    private CompletableFuture<ClientConnection> dial(Peer peer) {
+    private CompletableFuture<DialledConnection> dial(Peer peer) {
         return connect(mAddresses.toDialled(peer.address()));
     }
 
-    private CompletableFuture<ClientConnection> connect(InetSocketAddress address) {
+    private CompletableFuture<DialledConnection> connect(InetSocketAddress address) {
         URI uri = URI.create("http://" + address.getHostString() + ":" + address.getPort());
-        CompletableFuture<ClientConnection> opened = new CompletableFuture<>();
+        CompletableFuture<DialledConnection> opened = new CompletableFuture<>();
+        ReceiveLimit limit = new ReceiveLimit();
         UndertowClient.getInstance()
-                .connect(new Connected(opened), uri, mWorker, mBuffers, mOptions);
+                .connect(
+                        new Connected(opened, limit),
+                        uri,
+                        new LimitedOpener(mWorker.getIoThread(), limit),
+                        mBuffers,
+                        mOptions);
         return opened;
     }
 
     /** Waits for a connection; a cancel closes it. */
-    private static ClientConnection await(
-            CompletableFuture<ClientConnection> attempt, Duration timeout, CancelSignal cancel)
+    private static DialledConnection await(
+            CompletableFuture<DialledConnection> attempt, Duration timeout, CancelSignal cancel)
             throws IOException, TimeoutException, InterruptedException {
         try (CancelSignal.Registration _ =
                 cancel.onCancel(() -> attempt.completeExceptionally(new IOException(CANCELLED)))) {
@@ -255,13 +261,13 @@
         return isRefusal ? REFUSED : message;
     }
 
-    private static void abandon(CompletableFuture<ClientConnection> attempt, Exception reason) {
+    private static void abandon(CompletableFuture<DialledConnection> attempt, Exception reason) {
         attempt.completeExceptionally(reason);
-        attempt.thenAccept(PooledConnection::closeLater);
+        attempt.thenAccept(dialled -> PooledConnection.closeLater(dialled.connection()));
     }
 
     private static CallFailedException interrupted(
-            Peer peer, Step step, CompletableFuture<ClientConnection> attempt) {
+            Peer peer, Step step, CompletableFuture<DialledConnection> attempt) {
         abandon(attempt, new InterruptedException());
         Thread.currentThread().interrupt();
         return unreachable(peer, step, "interrupted");
@@ -271,11 +277,11 @@
         return new CallFailedException(new Failure.Unreachable(step, peer.name(), detail));
     }
 
-    private record Connected(CompletableFuture<ClientConnection> opened)
+    private record Connected(CompletableFuture<DialledConnection> opened, ReceiveLimit limit)
             implements ClientCallback<ClientConnection> {
         @Override
         public void completed(ClientConnection connection) {
-            if (!opened.complete(connection)) {
+            if (!opened.complete(new DialledConnection(connection, limit))) {
                 PooledConnection.closeLater(connection);
             }
         }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -105,6 +105,7 @@
             failAll(new CallErrors.NotSentException());
             return;
         }
+        mPooled.restartLimit();
         mConnection.sendRequest(
                 request,
                 new Callback() {
@@ -136,7 +137,7 @@
         }
         mIsIdentified = received.isPresent() && received.equals(mIdentity);
         LOG.debug(CallIdentity.DESCRIPTION, describe(response, received));
-        mPump = new ChannelPump(exchange.getResponseChannel(), mConnection.getBufferPool(), mBody);
+        mPump = mPooled.pump(exchange.getResponseChannel(), mBody);
         mResponse.complete(exchange.getResponse());
         mPump.start();
     }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/PooledConnection.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.orchidmount.internal.log.PartLog;
 import org.xnio.IoUtils;
+import org.xnio.channels.StreamSourceChannel;
 
 /**
  * A connection to an upstream that serves one call after another.
@@ -29,6 +30,7 @@
     private static final int MAX_USES = 256;
 
     private final ClientConnection mConnection;
+    private final ReceiveLimit mLimit;
     private final long mOpenedNanos;
     private final long mNumber;
     private final Optional<String> mThrough;
@@ -49,24 +51,25 @@
     /**
      * Takes a connection that has just been opened.
      *
-     * @param connection the connection
+     * @param dialled the connection
      * @param openedNanos when it was opened, of the monotonic clock
      * @param number tells it apart from the others of its pool, for log lines
      * @param through the instance whose tunnel it is; empty if it is direct
      * @param onSurplus runs if bytes arrive that no call has asked for
      */
     PooledConnection(
-            ClientConnection connection,
+            DialledConnection dialled,
             long openedNanos,
             long number,
             Optional<String> through,
             Runnable onSurplus) {
-        mConnection = connection;
+        mConnection = dialled.connection();
+        mLimit = dialled.limit();
         mOpenedNanos = openedNanos;
         mNumber = number;
         mThrough = through;
         mOnSurplus = onSurplus;
-        connection.getIoThread().execute(() -> connection.addCloseListener(c -> onClosed()));
+        mConnection.getIoThread().execute(() -> mConnection.addCloseListener(c -> onClosed()));
     }
 
     /** Returns the instance whose tunnel this is; empty if the connection is direct. */
@@ -87,6 +90,16 @@
         return mConnection;
     }
 
+    /** Limits what the response to the next request may bring beside its body. */
+    void restartLimit() {
+        mLimit.restart();
+    }
+
+    /** Returns what moves the body of a response to a queue. */
+    ChannelPump pump(StreamSourceChannel body, ByteQueue queue) {
+        return new ChannelPump(body, mConnection.getBufferPool(), queue, mLimit);
+    }
+
     /** Begins a call, which is notified if the connection closes. */
     void begin(HttpCall call) {
         mUses++;
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerExchange.java
@@ -63,7 +63,10 @@
                     StreamSourceChannel channel = mExchange.getRequestChannel();
                     mPump =
                             new ChannelPump(
-                                    channel, mExchange.getConnection().getByteBufferPool(), mBody);
+                                    channel,
+                                    mExchange.getConnection().getByteBufferPool(),
+                                    mBody,
+                                    new ReceiveLimit());
                     mPump.start();
                 });
     }
