--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelPump.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ChannelPump.java
@@ -27,9 +27,12 @@
     private final StreamSourceChannel mChannel;
     private final ByteBufferPool mPool;
     private final ByteQueue mQueue;
+    private final ReceiveLimit mLimit;
     private boolean mIsDiscarding;
 
-    ChannelPump(StreamSourceChannel channel, ByteBufferPool pool, ByteQueue queue) {
+    ChannelPump(
+            StreamSourceChannel channel, ByteBufferPool pool, ByteQueue queue, ReceiveLimit limit) {
+        mLimit = limit;
         mChannel = channel;
         mPool = pool;
         mQueue = queue;
@@ -78,6 +81,7 @@
                     mQueue.end();
                     return;
                 }
+                mLimit.delivered(count);
                 byte[] chunk = new byte[count];
                 buffer.flip().get(chunk);
                 if (!mQueue.offer(chunk)) {
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -105,6 +105,7 @@
             failAll(new CallErrors.NotSentException());
             return;
         }
+        mPooled.restartLimit();
         mConnection.sendRequest(
                 request,
                 new Callback() {
@@ -142,7 +143,7 @@
         }
         mIsIdentified = received.isPresent() && received.equals(mIdentity);
         LOG.debug(CallIdentity.DESCRIPTION, describe(response, received));
-        mPump = new ChannelPump(exchange.getResponseChannel(), mConnection.getBufferPool(), mBody);
+        mPump = mPooled.pump(exchange.getResponseChannel(), mBody);
         mResponse.complete(exchange.getResponse());
         mPump.start();
     }
@@ -319,15 +320,16 @@
     /**
      * Reads the rest of the answer's body.
      *
-     * @param timeout the longest wait for each part
+     * @param timeout the longest time for all of it
      * @param mostBytes the largest body taken
      * @return the body
      * @throws CallFailedException if the connection breaks, the wait is too long or the body is too
      *     large
      */
     public byte[] readAll(Duration timeout, int mostBytes) throws CallFailedException {
+        long endNanos = mPool.nanoTime() + timeout.toNanos();
         ByteArrayOutputStream body = new ByteArrayOutputStream();
-        for (byte[] part = read(timeout); part != null; part = read(timeout)) {
+        for (byte[] part = readUntil(endNanos); part != null; part = readUntil(endNanos)) {
             if (body.size() + part.length > mostBytes) {
                 throw tooLarge(mostBytes);
             }
@@ -341,6 +343,10 @@
                 new Failure.Garbled(mStep, mPeer.name(), "answer is larger than " + mostBytes));
     }
 
+    private byte[] readUntil(long endNanos) throws CallFailedException {
+        return read(Duration.ofNanos(endNanos - mPool.nanoTime()));
+    }
+
     /**
      * Limits how long the connection may rest before it is used again.
      *
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpServer.java
@@ -133,11 +133,7 @@
         }
         ServerExchange request =
                 new ServerExchange(
-                        exchange,
-                        () -> mDraining,
-                        mAbortedResponses,
-                        mLingeringClose,
-                        mBodyMemory);
+                        exchange, () -> mDraining, mAbortedResponses, mLingeringClose, mBodyMemory);
         exchange.addExchangeCompleteListener(
                 (ended, next) -> {
                     if (request.isLast()) {
