Responses read whole within bounds are read within one time too

The reader of responses whose memory is bounded was written beside and took its timeout for each part again, so that an upstream that writes 100 B a second could hold a plain request beyond its time. It has one end time now. A length of more than 18 digits is refused with the head, instead of by an exception while it is read.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -327,7 +327,7 @@
      *     large
      */
     public byte[] readAll(Duration timeout, int mostBytes) throws CallFailedException {
-        long endNanos = mPool.nanoTime() + timeout.toNanos();
+        long endNanos = endNanos(timeout);
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         for (byte[] part = readUntil(endNanos); part != null; part = readUntil(endNanos)) {
             if (body.size() + part.length > mostBytes) {
@@ -343,7 +343,12 @@
                 new Failure.Garbled(mStep, mPeer.name(), "answer is larger than " + mostBytes));
     }
 
-    private byte[] readUntil(long endNanos) throws CallFailedException {
+    /** Returns when a time that begins now is over, for {@link #readUntil}. */
+    long endNanos(Duration timeout) {
+        return mPool.nanoTime() + timeout.toNanos();
+    }
+
+    byte[] readUntil(long endNanos) throws CallFailedException {
         return read(Duration.ofNanos(endNanos - mPool.nanoTime()));
     }
 
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ResponseHeadCheck.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ResponseHeadCheck.java
@@ -22,7 +22,9 @@
 final class ResponseHeadCheck {
     private static final int FIRST_FINAL_STATUS = 200;
     private static final List<String> CHUNKED = List.of("chunked");
-    private static final Pattern LENGTH = Pattern.compile("[0-9]+");
+
+    /** As many digits as a long holds whatever they are. */
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
     private ResponseHeadCheck() {}
 
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ResponseReader.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ResponseReader.java
@@ -25,7 +25,7 @@
      *
      * @param call the call, of which no part was read
      * @param response the head of the response
-     * @param timeout the longest time for each part and for each wait for memory
+     * @param timeout the longest time for all of it, and for each wait for memory
      * @param mostBytes the largest body taken
      * @param lease the memory for it, of which nothing is held
      * @return the body
@@ -62,10 +62,13 @@
                     BodyTooLargeException,
                     NoBodyMemoryException,
                     InterruptedException {
+        long endNanos = call.endNanos(timeout);
         lease.hold(lengthBytes, timeout);
         byte[] body = new byte[lengthBytes];
         int readBytes = 0;
-        for (byte[] part = call.read(timeout); part != null; part = call.read(timeout)) {
+        for (byte[] part = call.readUntil(endNanos);
+                part != null;
+                part = call.readUntil(endNanos)) {
             if (part.length > lengthBytes - readBytes) {
                 throw call.tooLarge(lengthBytes);
             }
@@ -81,9 +84,12 @@
                     BodyTooLargeException,
                     NoBodyMemoryException,
                     InterruptedException {
+        long endNanos = call.endNanos(timeout);
         List<byte[]> parts = new ArrayList<>();
         int readBytes = 0;
-        for (byte[] part = call.read(timeout); part != null; part = call.read(timeout)) {
+        for (byte[] part = call.readUntil(endNanos);
+                part != null;
+                part = call.readUntil(endNanos)) {
             if (part.length > mostBytes - readBytes) {
                 throw call.tooLarge(mostBytes);
             }
