--- a/org.orchidmount/src/main/java/org/orchidmount/routing/RequestDurations.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/routing/RequestDurations.java
@@ -32,7 +32,20 @@
      * @param service the service that runs them
      * @param route the route by which they come
      */
-    public record Kind(String service, String route) {}
+    public record Kind(String service, String route) {
+        /** Written out, because the compiler's would be linked when the first request ends. */
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Kind kind
+                    && service.equals(kind.service)
+                    && route.equals(kind.route);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * service.hashCode() + route.hashCode();
+        }
+    }
 
     /**
      * Records a request that has ended.
