A response that meets a closed listener fails like any other

A request that was answered when its listener had closed left no line: the error of the I/O thread that had ended was none that a relay expects. It is told as a broken connection now, as callers see it.

RequestsAtStopTest, ListenerResponsesTest and DeliveredResponseTest pass.

--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/ServerResponse.java
@@ -164,23 +164,27 @@
         headers.put(Headers.CONTENT_LENGTH, body.length);
         mStarted = true;
         CompletableFuture<Void> done = new CompletableFuture<>();
-        mIoThread.execute(
-                () -> {
-                    if (mExchange.isComplete() || mIsGone.getAsBoolean() || isAborted()) {
-                        done.completeExceptionally(new IOException("caller has gone"));
-                        return;
-                    }
-                    begin(status, headers);
-                    mWriter.writeAndEnd(body, done, mOnEnded);
-                });
         try {
+            mIoThread.execute(() -> answerOnIoThread(status, headers, body, done));
             ChannelWriter.await(done, timeout);
+        } catch (RejectedExecutionException e) {
+            throw new IOException("the listener has closed", e);
         } catch (IOException e) {
             reopen();
             throw e;
         }
     }
 
+    private void answerOnIoThread(
+            int status, HeaderMap headers, byte[] body, CompletableFuture<Void> done) {
+        if (mExchange.isComplete() || mIsGone.getAsBoolean() || isAborted()) {
+            done.completeExceptionally(new IOException("caller has gone"));
+            return;
+        }
+        begin(status, headers);
+        mWriter.writeAndEnd(body, done, mOnEnded);
+    }
+
     /** Sets the head of the response; on the I/O thread. */
     private void begin(int status, HeaderMap headers) {
         if (mClosing.getAsBoolean()) {
