What an unused response still sends is dropped within one time

A refused attempt waited up to 2 s for each part of the body of its refusal, so that an upstream that writes slowly held up the next attempt for as long as it liked. The whole rest has 2 s.

SlowBodyTest plays the way in which bodies are dropped as well: 6 of 6.

--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/SlowBodyTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/SlowBodyTest.java
@@ -31,12 +31,14 @@
     /** Guards against a body whose every part may take as long as the whole. */
     @ParameterizedTest
     @CsvSource({
-        "Content-Length: 20, false",
-        "Connection: close, false",
-        "Content-Length: 20, true",
-        "Connection: close, true"
+        "Content-Length: 20, WHOLE",
+        "Connection: close, WHOLE",
+        "Content-Length: 20, WITHIN_MEMORY",
+        "Connection: close, WITHIN_MEMORY",
+        "Content-Length: 20, DISCARD",
+        "Connection: close, DISCARD"
     })
-    void theTimeoutIsThatOfTheWholeBody(String field, boolean isBounded) throws Exception {
+    void theTimeoutIsThatOfTheWholeBody(String field, Reading reading) throws Exception {
         RawUpstream.Script script =
                 (request, connection) -> {
                     connection.send("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n");
@@ -59,11 +61,21 @@
         }
     }
 
-    private static byte[] read(HttpCall call, ClientResponse response, boolean isBounded)
+    /** The ways in which a body is read. */
+    private enum Reading {
+        WHOLE,
+        WITHIN_MEMORY,
+        DISCARD
+    }
+
+    private static void read(HttpCall call, ClientResponse response, Reading reading)
             throws Exception {
-        return isBounded
-                ? ResponseReader.read(
-                        call, response, TIMEOUT, 1_000, BodyMemory.unbounded().openResponse())
-                : call.readAll(TIMEOUT, 1_000);
+        switch (reading) {
+            case WHOLE -> call.readAll(TIMEOUT, 1_000);
+            case WITHIN_MEMORY ->
+                    ResponseReader.read(
+                            call, response, TIMEOUT, 1_000, BodyMemory.unbounded().openResponse());
+            default -> call.discard(TIMEOUT, 1_000);
+        }
     }
 }
--- a/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/internal/http/HttpCall.java
@@ -338,6 +338,23 @@
         return body.toByteArray();
     }
 
+    /**
+     * Reads the rest of the answer's body and drops it, so that the connection can be used again.
+     *
+     * @param timeout the longest time for all of it
+     * @param mostBytes after so many bytes the rest is left
+     * @throws CallFailedException if the connection breaks or the wait is too long
+     */
+    public void discard(Duration timeout, int mostBytes) throws CallFailedException {
+        long endNanos = endNanos(timeout);
+        int readBytes = 0;
+        byte[] part = readUntil(endNanos);
+        while (part != null && readBytes <= mostBytes) {
+            readBytes += part.length;
+            part = readUntil(endNanos);
+        }
+    }
+
     CallFailedException tooLarge(int mostBytes) {
         return new CallFailedException(
                 new Failure.Garbled(mStep, mPeer.name(), "answer is larger than " + mostBytes));
--- a/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
+++ b/org.orchidmount/src/main/java/org/orchidmount/relay/AttemptRunner.java
@@ -271,12 +271,7 @@
 
     private void discard(HttpCall call) {
         try {
-            int readBytes = 0;
-            byte[] part = call.read(DISCARD_TIMEOUT);
-            while (part != null && readBytes <= MAX_RESPONSE_BYTES) {
-                readBytes += part.length;
-                part = call.read(DISCARD_TIMEOUT);
-            }
+            call.discard(DISCARD_TIMEOUT, MAX_RESPONSE_BYTES);
         } catch (CallFailedException e) {
             LOG.debug("%s: %s", mRequest.id(), e.failure().describe());
         }
