--- a/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/UnreadRequestTest.java
+++ b/org.orchidmount.test/src/test/java/org/orchidmount/internal/http/UnreadRequestTest.java
@@ -15,8 +15,14 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -181,7 +187,29 @@
     }
 
     static Stream<Arguments> casesOfRequests() {
-        return cases().filter(UnreadRequestTest::endsWithTheFirstRequest);
+        return sideBySide(UnreadRequestTest::endsWithTheFirstRequest);
+    }
+
+    /** Joins cases that differ in the kind of the caller alone; the third argument is a list. */
+    private static Stream<Arguments> sideBySide(Predicate<Arguments> filter) {
+        Map<List<Object>, List<CallerKind>> kinds = new LinkedHashMap<>();
+        cases().filter(filter)
+                .map(Arguments::get)
+                .forEach(
+                        of ->
+                                kinds.computeIfAbsent(
+                                                List.of(of[0], of[1], of[3], of[4]),
+                                                each -> new ArrayList<>())
+                                        .add((CallerKind) of[2]));
+        return kinds.entrySet().stream()
+                .map(
+                        of ->
+                                Arguments.of(
+                                        of.getKey().get(0),
+                                        of.getKey().get(1),
+                                        of.getValue(),
+                                        of.getKey().get(2),
+                                        of.getKey().get(3)));
     }
 
     static Stream<Arguments> casesOfLastResponses() {
@@ -189,7 +217,7 @@
     }
 
     static Stream<Arguments> casesOfNoRequests() {
-        return cases().filter(arguments -> !endsWithTheFirstRequest(arguments));
+        return sideBySide(arguments -> !endsWithTheFirstRequest(arguments));
     }
 
     /** Whether what follows the request is either valid, or not read as a request. */
@@ -206,21 +234,32 @@
     @ParameterizedTest
     @MethodSource("casesOfNoRequests")
     void aWholeResponseIsWholeIfWhatFollowsOnAKeptConnectionIsNoRequest(
-            Sent sent, Answer answer, CallerKind kind, boolean isHeld, boolean isDraining)
-            throws Exception {
-        aWholeResponseIsWholeForACallerThatSends(sent, answer, kind, isHeld, isDraining);
+            Sent sent, Answer answer, List<CallerKind> kinds, boolean isHeld, boolean isDraining) {
+        aWholeResponseIsWholeForACallerThatSends(sent, answer, kinds, isHeld, isDraining);
     }
 
     /** Guards against whole responses that are lost to a caller that sends while it is answered. */
     @ParameterizedTest
     @MethodSource("casesOfRequests")
     void aWholeResponseIsWholeForACallerThatSends(
-            Sent sent, Answer answer, CallerKind kind, boolean isHeld, boolean isDraining)
-            throws Exception {
+            Sent sent, Answer answer, List<CallerKind> kinds, boolean isHeld, boolean isDraining) {
         mIsHeld = isHeld;
         if (isDraining) {
             mServer.drain();
         }
+        try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            List<CompletableFuture<Void>> callers =
+                    kinds.stream()
+                            .map(
+                                    kind ->
+                                            CompletableFuture.runAsync(
+                                                    () -> sendAndRead(sent, answer, kind), threads))
+                            .toList();
+            callers.forEach(CompletableFuture::join);
+        }
+    }
+
+    private void sendAndRead(Sent sent, Answer answer, CallerKind kind) {
         String path = (sent.isRefused() ? "/refuse/" : "/read/") + answer;
         try (FramingCaller caller =
                 new FramingCaller(kind, "127.0.0.1", mServer.port(), TIMEOUT, SOCKET_BYTES)) {
@@ -228,11 +267,13 @@
             sendBeside(caller, sent.rest(kind));
             Thread.sleep(READING_DELAY);
             FramedResponse response = caller.read();
-            assertWithMessage(response.end() + " after " + response.body().length())
-                    .that(response.isComplete())
-                    .isTrue();
-            assertThat(response.body())
+            String seen = kind + ": " + response.end() + " after " + response.body().length();
+            assertWithMessage(seen).that(response.isComplete()).isTrue();
+            assertWithMessage(seen)
+                    .that(response.body())
                     .hasLength(answer == Answer.SMALL ? PART_BYTES : PARTS * PART_BYTES);
+        } catch (IOException | InterruptedException e) {
+            throw new AssertionError(kind.toString(), e);
         }
     }
 
