--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,97 +1,106 @@
-"""LOST: a burst of callers that fetch documents of 2 MB."""
+"""DRAIN: an acknowledged departure is forgotten when many processes are killed at once."""
 import json
 import os
-import subprocess
+import signal
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from lab2 import (CannotRun, Client, Runner, Site, answer_headers, config, now, plain_service,
                   route, run_case, send)
 
-DOCUMENT_BYTES = 2_000_000
-USUAL_CLIENTS = 7
-BURST = 2.2
-ROUNDS = 4
-MOST_LOST = 3
-
-
-def client(address, name, start):
-    """One client: one kept connection, a small request first, then documents, one by one."""
-    lines = []
-    one = Client(lines.append, address)
-    first = one.attempt("POST", "mill.example", "/doc/0", {}, b"{}", 10.0, request_id=f"{name}-0")
-    lines.append(f"{name}-0: {first[0]}")
-    time.sleep(max(0, start - time.time()))
-    results = []
-    for i in range(1, ROUNDS + 1):
-        kept = one.sock is not None
-        rid = f"{name}-{i}"
-        status, _, body, took, _ = one.attempt(
-            "POST", "mill.example", f"/doc/{DOCUMENT_BYTES}", {}, b"{}", 10.0, request_id=rid)
-        results.append({"id": rid, "kept": kept, "got": str(status), "bytes": len(body),
-                        "took": round(took, 3)})
-    one.close()
-    print(json.dumps(results))
+CONTACT_S = 3.0  # contact_ms of the site
+DRAIN_S = 2.0  # drain_ms of the site
+DOWN_S = 0.5  # processes of the core return within a second
+BEAT_LATE_S = 2.5  # a heartbeat may arrive seconds late
+SERVES_ON_S = 12.0  # drain_ms and somewhat longer, at times many seconds
 
 
 def main(record, trouble):
-    clients = int(USUAL_CLIENTS * BURST) if trouble else USUAL_CLIENTS
-    site = Site(record, entries=1, voters=5, losses=2)
-    ran = set()
+    site = Site(record, entries=4, voters=5, losses=2)
+    arrivals = []
+    sent = {}
+    stop = threading.Event()
     try:
         site.start()
 
         def handler(runner, sock, request):
-            ran.add(request["id"])
+            arrivals.append((now(), runner.id, request["id"]))
             record(f"runner {runner.id} runs {request['id']}")
-            time.sleep(0.05)
-            size = int(request["path"].split("/")[-1])
-            send(sock, 200, answer_headers(runner, request), b"d" * size)
-            record(f"runner {runner.id} has answered {request['id']} with {size} bytes")
+            time.sleep(0.08)
+            send(sock, 200, answer_headers(runner, request), b"done")
 
-        for i in range(6):
-            Runner(site, "chao-app", handler, zone=f"z-{'abc'[i % 3]}").start_beats()
+        runners = [Runner(site, "chao-app", handler, zone=f"z-{'abc'[i % 3]}").start_beats()
+                   for i in range(4)]
         first = site.put_config(config(
-            3, [route("doc", "mill.example", "/doc/", "unsafe", "chao-app", timeout=10000,
-                      target=2000)], [plain_service("chao-app")]), total=30)
+            3, [route("status", "mill.example", "/status/", "unsafe", "chao-app")],
+            [plain_service("chao-app")]), total=30)
         if not first or first[0] != 200:
             raise CannotRun("the first configuration was not taken")
         site.wait_ready()
-        time.sleep(4)  # in touch: more than contact_ms after the start
-        entry = site.entries[0]
-        start = time.time() + 2.0
-        record(f"{clients} clients, {ROUNDS} documents of {DOCUMENT_BYTES} bytes each")
-        programs = [subprocess.Popen(
-            [sys.executable, os.path.abspath(__file__), "client", entry.front, f"c{i}",
-             str(start)], stdout=subprocess.PIPE, text=True) for i in range(clients)]
-        lost, served, other = [], 0, 0
-        for program in programs:
-            out, _ = program.communicate(timeout=90)
-            for result in json.loads(out.strip().splitlines()[-1]):
-                record(f"client {json.dumps(result)} ran={result['id'] in ran}")
-                whole = result["got"] == "200" and result["bytes"] == DOCUMENT_BYTES
-                ended = result["got"] in ("closed", "cut") or result["got"].startswith("broken")
-                if whole:
-                    served += 1
-                elif ended and result["kept"] and result["id"] in ran:
-                    lost.append(result["id"])
-                else:
-                    other += 1
-        exit_code = entry.proc.poll()
-        record(f"{served} answered whole; {len(lost)} passed on to a sound runner from a kept"
-               f" connection that was then closed without an answer; {other} others; the entry"
-               f" {'runs on' if exit_code is None else f'has ended by itself with {exit_code}'}")
-        for line in entry.log().splitlines():
-            if "OutOfMemory" in line or "heap is exhausted" in line or "aborted response" in line:
-                record("entry's log: " + line[:300])
-        return len(lost) > MOST_LOST
+        time.sleep(CONTACT_S + 1)
+
+        def client(number):
+            entry = site.entries[number % len(site.entries)]
+            one = Client(record, entry.front)
+            while not stop.is_set():
+                start = now()
+                result = one.attempt("POST", "mill.example", "/status/2f", {}, b"{}", 3.0)
+                sent[result[4]] = (start, entry.name)
+                time.sleep(0.15)
+
+        threads = [threading.Thread(target=client, args=(i,)) for i in range(16)]
+        for thread in threads:
+            thread.start()
+        time.sleep(2)
+
+        # The runner leaves without "draining": DELETE first, then it serves on for a while. Its
+        # last heartbeat, sent just before, is still on its way.
+        leaving = runners[0]
+        leaving.beating = False
+        late_beat = json.dumps(leaving.registration()).encode()
+        record(f"runner {leaving.id} sends its last heartbeat (ready), which is held up")
+        answer = leaving.delete()
+        if not answer or answer[0] != 200:
+            raise CannotRun(f"DELETE was not acknowledged: {answer}")
+        acknowledged = leaving.acked["gone"]
+        record(f"DELETE /instances/{leaving.id} is acknowledged")
+
+        back = acknowledged
+        if trouble:
+            killed = site.voters + site.entries[:2]
+            for node in killed:
+                node.signal(signal.SIGKILL)
+            record("killed at once: " + ", ".join(node.name for node in killed))
+            time.sleep(DOWN_S)
+            for node in killed:
+                node.proc.wait()
+                node.start()
+            back = now()
+            record("started again")
+        time.sleep(max(0, acknowledged + BEAT_LATE_S - now()))
+        answer = site.call("PUT", f"/instances/{leaving.id}", late_beat, total=5)
+        record(f"the late heartbeat of {leaving.id} arrives -> {answer and answer[0]}")
+        time.sleep(max(0, acknowledged + SERVES_ON_S - now()))
+        stop.set()
+        for thread in threads:
+            thread.join()
+
+        from_then = max(acknowledged + DRAIN_S, back + CONTACT_S)
+        late = [(at, request) for at, runner, request in arrivals
+                if runner == leaving.id and at > from_then
+                and sent.get(request, (0, ""))[0] > from_then]
+        for at, request in late:
+            record(f"{request} reached {leaving.id} {at - acknowledged:.2f} s after the"
+                   f" acknowledgement of its departure, through {sent[request][1]}, which has run"
+                   f" for {at - back:.2f} s")
+        record(f"{len(late)} requests reached the runner later than drain_ms after the"
+               f" acknowledgement, sent on by machines that were in touch")
+        return bool(late)
     finally:
+        stop.set()
         site.close()
 
 
-if __name__ == "__main__":
-    if sys.argv[1:2] == ["client"]:
-        client(sys.argv[2], sys.argv[3], float(sys.argv[4]))
-    else:
-        run_case(main)
+run_case(main)
