--- a/review/lab2.py
+++ b/review/lab2.py
@@ -421,6 +421,10 @@
     def crash(self):
         """The process ends at once: no more is accepted, its connections are reset."""
         self.alive = False
+        try:
+            self.listener.shutdown(socket.SHUT_RDWR)  # wakes the thread that accepts
+        except OSError:
+            pass
         self.listener.close()
         with self.lock:
             socks = list(self.socks)
