--- a/review/5/case.py
+++ b/review/5/case.py
@@ -87,7 +87,7 @@
         for thread in threads:
             thread.join()
 
-        from_then = max(acknowledged + DRAIN_S, back + CONTACT_S)
+        from_then = max(acknowledged + DRAIN_S, back + CONTACT_S + 0.5)
         late = [(at, request) for at, runner, request in arrivals
                 if runner == leaving.id and at > from_then
                 and sent.get(request, (0, ""))[0] > from_then]
