--- a/review/7/case.py
+++ b/review/7/case.py
@@ -47,7 +47,7 @@
             return True
 
         runners = [Runner(site, "chao-app", handler, zone=f"z-{'abc'[i % 3]}")
-                   for i in range(6)]
+                   for i in range(8)]
         for runner in runners:
             runner.start_beats()
         first = site.put_config(config(
